--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,2 @@
+//! Main.
+fn main() {}
--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,251 @@
+//! The types of the document, as operators write it in JSON.
+//!
+//! Spans of time that an operator chooses are written as spans (`key_horizon_ms`): a document has
+//! no moment of its own. The running programs turn each into a deadline before they store it.
+
+use crate::ids::{
+    BackendServerId, FailureDomainId, ModelGroupId, RegionId, RouteId, TeamId, TierId,
+};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
+/// The schema version that this release writes and the highest that it accepts.
+pub const SCHEMA_VERSION: u32 = 1;
+
+/// Everything that defines the behaviour of a fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Version of the document's own format; see [`SCHEMA_VERSION`].
+    pub schema_version: u32,
+    /// A title for people, shown in the console.
+    pub title: String,
+    /// Failure domains with the region that each lies in.
+    pub failure_domains: Vec<FailureDomain>,
+    /// Priority tiers. Lower `rank` is answered first.
+    pub tiers: Vec<Tier>,
+    /// Teams of callers.
+    pub teams: Vec<Team>,
+    /// Backend servers by name.
+    pub backend_servers: Vec<BackendServer>,
+    /// Groups of ranks that run in lock-step.
+    #[serde(default)]
+    pub model_groups: Vec<ModelGroup>,
+    /// Where requests go.
+    pub routes: Vec<Route>,
+    /// How skew is weighed against the cost of rebalancing.
+    pub balance: Balance,
+}
+
+/// One failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FailureDomain {
+    /// Its name, as instances carry it in their settings.
+    pub id: FailureDomainId,
+    /// The region that it lies in.
+    pub region: RegionId,
+}
+
+/// One priority tier.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Tier {
+    /// Its name.
+    pub id: TierId,
+    /// Order under strain: 0 is answered first. Ranks are distinct.
+    pub rank: u8,
+    /// Time to the first chunk that callers of this tier are promised.
+    pub first_chunk_target_ms: u32,
+    /// Share of a backend server's starts, in thousandths, that this tier keeps while higher tiers
+    /// would fill all of it. Zero allows starvation.
+    #[serde(default)]
+    pub floor_permille: u16,
+}
+
+/// One team of callers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Its name.
+    pub id: TeamId,
+    /// The tier that its requests belong to.
+    pub tier: TierId,
+    /// SHA-256 of each API key that identifies the team.
+    pub key_hashes: Vec<KeyHash>,
+    /// Bounds over the whole fleet.
+    pub limit: TeamLimit,
+}
+
+/// SHA-256 of an API key, 64 hexadecimal digits in JSON. The key itself is never stored.
+#[serde_as]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(transparent)]
+pub struct KeyHash(
+    #[serde_as(as = "serde_with::hex::Hex")]
+    #[schemars(with = "String")]
+    pub [u8; 32],
+);
+
+impl std::fmt::Debug for KeyHash {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+/// Bounds on a team's use, over all entries together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct TeamLimit {
+    /// Accepted requests a second.
+    pub requests_per_s: u32,
+    /// Requests that may follow one another at once before the rate binds.
+    pub burst_requests: u32,
+}
+
+/// One backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct BackendServer {
+    /// Its name; the instance list binds it to an instance.
+    pub id: BackendServerId,
+    /// Where it stands.
+    pub failure_domain: FailureDomainId,
+    /// What it is.
+    pub kind: BackendKind,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Requests that may wait beside it.
+    pub queue_slots: u32,
+    /// Whether it refuses an order with an old fencing number by itself.
+    #[serde(default)]
+    pub checks_fencing: bool,
+}
+
+/// The kinds of backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum BackendKind {
+    /// A model engine that holds ranks of a model group.
+    Engine,
+    /// A plain HTTP service.
+    Service,
+}
+
+/// One group of ranks in lock-step.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ModelGroup {
+    /// Its name.
+    pub id: ModelGroupId,
+    /// Models that it serves, by the name that callers use.
+    pub models: Vec<String>,
+    /// Version of the weights that it should run.
+    pub weights_version: String,
+    /// Backend servers that hold its ranks, in rank order; each holds `ranks_per_server`.
+    pub backend_servers: Vec<BackendServerId>,
+    /// Ranks on each backend server.
+    pub ranks_per_server: u16,
+    /// Layers with experts.
+    pub layers: u16,
+    /// Experts a layer.
+    pub experts_per_layer: u16,
+    /// Bytes of one expert's weights in one layer.
+    pub expert_bytes: u64,
+    /// Experts of one layer that one rank can hold, replicas included.
+    pub expert_slots_per_rank: u16,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Its name.
+    pub id: RouteId,
+    /// What it matches and where it leads.
+    pub target: Target,
+    /// Whether a request may run more than once. A caller's header can only say no.
+    pub idempotent: bool,
+    /// Deadline of a request that brings none, counted from its arrival.
+    pub default_deadline_ms: u32,
+    /// Latest deadline that a caller may ask for, counted from arrival.
+    pub max_deadline_ms: u32,
+    /// How long an idempotency key is remembered after its request ended.
+    pub key_horizon_ms: u32,
+    /// Further tries, in thousandths of first tries.
+    pub retry_budget_permille: u16,
+}
+
+/// What a route matches and where it leads.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Target {
+    /// The model API, for the models of one group.
+    Model {
+        /// The group that serves it.
+        group: ModelGroupId,
+    },
+    /// A plain service behind a path prefix.
+    Service {
+        /// Prefix of the path, such as `/cases/`; kept on the way to the service.
+        path_prefix: String,
+        /// Backend servers that serve it.
+        backend_servers: Vec<BackendServerId>,
+    },
+}
+
+/// How skew is weighed against the cost of rebalancing.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Balance {
+    /// Weight of step-time skew, from 0 to 100.
+    pub skew_weight: f64,
+    /// Weight of bytes moved and stalls, from 0 to 100.
+    pub rebalance_cost_weight: f64,
+    /// Bytes a second that the weight store grants the whole fleet.
+    pub weight_store_bytes_per_s: u64,
+}
+
+impl Document {
+    /// The backend servers that a target leads to, in document order.
+    #[must_use]
+    pub fn backends_of<'a>(&'a self, target: &'a Target) -> &'a [BackendServerId] {
+        match target {
+            Target::Model { group } => {
+                self.group(group.as_str()).map_or(&[], |group| &group.backend_servers)
+            }
+            Target::Service { backend_servers, .. } => backend_servers,
+        }
+    }
+
+    /// Finds a model group by name.
+    #[must_use]
+    pub fn group(&self, id: &str) -> Option<&ModelGroup> {
+        self.model_groups.iter().find(|group| group.id.as_str() == id)
+    }
+
+    /// Finds a backend server by name.
+    #[must_use]
+    pub fn backend(&self, id: &str) -> Option<&BackendServer> {
+        self.backend_servers.iter().find(|server| server.id.as_str() == id)
+    }
+
+    /// Finds a route by name.
+    #[must_use]
+    pub fn route(&self, id: &str) -> Option<&Route> {
+        self.routes.iter().find(|route| route.id.as_str() == id)
+    }
+
+    /// Finds a tier by name.
+    #[must_use]
+    pub fn tier(&self, id: &str) -> Option<&Tier> {
+        self.tiers.iter().find(|tier| tier.id.as_str() == id)
+    }
+
+    /// Finds the team that an API key belongs to.
+    #[must_use]
+    pub fn team_by_key(&self, hash: &KeyHash) -> Option<&Team> {
+        self.teams.iter().find(|team| team.key_hashes.contains(hash))
+    }
+}
--- /dev/null
+++ b/crates/config/src/ids.rs
@@ -0,0 +1,83 @@
+//! Names that operators give to the entities of a document.
+
+use serde::{Deserialize, Serialize};
+use std::borrow::Borrow;
+use std::fmt;
+use std::sync::Arc;
+
+macro_rules! name_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[derive(schemars::JsonSchema)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Makes an identifier from its text.
+            #[must_use]
+            pub fn new(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+
+            /// The text as the document spells it.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_id!(
+    /// Names a team: one organisation unit of callers with its own keys and limits.
+    TeamId
+);
+name_id!(
+    /// Names a priority tier.
+    TierId
+);
+name_id!(
+    /// Names a model group: ranks that run in lock-step on one expert map.
+    ModelGroupId
+);
+name_id!(
+    /// Names a backend server. The platform binds it to an instance through the instance list.
+    BackendServerId
+);
+name_id!(
+    /// Names a failure domain.
+    FailureDomainId
+);
+name_id!(
+    /// Names a region: failure domains that lose each other rarely.
+    RegionId
+);
+name_id!(
+    /// Names a route from a caller's model or path to backend servers.
+    RouteId
+);
--- /dev/null
+++ b/crates/core/src/group/mod.rs
@@ -0,0 +1,1 @@
+//! Agreement on one expert map within a lock-step group.
--- /dev/null
+++ b/crates/core/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! When to rebalance experts, and which to move.
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,1 @@
+//! protocol
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,1 @@
+//! runtime
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! standins
