--- /dev/null
+++ b/crates/core/src/audit.rs
@@ -0,0 +1,108 @@
+//! Typed records of changes to anything that defines behaviour.
+
+use crate::ids::{Fencing, Incarnation, InstanceId};
+use crate::time::UnixMs;
+use hickorycross_config::{BackendServerId, ModelGroupId, Stamp};
+use serde::{Deserialize, Serialize};
+
+/// One change, before it is numbered and chained by the trail of its process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AuditRecord {
+    /// When it happened.
+    pub at: UnixMs,
+    /// The document in force at that moment.
+    pub stamp: Stamp,
+    /// What changed.
+    pub change: Change,
+}
+
+/// The kinds of change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Change {
+    /// Another document is in force.
+    DocumentAdopted {
+        /// The one before.
+        before: Stamp,
+        /// The one in force now.
+        after: Stamp,
+    },
+    /// A published document was refused; the one before stays in force.
+    DocumentRejected {
+        /// The refused one.
+        rejected: Stamp,
+        /// Why.
+        reason: String,
+    },
+    /// A process began to drain.
+    DrainBegun,
+    /// A process has nothing left to finish.
+    DrainEnded,
+    /// A backend server no longer gets new work because of its failures.
+    CircuitOpened {
+        /// The backend server.
+        backend_server: BackendServerId,
+        /// Why.
+        reason: String,
+    },
+    /// A backend server gets new work again.
+    CircuitClosed {
+        /// The backend server.
+        backend_server: BackendServerId,
+    },
+    /// A link went silent and was replaced.
+    LinkSilent {
+        /// The backend server at its other end.
+        backend_server: BackendServerId,
+        /// The instance at its other end.
+        instance: InstanceId,
+        /// The incarnation at its other end.
+        incarnation: Incarnation,
+    },
+    /// A group changed its expert map.
+    MapChanged {
+        /// The group.
+        group: ModelGroupId,
+        /// Version before.
+        before: u64,
+        /// Version now.
+        after: u64,
+        /// Why.
+        reason: String,
+    },
+    /// An order went to a backend server.
+    OrderGiven {
+        /// The backend server.
+        backend_server: BackendServerId,
+        /// Its fencing token.
+        fencing: Fencing,
+        /// What was ordered.
+        order: String,
+    },
+    /// An order was refused for its old fencing token.
+    OrderRefused {
+        /// The backend server.
+        backend_server: BackendServerId,
+        /// The refused token.
+        fencing: Fencing,
+        /// The lowest token that would have been taken.
+        lowest: Fencing,
+    },
+    /// An invariant did not hold.
+    InvariantViolated {
+        /// Which, and what was seen.
+        detail: String,
+    },
+    /// A key or certificate was renewed.
+    KeyRenewed {
+        /// Which.
+        subject: String,
+    },
+    /// An operator signed in.
+    SignIn {
+        /// Who.
+        operator: String,
+        /// Whether the credentials were right.
+        accepted: bool,
+    },
+}
--- /dev/null
+++ b/crates/core/src/entry/mod.rs
@@ -0,0 +1,5 @@
+//! The decisions of an entry: admission, attempts, links, retries.
+
+mod border;
+
+pub use border::{Arrival, EntryAction, EntryEvent, Refusal, RefusalCode, Wanted};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,14 +4,28 @@
 //! opens a socket, starts a thread, logs or draws from a global random source: every input is a
 //! typed event with a [`Now`], every output a typed action. The same events and the same seed give
 //! the same actions.
+//!
+//! - [`entry`] and [`agent`] are the two ends of a request's path; [`message`] is what they say to
+//!   each other.
+//! - [`routing`] and [`limits`] are the policies that an entry consults.
+//! - [`group`] keeps one expert map in every step; [`placement`] decides when to change it.
+//! - [`audit`] holds the records of every change that defines behaviour.
 
 mod ids;
+mod instance;
 mod time;
 mod verdict;
 
+pub mod agent;
+pub mod audit;
+pub mod entry;
 pub mod group;
+pub mod limits;
+pub mod message;
 pub mod placement;
+pub mod routing;
 
 pub use ids::{AttemptId, Fencing, Incarnation, InstanceId, LinkId, RequestId};
+pub use instance::{Instance, InstanceState, Role};
 pub use time::{Now, UnixMs};
 pub use verdict::Verdict;
--- /dev/null
+++ b/crates/core/src/limits/mod.rs
@@ -0,0 +1,1 @@
+//! Team limits that hold over all entries without shared state.
--- /dev/null
+++ b/crates/core/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of a backend server for a request.
