--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! - [`entry`] and [`agent`] are the two ends of a request's path; [`message`] is what they say to
 //!   each other.
-//! - [`routing`] and [`limits`] are the policies that an entry consults.
+//! - [`routing`], [`limits`], [`health`] and [`retry`] are the policies that an entry consults.
 //! - [`group`] keeps one expert map in every step; [`placement`] decides when to change it.
 //! - [`audit`] holds the records of every change that defines behaviour.
 
@@ -20,9 +20,11 @@
 pub mod audit;
 pub mod entry;
 pub mod group;
+pub mod health;
 pub mod limits;
 pub mod message;
 pub mod placement;
+pub mod retry;
 pub mod routing;
 
 pub use ids::{AttemptId, Fencing, Incarnation, InstanceId, LinkId, RequestId};
