--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //!   each other.
 //! - [`routing`], [`limits`], [`health`] and [`retry`] are the policies that an entry consults.
 //! - [`group`] keeps one expert map in every step; [`placement`] decides when to change it.
+//! - [`adoption`] decides which document is in force.
 //! - [`audit`] holds the records of every change that defines behaviour.
 
 mod ids;
@@ -16,6 +17,7 @@
 mod time;
 mod verdict;
 
+pub mod adoption;
 pub mod agent;
 pub mod audit;
 pub mod entry;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,1 +1,17 @@
-//! runtime
+//! What both hickorycross programs share around the core.
+//!
+//! - [`clock`] gives the core its moments.
+//! - [`settings`] reads a program's settings file and points at what is wrong in it.
+//! - [`logs`] and [`trail`] write one line for each event; [`exposition`] serves metrics.
+//! - [`security`] holds the keys of links; [`link`] carries frames between processes.
+//! - [`platform`] reads the platform's configuration service and instance list.
+
+pub mod clock;
+pub mod exposition;
+pub mod link;
+pub mod logs;
+pub mod platform;
+pub mod security;
+pub mod settings;
+pub mod signals;
+pub mod trail;
--- /dev/null
+++ b/crates/runtime/src/link/connection.rs
@@ -0,0 +1,226 @@
+//! One connection: the control stream and a stream for each attempt.
+
+use super::stream::{StreamError, read_frame, write_frame};
+use super::{LinkEvent, Shared};
+use hickorycross_core::{AttemptId, LinkId};
+use hickorycross_protocol::Frame;
+use indexmap::IndexMap;
+use quinn::{Connection, RecvStream, SendStream};
+use std::sync::Arc;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// What the task of a connection is told.
+pub(crate) enum Command {
+    /// Send a frame.
+    Send(Frame),
+    /// Close the connection.
+    Close,
+    /// The other end opened a stream for an attempt. Its reader says so before it passes on the
+    /// first frame, so that the answer finds the stream.
+    Register { attempt: AttemptId, stream: SendStream },
+    /// The other end finished the stream of an attempt.
+    Finished { attempt: AttemptId, serial: u64 },
+}
+
+struct AttemptStream {
+    /// Tells a stream from its successor for the same attempt.
+    serial: u64,
+    frames: UnboundedSender<Frame>,
+}
+
+/// Runs one connection until it ends.
+pub(crate) struct ConnectionTask {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) link: LinkId,
+    pub(crate) connection: Connection,
+    pub(crate) commands: UnboundedSender<Command>,
+    streams: IndexMap<AttemptId, AttemptStream>,
+    next_serial: u64,
+}
+
+impl ConnectionTask {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        link: LinkId,
+        connection: Connection,
+        commands: UnboundedSender<Command>,
+    ) -> Self {
+        Self { shared, link, connection, commands, streams: IndexMap::new(), next_serial: 0 }
+    }
+
+    /// Serves commands and streams; returns why the connection ended.
+    pub(crate) async fn run(
+        mut self,
+        control: (SendStream, RecvStream),
+        mut commands: UnboundedReceiver<Command>,
+    ) -> String {
+        let (control_send, control_recv) = control;
+        let control_frames = spawn_writer(control_send);
+        self.spawn_control_reader(control_recv);
+        loop {
+            tokio::select! {
+                command = commands.recv() => match command {
+                    Some(Command::Send(frame)) => self.send(frame, &control_frames),
+                    Some(Command::Register { attempt, stream }) => self.register(attempt, stream),
+                    Some(Command::Finished { attempt, serial }) => self.forget(attempt, serial),
+                    Some(Command::Close) | None => {
+                        self.connection.close(0_u32.into(), b"closed");
+                        return "closed by this end".to_owned();
+                    }
+                },
+                accepted = self.connection.accept_bi() => match accepted {
+                    Ok((send, recv)) => self.spawn_accepted_reader(send, recv),
+                    Err(error) => return error.to_string(),
+                },
+            }
+        }
+    }
+
+    fn send(&mut self, frame: Frame, control: &UnboundedSender<Frame>) {
+        let Some(attempt) = frame.attempt() else {
+            let _ = control.send(frame);
+            return;
+        };
+        let ends = frame.ends_stream();
+        if let Some(stream) = self.streams.get(&attempt) {
+            let _ = stream.frames.send(frame);
+        } else if frame.opens_stream() {
+            self.open_stream(attempt, frame);
+        } else {
+            let _ = control.send(frame);
+        }
+        if ends {
+            self.streams.swap_remove(&attempt);
+        }
+    }
+
+    fn open_stream(&mut self, attempt: AttemptId, first: Frame) {
+        let (frames, receiver) = unbounded_channel();
+        let _ = frames.send(first);
+        let serial = self.insert(attempt, frames);
+        let connection = self.connection.clone();
+        let reader = self.reader();
+        tokio::spawn(async move {
+            let Ok((send, recv)) = connection.open_bi().await else {
+                reader.finished(attempt, serial);
+                return;
+            };
+            tokio::spawn(write_all(send, receiver));
+            reader.read_attempt(attempt, serial, recv).await;
+        });
+    }
+
+    fn register(&mut self, attempt: AttemptId, stream: SendStream) {
+        let frames = spawn_writer(stream);
+        self.insert(attempt, frames);
+    }
+
+    fn insert(&mut self, attempt: AttemptId, frames: UnboundedSender<Frame>) -> u64 {
+        self.next_serial += 1;
+        let serial = self.next_serial;
+        self.streams.insert(attempt, AttemptStream { serial, frames });
+        serial
+    }
+
+    fn forget(&mut self, attempt: AttemptId, serial: u64) {
+        let is_same = self.streams.get(&attempt).is_some_and(|stream| stream.serial == serial);
+        if is_same {
+            self.streams.swap_remove(&attempt);
+        }
+    }
+
+    fn reader(&self) -> Reader {
+        Reader {
+            shared: Arc::clone(&self.shared),
+            link: self.link,
+            connection: self.connection.clone(),
+            commands: self.commands.clone(),
+        }
+    }
+
+    fn spawn_control_reader(&self, stream: RecvStream) {
+        let reader = self.reader();
+        tokio::spawn(async move { reader.read_control(stream).await });
+    }
+
+    fn spawn_accepted_reader(&self, send: SendStream, recv: RecvStream) {
+        let reader = self.reader();
+        tokio::spawn(async move { reader.read_accepted(send, recv).await });
+    }
+}
+
+/// Reads the frames of one stream.
+struct Reader {
+    shared: Arc<Shared>,
+    link: LinkId,
+    connection: Connection,
+    commands: UnboundedSender<Command>,
+}
+
+impl Reader {
+    fn pass_on(&self, frame: Frame) {
+        self.shared.report(LinkEvent::Frame { link: self.link, frame });
+    }
+
+    fn finished(&self, attempt: AttemptId, serial: u64) {
+        let _ = self.commands.send(Command::Finished { attempt, serial });
+    }
+
+    /// A control stream that ends or breaks takes the connection with it: without it neither
+    /// heartbeats nor cancellations pass, while attempts seem to go on.
+    async fn read_control(self, mut stream: RecvStream) {
+        let error = self.read_until_end(&mut stream).await;
+        self.connection.close(1_u32.into(), error.to_string().as_bytes());
+    }
+
+    async fn read_attempt(self, attempt: AttemptId, serial: u64, mut stream: RecvStream) {
+        let error = self.read_until_end(&mut stream).await;
+        self.close_on_malformed(&error);
+        self.finished(attempt, serial);
+    }
+
+    async fn read_accepted(self, send: SendStream, mut stream: RecvStream) {
+        let Ok(first) = read_frame(&mut stream).await else {
+            return;
+        };
+        let Some(attempt) = first.attempt() else {
+            self.connection.close(1_u32.into(), b"a stream without an attempt");
+            return;
+        };
+        let _ = self.commands.send(Command::Register { attempt, stream: send });
+        self.pass_on(first);
+        let error = self.read_until_end(&mut stream).await;
+        self.close_on_malformed(&error);
+    }
+
+    async fn read_until_end(&self, stream: &mut RecvStream) -> StreamError {
+        loop {
+            match read_frame(stream).await {
+                Ok(frame) => self.pass_on(frame),
+                Err(error) => return error,
+            }
+        }
+    }
+
+    fn close_on_malformed(&self, error: &StreamError) {
+        if matches!(error, StreamError::Codec(_)) {
+            self.connection.close(1_u32.into(), error.to_string().as_bytes());
+        }
+    }
+}
+
+fn spawn_writer(stream: SendStream) -> UnboundedSender<Frame> {
+    let (frames, receiver) = unbounded_channel();
+    tokio::spawn(write_all(stream, receiver));
+    frames
+}
+
+async fn write_all(mut stream: SendStream, mut frames: UnboundedReceiver<Frame>) {
+    while let Some(frame) = frames.recv().await {
+        if let Err(error) = write_frame(&mut stream, &frame).await {
+            log::debug!(target: "link", error = error.to_string().as_str(); "write");
+            return;
+        }
+    }
+    let _ = stream.finish();
+}
--- /dev/null
+++ b/crates/runtime/src/link/listen.rs
@@ -0,0 +1,107 @@
+//! Accepts links.
+
+use super::connection::ConnectionTask;
+use super::stream::{read_frame, write_frame};
+use super::{LinkEvent, Shared, transport};
+use crate::security::{AGENT_NAME, ENTRY_NAME, certificate_names};
+use hickorycross_protocol::{Frame, Hello, PeerRole, VERSIONS, negotiate};
+use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A handshake that takes longer has failed.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// An address on which links are accepted until this is dropped.
+pub struct Listener {
+    endpoint: Endpoint,
+    shared: Arc<Shared>,
+}
+
+impl Listener {
+    /// The bound address.
+    ///
+    /// # Errors
+    ///
+    /// When the system no longer knows it.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// Shows the present keys to links that are accepted from now on.
+    pub fn renew(&self) {
+        self.endpoint.set_server_config(Some(server_config(&self.shared)));
+    }
+
+    /// Closes every link that was accepted here.
+    pub fn close(&self) {
+        self.endpoint.close(0_u32.into(), b"closed");
+    }
+}
+
+pub(super) fn listen(shared: Arc<Shared>, address: SocketAddr) -> std::io::Result<Listener> {
+    let endpoint = Endpoint::server(server_config(&shared), address)?;
+    let accepting = endpoint.clone();
+    let table = Arc::clone(&shared);
+    tokio::spawn(async move {
+        while let Some(incoming) = accepting.accept().await {
+            tokio::spawn(serve(Arc::clone(&table), incoming));
+        }
+    });
+    Ok(Listener { endpoint, shared })
+}
+
+fn server_config(shared: &Shared) -> quinn::ServerConfig {
+    let mut server = shared.keys().server;
+    server.transport_config(Arc::new(transport()));
+    server
+}
+
+async fn serve(shared: Arc<Shared>, incoming: Incoming) {
+    let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, shake_hands(&shared, incoming));
+    let (connection, control, hello) = match handshake.await {
+        Ok(Ok(parts)) => parts,
+        Ok(Err(reason)) => {
+            log::warn!(target: "link", reason = reason.as_str(); "refused");
+            return;
+        }
+        Err(_) => return,
+    };
+    let link = shared.number_accepted();
+    let (sender, receiver) = shared.enter(link);
+    shared.report(LinkEvent::Opened { link, hello });
+    let task = ConnectionTask::new(Arc::clone(&shared), link, connection, sender);
+    let reason = task.run(control, receiver).await;
+    shared.leave(link, reason);
+}
+
+async fn shake_hands(
+    shared: &Shared,
+    incoming: Incoming,
+) -> Result<(Connection, (SendStream, RecvStream), Hello), String> {
+    let connection = incoming.await.map_err(|error| error.to_string())?;
+    let (mut send, mut recv) = connection.accept_bi().await.map_err(|error| error.to_string())?;
+    let first = read_frame(&mut recv).await.map_err(|error| error.to_string())?;
+    let own = Frame::Hello(shared.greet.hello());
+    write_frame(&mut send, &own).await.map_err(|error| error.to_string())?;
+    let hello = judge(shared, &connection, first)?;
+    Ok((connection, (send, recv), hello))
+}
+
+fn judge(shared: &Shared, connection: &Connection, first: Frame) -> Result<Hello, String> {
+    let Frame::Hello(hello) = first else {
+        return Err("the first frame was no greeting".to_owned());
+    };
+    if negotiate(VERSIONS, hello.versions).is_none() {
+        return Err(format!("no common version with {:?}", hello.versions));
+    }
+    let name = match hello.role {
+        PeerRole::Entry => ENTRY_NAME,
+        PeerRole::Agent { .. } => AGENT_NAME,
+    };
+    if shared.keys().checks_roles && !certificate_names(connection, name) {
+        return Err(format!("the certificate is not for {name}"));
+    }
+    Ok(hello)
+}
--- /dev/null
+++ b/crates/runtime/src/platform.rs
@@ -0,0 +1,203 @@
+//! Reads the platform's configuration service and instance list. Nothing is ever written to them.
+//!
+//! The protocol is the platform's; docs/PLATFORM.md describes it.
+
+use hickorycross_core::Instance;
+use hickorycross_core::adoption::Published;
+use rand::RngExt;
+use serde::Deserialize;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
+
+/// Longest time that one watch is left open.
+const WATCH_MS: u64 = 10_000;
+/// A read that takes longer is given up, and its connection with it.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// A watch may last its time and one read more.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(WATCH_MS + 2_000);
+/// Pause after a failed read, and its upper bound as failures follow one another.
+const FIRST_PAUSE_MS: u64 = 200;
+const LONGEST_PAUSE_MS: u64 = 5_000;
+/// Pause between the reads of a process that does not watch.
+const POLL_MS: u64 = 30_000;
+
+/// What the platform says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlatformEvent {
+    /// A published document.
+    Config(Published),
+    /// The instance list.
+    Instances(Vec<Instance>),
+    /// A read failed.
+    Unreachable {
+        /// Why.
+        detail: String,
+    },
+}
+
+/// How a process follows the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Follow {
+    /// It keeps a watch open.
+    Watch,
+    /// It reads now and then; its peers tell it of changes.
+    Poll,
+}
+
+#[derive(Deserialize)]
+struct ConfigAnswer {
+    revision: u64,
+    document: String,
+}
+
+#[derive(Deserialize)]
+struct InstancesAnswer {
+    revision: u64,
+    instances: Vec<Instance>,
+}
+
+/// Why a read failed.
+#[derive(Debug, thiserror::Error)]
+enum ReadError {
+    #[error("{0}")]
+    Transport(#[from] reqwest::Error),
+    #[error("status {0}")]
+    Status(u16),
+}
+
+/// Follows the platform until the receiver of the events is dropped.
+///
+/// One task reads the configuration, as `follow` says at the moment; another watches the instance
+/// list.
+pub fn follow(
+    base_url: &str,
+    follow: watch::Receiver<Follow>,
+    events: UnboundedSender<PlatformEvent>,
+) {
+    let config = Reader::new(base_url, "config", events.clone());
+    tokio::spawn(follow_config(config, follow));
+    let instances = Reader::new(base_url, "instances", events);
+    tokio::spawn(follow_instances(instances));
+}
+
+struct Reader {
+    base_url: String,
+    what: &'static str,
+    client: reqwest::Client,
+    events: UnboundedSender<PlatformEvent>,
+    failures: u32,
+}
+
+impl Reader {
+    fn new(base_url: &str, what: &'static str, events: UnboundedSender<PlatformEvent>) -> Self {
+        let base_url = base_url.trim_end_matches('/').to_owned();
+        Self { base_url, what, client: fresh_client(), events, failures: 0 }
+    }
+
+    /// Reads once: at once without `after`, else when something newer is there. Nothing newer
+    /// within the watch's time gives `None`.
+    async fn read<T: serde::de::DeserializeOwned>(
+        &self,
+        after: Option<u64>,
+    ) -> Result<Option<T>, ReadError> {
+        let (url, timeout) = match after {
+            None => (format!("{}/v1/{}", self.base_url, self.what), READ_TIMEOUT),
+            Some(after) => (
+                format!(
+                    "{}/v1/{}/watch?after={after}&wait_ms={WATCH_MS}",
+                    self.base_url, self.what
+                ),
+                WATCH_TIMEOUT,
+            ),
+        };
+        let response = self.client.get(url).timeout(timeout).send().await?;
+        match response.status().as_u16() {
+            200 => Ok(Some(response.json().await?)),
+            204 | 404 => Ok(None),
+            status => Err(ReadError::Status(status)),
+        }
+    }
+
+    /// Reports a failure and waits before the next try.
+    ///
+    /// The connection is not used again: a middlebox may have forgotten it, so that every read on
+    /// it would time out while new connections work; one would see reads fail for minutes beside a
+    /// healthy platform. A new client opens a new connection.
+    async fn back_off(&mut self, error: &ReadError) -> bool {
+        self.client = fresh_client();
+        self.failures = self.failures.saturating_add(1);
+        let detail = format!("{}: {error}", self.what);
+        let doubled = FIRST_PAUSE_MS.saturating_mul(1 << self.failures.min(6));
+        pause(doubled.min(LONGEST_PAUSE_MS)).await;
+        self.events.send(PlatformEvent::Unreachable { detail }).is_ok()
+    }
+}
+
+fn fresh_client() -> reqwest::Client {
+    reqwest::Client::builder().no_proxy().build().unwrap_or_default()
+}
+
+/// Waits between half and all of a span, so that processes that failed together do not come back
+/// together.
+async fn pause(longest_ms: u64) {
+    let span_ms = rand::rng().random_range(longest_ms / 2..=longest_ms);
+    tokio::time::sleep(Duration::from_millis(span_ms)).await;
+}
+
+async fn follow_config(mut reader: Reader, mut follow: watch::Receiver<Follow>) {
+    let mut held: Option<u64> = None;
+    loop {
+        let mode = *follow.borrow_and_update();
+        let after = held.filter(|_| mode == Follow::Watch);
+        match reader.read::<ConfigAnswer>(after).await {
+            Ok(answer) => {
+                reader.failures = 0;
+                let empty = answer.is_none() && after.is_none();
+                if let Some(answer) = answer {
+                    held = Some(answer.revision);
+                    let bytes = answer.document.into_bytes().into();
+                    let offer = Published { revision: answer.revision, bytes };
+                    if reader.events.send(PlatformEvent::Config(offer)).is_err() {
+                        return;
+                    }
+                }
+                if empty {
+                    pause(FIRST_PAUSE_MS).await;
+                } else if mode == Follow::Poll {
+                    tokio::select! {
+                        () = pause(POLL_MS) => {}
+                        changed = follow.changed() => if changed.is_err() { return },
+                    }
+                }
+            }
+            Err(error) => {
+                if !reader.back_off(&error).await {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn follow_instances(mut reader: Reader) {
+    let mut held: Option<u64> = None;
+    loop {
+        match reader.read::<InstancesAnswer>(held).await {
+            Ok(Some(answer)) => {
+                reader.failures = 0;
+                held = Some(answer.revision);
+                if reader.events.send(PlatformEvent::Instances(answer.instances)).is_err() {
+                    return;
+                }
+            }
+            Ok(None) if held.is_none() => pause(FIRST_PAUSE_MS).await,
+            Ok(None) => {}
+            Err(error) => {
+                if !reader.back_off(&error).await {
+                    return;
+                }
+            }
+        }
+    }
+}
