--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod ids;
 mod instance;
+mod key_digest;
 mod time;
 mod verdict;
 
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,6 +4,7 @@
 //! identifiers that it carries, never by the link on which it came.
 
 use crate::ids::{AttemptId, Incarnation, RequestId};
+pub use crate::key_digest::KeyDigest;
 use crate::time::UnixMs;
 use crate::verdict::Verdict;
 use bytes::Bytes;
@@ -39,22 +40,6 @@
     pub headers: Vec<Header>,
 }
 
-/// Identifies a caller's idempotency key within its team.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct KeyDigest(pub u128);
-
-impl KeyDigest {
-    /// Digests a key together with the team that sent it, so that teams never share a key.
-    #[must_use]
-    pub fn of(team: &TeamId, key: &str) -> Self {
-        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-        hasher.update(&(team.as_str().len() as u64).to_le_bytes());
-        hasher.update(team.as_str().as_bytes());
-        hasher.update(key.as_bytes());
-        Self(hasher.digest128())
-    }
-}
-
 /// Hands one attempt to an agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submit {
@@ -210,6 +195,8 @@
     UnknownRoute,
     /// The key was used before for a request with another content.
     KeyConflict,
+    /// The moment of creation in the key lies ahead: nothing may run under it before.
+    KeyNotYetValid,
 }
 
 /// What came of a revocation.
