--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod ids;
 mod instance;
+mod key_digest;
 mod time;
 mod verdict;
 
