--- /dev/null
+++ b/crates/core/src/key_home.rs
@@ -0,0 +1,24 @@
+//! Which backend server remembers an idempotency key.
+
+use crate::message::KeyDigest;
+use hickorycross_config::BackendServerId;
+use std::cmp::Reverse;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Keeps these hashes apart from other uses of the same function.
+const KEY_HOME_SEED: u64 = 0x6b65_795f_686f_6d65;
+
+/// The home of a key: rendezvous hash over the backend servers that the document names for the
+/// route. Processes on one revision agree, whatever their instance lists say.
+#[must_use]
+pub fn key_home(backends: &[BackendServerId], key: KeyDigest) -> Option<&BackendServerId> {
+    backends
+        .iter()
+        .max_by_key(|backend_server| (score(backend_server, key), Reverse(*backend_server)))
+}
+
+fn score(backend_server: &BackendServerId, key: KeyDigest) -> u64 {
+    let mut bytes = key.0.to_le_bytes().to_vec();
+    bytes.extend_from_slice(backend_server.as_str().as_bytes());
+    xxh3_64_with_seed(&bytes, KEY_HOME_SEED)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod ids;
 mod instance;
+mod key_home;
 mod time;
 mod verdict;
 
@@ -29,5 +30,6 @@
 
 pub use ids::{AttemptId, Fencing, Incarnation, InstanceId, LinkId, RequestId};
 pub use instance::{Instance, InstanceState, Role};
+pub use key_home::key_home;
 pub use time::{Now, UnixMs};
 pub use verdict::Verdict;
