refactor(core): one function finds the home of an idempotency key

Entry and agent had one each with distinct hash inputs: every keyed request would have been refused as not at home.

--- a/crates/core/src/agent/key_home.rs
+++ b/crates/core/src/agent/key_home.rs
@@ -2,7 +2,6 @@
 
 use crate::message::KeyDigest;
 use hickorycross_config::{BackendServerId, Document, Route};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The home of a key: the backend server of the route with the highest weight for that key.
 ///
@@ -14,15 +13,5 @@
     route: &'a Route,
     key: KeyDigest,
 ) -> Option<&'a BackendServerId> {
-    home_among(document.backends_of(&route.target), key)
-}
-
-/// Rendezvous hashing: removing a backend server moves only the keys whose home it was.
-pub(crate) fn home_among(backends: &[BackendServerId], key: KeyDigest) -> Option<&BackendServerId> {
-    backends.iter().max_by_key(|id| (weight(id, key), id.as_str()))
-}
-
-fn weight(backend: &BackendServerId, key: KeyDigest) -> u64 {
-    let seed = xxh3_64_with_seed(&key.0.to_le_bytes(), 0);
-    xxh3_64_with_seed(backend.as_str().as_bytes(), seed)
+    crate::key_home(document.backends_of(&route.target), key)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod ids;
 mod instance;
 mod key_digest;
+mod key_home;
 mod time;
 mod verdict;
 
@@ -32,5 +33,6 @@
 
 pub use ids::{AttemptId, Fencing, Incarnation, InstanceId, LinkId, RequestId};
 pub use instance::{Instance, InstanceState, Role};
+pub use key_home::key_home;
 pub use time::{Now, UnixMs};
 pub use verdict::Verdict;
