--- /dev/null
+++ b/crates/agent/src/driver.rs
@@ -0,0 +1,278 @@
+//! Turns what happens around the process into events for the core and carries out its actions.
+
+use crate::backend::{Backend, Run};
+use hickorycross_core::adoption::{Exchange, ExchangeAction, Probe, StartGate, is_watcher};
+use hickorycross_core::agent::{AgentAction, AgentCore, AgentEvent};
+use hickorycross_core::audit::AuditRecord;
+use hickorycross_core::message::ToAgent;
+use hickorycross_core::{AttemptId, Instance, InstanceId, LinkId};
+use hickorycross_protocol::{ConfigOffer, Frame, Hello, PeerRole};
+use hickorycross_runtime::clock::SteadyClock;
+use hickorycross_runtime::link::{LinkEvent, Links};
+use hickorycross_runtime::platform::{Follow, PlatformEvent};
+use hickorycross_runtime::trail::Trail;
+use hickorycross_runtime::view::View;
+use indexmap::IndexMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{oneshot, watch};
+use tokio::task::AbortHandle;
+use tokio::time::MissedTickBehavior;
+
+/// Pause between two ticks of the core.
+const TICK: Duration = Duration::from_millis(20);
+/// Pause between two health checks of the backend server.
+const HEALTH_PAUSE: Duration = Duration::from_millis(500);
+
+/// What reaches the driver from outside.
+pub(crate) struct Inputs {
+    pub(crate) links: UnboundedReceiver<LinkEvent>,
+    pub(crate) platform: UnboundedReceiver<PlatformEvent>,
+    pub(crate) drain: oneshot::Receiver<()>,
+}
+
+/// What the driver acts on.
+pub(crate) struct Parts {
+    pub(crate) core: AgentCore,
+    pub(crate) gate: StartGate,
+    pub(crate) own: InstanceId,
+    pub(crate) links: Links,
+    pub(crate) backend: Backend,
+    pub(crate) view: Arc<View>,
+    pub(crate) trail: Arc<Trail>,
+    pub(crate) clock: SteadyClock,
+    pub(crate) follow: watch::Sender<Follow>,
+}
+
+/// Runs an agent until it has drained.
+pub(crate) struct Driver {
+    parts: Parts,
+    exchange: Exchange,
+    backend_events: UnboundedSender<AgentEvent>,
+    runs: IndexMap<AttemptId, AbortHandle>,
+    drained: bool,
+}
+
+impl Driver {
+    pub(crate) fn new(parts: Parts) -> (Self, UnboundedReceiver<AgentEvent>) {
+        let (backend_events, receiver) = unbounded_channel();
+        let driver = Self {
+            parts,
+            exchange: Exchange::default(),
+            backend_events,
+            runs: IndexMap::new(),
+            drained: false,
+        };
+        (driver, receiver)
+    }
+
+    pub(crate) async fn run(
+        mut self,
+        mut inputs: Inputs,
+        mut backend: UnboundedReceiver<AgentEvent>,
+    ) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let health = tokio::spawn(watch_health(
+            self.parts.backend.clone(),
+            self.backend_events.clone(),
+        ));
+        let mut draining = false;
+        while !self.drained {
+            tokio::select! {
+                biased;
+                _ = &mut inputs.drain, if !draining => {
+                    draining = true;
+                    self.parts.view.update(|status| status.draining = true);
+                    self.handle(AgentEvent::Drain);
+                }
+                _ = ticks.tick() => self.tick(),
+                Some(event) = inputs.links.recv() => self.on_link(event),
+                Some(event) = backend.recv() => self.on_backend(event),
+                Some(event) = inputs.platform.recv() => self.on_platform(event),
+            }
+        }
+        health.abort();
+    }
+
+    fn tick(&mut self) {
+        self.handle(AgentEvent::Tick);
+        let ready = self.exchange.in_force().is_some();
+        self.parts.view.update(|status| status.ready = ready);
+        let counters = self.parts.core.counters();
+        crate::export::record(counters);
+    }
+
+    fn handle(&mut self, event: AgentEvent) {
+        let mut actions = Vec::new();
+        self.parts.core.handle(self.parts.clock.now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: AgentAction) {
+        match action {
+            AgentAction::Send { link, message } => {
+                self.parts.links.send(link, Frame::ToEntry(message));
+            }
+            AgentAction::Start { attempt, head, body, deadline, priority } => {
+                self.start(Run { attempt, head, body, deadline, priority });
+            }
+            AgentAction::Abort { attempt } => self.abort(attempt),
+            AgentAction::Audit(record) => self.parts.trail.write(record),
+            AgentAction::Drained => self.drained = true,
+        }
+    }
+
+    fn start(&mut self, run: Run) {
+        let attempt = run.attempt;
+        let backend = self.parts.backend.clone();
+        let task = tokio::spawn(backend.run(run, self.backend_events.clone()));
+        self.runs.insert(attempt, task.abort_handle());
+    }
+
+    fn abort(&mut self, attempt: AttemptId) {
+        if let Some(run) = self.runs.swap_remove(&attempt) {
+            run.abort();
+        }
+    }
+
+    fn on_backend(&mut self, event: AgentEvent) {
+        if let AgentEvent::BackendEnd { attempt } | AgentEvent::BackendFailed { attempt, .. } =
+            &event
+        {
+            self.runs.swap_remove(attempt);
+        }
+        self.handle(event);
+    }
+
+    fn on_link(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Opened { link, hello } => self.on_opened(link, &hello),
+            LinkEvent::Frame { link, frame } => self.on_frame(link, frame),
+            LinkEvent::Closed { link, reason } => {
+                log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
+                self.parts.gate.settled(link);
+                self.handle(AgentEvent::LinkClosed { link });
+            }
+        }
+    }
+
+    fn on_opened(&mut self, link: LinkId, hello: &Hello) {
+        let now = self.parts.clock.now();
+        if hello.role == PeerRole::Entry {
+            self.handle(AgentEvent::LinkOpened { link, entry: hello.incarnation });
+        }
+        let actions = self.exchange.heard(now, link, hello.stamp);
+        let asks = actions.iter().any(|action| matches!(action, ExchangeAction::Request { .. }));
+        if self.parts.gate.owns(link) && !asks {
+            self.parts.gate.settled(link);
+            self.parts.links.close(link);
+        }
+        self.act_on_exchange(actions);
+    }
+
+    fn on_frame(&mut self, link: LinkId, frame: Frame) {
+        let now = self.parts.clock.now();
+        match frame {
+            Frame::ToAgent(message) => {
+                if let ToAgent::Heartbeat { stamp, .. } = &message {
+                    let actions = self.exchange.heard(now, link, *stamp);
+                    self.act_on_exchange(actions);
+                }
+                self.handle(AgentEvent::Message { link, message });
+            }
+            Frame::Announce(stamp) => {
+                let actions = self.exchange.heard(now, link, stamp);
+                self.act_on_exchange(actions);
+            }
+            Frame::ConfigRequest => {
+                let actions = self.exchange.requested(link).into_iter().collect();
+                self.act_on_exchange(actions);
+            }
+            Frame::ConfigOffer(offer) => self.on_offer(link, &offer),
+            Frame::Hello(_) | Frame::ToEntry(_) => {
+                log::warn!(target: "link", link = link.0; "unexpected frame");
+            }
+        }
+    }
+
+    fn on_offer(&mut self, link: LinkId, offer: &ConfigOffer) {
+        let now = self.parts.clock.now();
+        let actions = self.exchange.peer_offer(now, offer.stamp, &offer.document);
+        self.act_on_exchange(actions);
+        if self.parts.gate.owns(link) {
+            self.parts.gate.settled(link);
+            self.parts.links.close(link);
+        }
+    }
+
+    fn on_platform(&mut self, event: PlatformEvent) {
+        let now = self.parts.clock.now();
+        match event {
+            PlatformEvent::Config(offer) => {
+                let actions = self.exchange.offer(now, &offer);
+                self.act_on_exchange(actions);
+            }
+            PlatformEvent::Instances(instances) => self.on_instances(&instances),
+            PlatformEvent::Unreachable { detail } => {
+                log::warn!(target: "platform", detail = detail.as_str(); "unreachable");
+            }
+        }
+    }
+
+    fn on_instances(&mut self, instances: &[Instance]) {
+        let follow =
+            if is_watcher(&self.parts.own, instances) { Follow::Watch } else { Follow::Poll };
+        self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
+        for Probe { link, address, .. } in
+            self.parts.gate.listed(self.parts.clock.now(), instances)
+        {
+            self.parts.links.open(link, address);
+        }
+    }
+
+    fn act_on_exchange(&mut self, actions: Vec<ExchangeAction>) {
+        for action in actions {
+            match action {
+                ExchangeAction::Adopted { stamp, document } => {
+                    self.parts.view.update(|status| status.stamp = stamp);
+                    self.handle(AgentEvent::Adopted { stamp, document });
+                }
+                ExchangeAction::Announce { link, stamp } => {
+                    self.parts.links.send(link, Frame::Announce(stamp));
+                }
+                ExchangeAction::AnnounceToAll(stamp) => {
+                    self.parts.links.broadcast(&Frame::Announce(stamp));
+                }
+                ExchangeAction::Request { link } => {
+                    self.parts.links.send(link, Frame::ConfigRequest);
+                }
+                ExchangeAction::Offer { link, stamp, bytes } => {
+                    let document = bytes.to_vec();
+                    let offer = Frame::ConfigOffer(ConfigOffer { stamp, document });
+                    self.parts.links.send(link, offer);
+                }
+                ExchangeAction::Audit(record) => self.write(record),
+            }
+        }
+        let refused = self.exchange.refused();
+        self.parts.view.update(|status| status.refused = refused);
+    }
+
+    fn write(&self, record: AuditRecord) {
+        self.parts.trail.write(record);
+    }
+}
+
+async fn watch_health(backend: Backend, events: UnboundedSender<AgentEvent>) {
+    loop {
+        let healthy = backend.is_healthy().await;
+        if events.send(AgentEvent::BackendHealth { healthy }).is_err() {
+            return;
+        }
+        tokio::time::sleep(HEALTH_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/core/src/adoption/exchange.rs
@@ -0,0 +1,149 @@
+//! Documents passed on between processes.
+//!
+//! Every greeting and heartbeat carries the stamp of the sender's document. Whoever is behind asks
+//! the sender for the bytes; whoever is ahead says so. A process that adopts a document announces
+//! it on all its links at once, so that a change runs through the fleet in a few round trips.
+
+use super::order::{Adoption, InForce, Outcome, Published};
+use crate::audit::AuditRecord;
+use crate::ids::LinkId;
+use crate::time::{Now, UnixMs};
+use hickorycross_config::{Document, Stamp};
+use std::sync::Arc;
+
+/// An unanswered request for a document is repeated on another link after this time.
+const REQUEST_PATIENCE_MS: u64 = 500;
+
+/// What the exchange wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ExchangeAction {
+    /// Another document is in force.
+    Adopted {
+        /// Its stamp.
+        stamp: Stamp,
+        /// Its content.
+        document: Arc<Document>,
+    },
+    /// Tell one peer what is in force here.
+    Announce {
+        /// The link to it.
+        link: LinkId,
+        /// What is in force.
+        stamp: Stamp,
+    },
+    /// Tell every peer what is in force here.
+    AnnounceToAll(Stamp),
+    /// Ask a peer for its document.
+    Request {
+        /// The link to it.
+        link: LinkId,
+    },
+    /// Send a peer the document.
+    Offer {
+        /// The link to it.
+        link: LinkId,
+        /// Stamp of the document.
+        stamp: Stamp,
+        /// Its bytes as published.
+        bytes: Arc<[u8]>,
+    },
+    /// Write to the audit trail.
+    Audit(AuditRecord),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    stamp: Stamp,
+    again: UnixMs,
+}
+
+/// The document of one process and its exchange with others.
+#[derive(Debug, Default)]
+pub struct Exchange {
+    adoption: Adoption,
+    asked: Option<Asked>,
+}
+
+impl Exchange {
+    /// The document in force, if one has been adopted.
+    #[must_use]
+    pub fn in_force(&self) -> Option<&InForce> {
+        self.adoption.in_force()
+    }
+
+    /// The stamp of the document in force.
+    #[must_use]
+    pub fn stamp(&self) -> Stamp {
+        self.adoption.stamp()
+    }
+
+    /// The latest newer document that did not validate.
+    #[must_use]
+    pub fn refused(&self) -> Option<Stamp> {
+        self.adoption.refused()
+    }
+
+    /// Judges a document from the platform or from a peer.
+    pub fn offer(&mut self, now: Now, offer: &Published) -> Vec<ExchangeAction> {
+        let mut records = Vec::new();
+        let outcome = self.adoption.offer(now, offer, &mut records);
+        let mut actions: Vec<_> = records.into_iter().map(ExchangeAction::Audit).collect();
+        if outcome == Outcome::Adopted {
+            self.asked = None;
+            actions.extend(self.adopted());
+        }
+        actions
+    }
+
+    /// Judges a document that a peer sent under a stamp.
+    ///
+    /// A peer whose bytes do not have the digest of its stamp has a broken memory or a broken
+    /// build; taking them would put a document in force that nobody published.
+    pub fn peer_offer(&mut self, now: Now, stamp: Stamp, bytes: &[u8]) -> Vec<ExchangeAction> {
+        let offer = Published { revision: stamp.revision, bytes: Arc::from(bytes) };
+        if offer.stamp() == stamp { self.offer(now, &offer) } else { Vec::new() }
+    }
+
+    /// Learns what is in force at a peer.
+    pub fn heard(&mut self, now: Now, link: LinkId, peer: Stamp) -> Vec<ExchangeAction> {
+        let held = self.stamp();
+        if self.adoption.is_behind(peer) {
+            return self.ask(now, link, peer).into_iter().collect();
+        }
+        if held.revision > peer.revision {
+            return vec![ExchangeAction::Announce { link, stamp: held }];
+        }
+        Vec::new()
+    }
+
+    /// Answers a peer that is behind.
+    #[must_use]
+    pub fn requested(&self, link: LinkId) -> Option<ExchangeAction> {
+        let in_force = self.in_force()?;
+        let bytes = Arc::clone(&in_force.bytes);
+        Some(ExchangeAction::Offer { link, stamp: in_force.stamp, bytes })
+    }
+
+    /// Asks a peer unless the same document has just been asked for elsewhere.
+    ///
+    /// Without the pause a process with many links would be sent the whole document on each of
+    /// them at every change; one would see the fleet's control traffic grow with its links.
+    fn ask(&mut self, now: Now, link: LinkId, peer: Stamp) -> Option<ExchangeAction> {
+        let is_waiting =
+            self.asked.is_some_and(|asked| asked.stamp == peer && !asked.again.is_past(now));
+        if is_waiting {
+            return None;
+        }
+        self.asked = Some(Asked { stamp: peer, again: now.after(REQUEST_PATIENCE_MS) });
+        Some(ExchangeAction::Request { link })
+    }
+
+    fn adopted(&self) -> Vec<ExchangeAction> {
+        let Some(in_force) = self.in_force() else {
+            return Vec::new();
+        };
+        let stamp = in_force.stamp;
+        let document = Arc::clone(&in_force.document);
+        vec![ExchangeAction::Adopted { stamp, document }, ExchangeAction::AnnounceToAll(stamp)]
+    }
+}
--- a/crates/core/src/adoption.rs
+++ b/crates/core/src/adoption/order.rs
@@ -1,8 +1,7 @@
-//! Which document is in force in a process.
+//! The order of documents in one process.
 //!
 //! The platform's revision gives the order. A process never goes back, whoever offers: the
 //! platform's service may be restored from a backup, a peer may have been frozen for an hour.
-
 use crate::audit::{AuditRecord, Change};
 use crate::time::Now;
 use hickorycross_config::{Digest, Document, Fault, Stamp, parse};
--- /dev/null
+++ b/crates/runtime/src/view.rs
@@ -0,0 +1,70 @@
+//! The state of a process as its operators and its peers see it.
+
+use hickorycross_core::{Incarnation, InstanceId};
+use hickorycross_protocol::{Hello, PeerRole, VERSIONS};
+use crate::clock::SteadyClock;
+use crate::link::Greet;
+use crate::operators::{Inspect, Status};
+use std::sync::{Mutex, PoisonError};
+
+/// State shared between the driver, which writes it, and the servers, which show it.
+pub struct View {
+    clock: SteadyClock,
+    role: PeerRole,
+    status: Mutex<Status>,
+}
+
+impl View {
+    /// The state of a process that has just started.
+    #[must_use]
+    pub fn new(
+        clock: SteadyClock,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        role: PeerRole,
+    ) -> Self {
+        let program = match role {
+            PeerRole::Entry => "hickorycross-entry",
+            PeerRole::Agent { .. } => "hickorycross-agent",
+        };
+        let status = Status {
+            program: program.to_owned(),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+            instance,
+            incarnation,
+            stamp: hickorycross_config::Stamp::NONE,
+            refused: None,
+            ready: false,
+            draining: false,
+            wall_offset_ms: 0,
+            detail: serde_json::Value::Null,
+        };
+        Self { clock, role, status: Mutex::new(status) }
+    }
+
+    /// Changes the state.
+    pub fn update(&self, change: impl FnOnce(&mut Status)) {
+        change(&mut self.status.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+impl Inspect for View {
+    fn status(&self) -> Status {
+        let mut status = self.status.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        status.wall_offset_ms = self.clock.wall_offset_ms();
+        status
+    }
+}
+
+impl Greet for View {
+    fn hello(&self) -> Hello {
+        let status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
+        Hello {
+            versions: VERSIONS,
+            instance: status.instance.clone(),
+            incarnation: status.incarnation,
+            role: self.role.clone(),
+            stamp: status.stamp,
+        }
+    }
+}
