feat(config): full validation driven by the JSON schema, with examples and reference

Cause: a document was only checked for its schema version, and a structural fault stopped the parser at the first field, so an operator would have mended one fault an attempt.

The schema generated from the types now carries each field's range, length and syntax. Repeated keys, trailing bytes, documents over 1,000,000 bytes and newer schema versions are refused; a newer version alone. Values that may be secrets (malformed key hashes, unknown fields) are never quoted.

Ruled out on paper, not tried: serde with a path tracker (stops at the first fault of each entity, and the bounds would stand a second time beside the schema); the jsonschema crate (its own wording, and many dependencies for the few keywords in use).

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -6,6 +6,7 @@
 use crate::ids::{
     BackendServerId, FailureDomainId, ModelGroupId, RegionId, RouteId, TeamId, TierId,
 };
+use crate::{limits, syntax};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
@@ -18,21 +19,29 @@
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// Version of the document's own format; see [`SCHEMA_VERSION`].
+    #[schemars(range(min = 1, max = SCHEMA_VERSION))]
     pub schema_version: u32,
     /// A title for people, shown in the console.
+    #[schemars(length(min = 1, max = limits::MAX_TITLE_CHARS))]
     pub title: String,
     /// Failure domains with the region that each lies in.
+    #[schemars(length(min = 1, max = limits::MAX_FAILURE_DOMAINS))]
     pub failure_domains: Vec<FailureDomain>,
     /// Priority tiers. Lower `rank` is answered first.
+    #[schemars(length(min = 1, max = limits::MAX_TIERS))]
     pub tiers: Vec<Tier>,
     /// Teams of callers.
+    #[schemars(length(min = 1, max = limits::MAX_TEAMS))]
     pub teams: Vec<Team>,
     /// Backend servers by name.
+    #[schemars(length(min = 1, max = limits::MAX_BACKEND_SERVERS))]
     pub backend_servers: Vec<BackendServer>,
     /// Groups of ranks that run in lock-step.
     #[serde(default)]
+    #[schemars(length(min = 0, max = limits::MAX_MODEL_GROUPS))]
     pub model_groups: Vec<ModelGroup>,
     /// Where requests go.
+    #[schemars(length(min = 1, max = limits::MAX_ROUTES))]
     pub routes: Vec<Route>,
     /// How skew is weighed against the cost of rebalancing.
     pub balance: Balance,
@@ -57,10 +66,12 @@
     /// Order under strain: 0 is answered first. Ranks are distinct.
     pub rank: u8,
     /// Time to the first chunk that callers of this tier are promised.
+    #[schemars(range(min = 1, max = limits::MAX_FIRST_CHUNK_TARGET_MS))]
     pub first_chunk_target_ms: u32,
     /// Share of a backend server's starts, in thousandths, that this tier keeps while higher tiers
     /// would fill all of it. Zero allows starvation.
     #[serde(default)]
+    #[schemars(range(min = 0, max = limits::MAX_FLOOR_PERMILLE))]
     pub floor_permille: u16,
 }
 
@@ -73,6 +84,7 @@
     /// The tier that its requests belong to.
     pub tier: TierId,
     /// SHA-256 of each API key that identifies the team.
+    #[schemars(length(min = 1, max = limits::MAX_KEYS_PER_TEAM))]
     pub key_hashes: Vec<KeyHash>,
     /// Bounds over the whole fleet.
     pub limit: TeamLimit,
@@ -82,15 +94,31 @@
 #[serde_as]
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
 #[serde(transparent)]
+#[schemars(extend(
+    "pattern" = syntax::SHA256_PATTERN,
+    "x-allowed" = syntax::SHA256_ALLOWED,
+    "x-secret" = true
+))]
 pub struct KeyHash(
     #[serde_as(as = "serde_with::hex::Hex")]
     #[schemars(with = "String")]
     pub [u8; 32],
 );
 
+/// Hexadecimal digits of a key hash that messages show.
+pub(crate) const SHORT_HASH_DIGITS: usize = 8;
+
+impl KeyHash {
+    /// The first 8 hexadecimal digits: enough to tell keys apart, too few to test a guess by.
+    #[must_use]
+    pub fn short(&self) -> String {
+        hex::encode(&self.0[..SHORT_HASH_DIGITS / 2])
+    }
+}
+
 impl std::fmt::Debug for KeyHash {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&hex::encode(self.0))
+        write!(f, "{}…", self.short())
     }
 }
 
@@ -99,8 +127,10 @@
 #[serde(deny_unknown_fields)]
 pub struct TeamLimit {
     /// Accepted requests a second.
+    #[schemars(range(min = 1, max = limits::MAX_REQUESTS_PER_S))]
     pub requests_per_s: u32,
     /// Requests that may follow one another at once before the rate binds.
+    #[schemars(range(min = 1, max = limits::MAX_BURST_REQUESTS))]
     pub burst_requests: u32,
 }
 
@@ -115,8 +145,10 @@
     /// What it is.
     pub kind: BackendKind,
     /// Requests that it runs at once.
+    #[schemars(range(min = 1, max = limits::MAX_SLOTS))]
     pub slots: u32,
     /// Requests that may wait beside it.
+    #[schemars(range(min = 0, max = limits::MAX_QUEUE_SLOTS))]
     pub queue_slots: u32,
     /// Whether it refuses an order with an old fencing number by itself.
     #[serde(default)]
@@ -140,23 +172,40 @@
     /// Its name.
     pub id: ModelGroupId,
     /// Models that it serves, by the name that callers use.
+    #[schemars(length(min = 1, max = limits::MAX_MODELS_PER_GROUP))]
+    #[schemars(with = "Vec<syntax::ModelName>")]
     pub models: Vec<String>,
     /// Version of the weights that it should run.
+    #[schemars(with = "syntax::ModelName")]
     pub weights_version: String,
     /// Backend servers that hold its ranks, in rank order; each holds `ranks_per_server`.
+    #[schemars(length(min = 1, max = limits::MAX_RANKS_PER_GROUP))]
     pub backend_servers: Vec<BackendServerId>,
     /// Ranks on each backend server.
+    #[schemars(range(min = 1, max = limits::MAX_RANKS_PER_GROUP))]
     pub ranks_per_server: u16,
     /// Layers with experts.
+    #[schemars(range(min = 1, max = limits::MAX_LAYERS))]
     pub layers: u16,
     /// Experts a layer.
+    #[schemars(range(min = 1, max = limits::MAX_EXPERTS_PER_LAYER))]
     pub experts_per_layer: u16,
     /// Bytes of one expert's weights in one layer.
+    #[schemars(range(min = 1, max = limits::MAX_EXPERT_BYTES))]
     pub expert_bytes: u64,
     /// Experts of one layer that one rank can hold, replicas included.
+    #[schemars(range(min = 1, max = limits::MAX_EXPERT_SLOTS_PER_RANK))]
     pub expert_slots_per_rank: u16,
 }
 
+impl ModelGroup {
+    /// Ranks of the group over all its backend servers.
+    #[must_use]
+    pub fn ranks(&self) -> u64 {
+        self.backend_servers.len() as u64 * u64::from(self.ranks_per_server)
+    }
+}
+
 /// One route.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -168,12 +217,16 @@
     /// Whether a request may run more than once. A caller's header can only say no.
     pub idempotent: bool,
     /// Deadline of a request that brings none, counted from its arrival.
+    #[schemars(range(min = limits::MIN_DEADLINE_MS, max = limits::MAX_DEADLINE_MS))]
     pub default_deadline_ms: u32,
     /// Latest deadline that a caller may ask for, counted from arrival.
+    #[schemars(range(min = limits::MIN_DEADLINE_MS, max = limits::MAX_DEADLINE_MS))]
     pub max_deadline_ms: u32,
     /// How long an idempotency key is remembered after its request ended.
+    #[schemars(range(min = limits::MIN_KEY_HORIZON_MS, max = limits::MAX_KEY_HORIZON_MS))]
     pub key_horizon_ms: u32,
     /// Further tries, in thousandths of first tries.
+    #[schemars(range(min = 0, max = limits::MAX_RETRY_BUDGET_PERMILLE))]
     pub retry_budget_permille: u16,
 }
 
@@ -189,8 +242,13 @@
     /// A plain service behind a path prefix.
     Service {
         /// Prefix of the path, such as `/cases/`; kept on the way to the service.
+        #[schemars(
+            length(max = limits::MAX_PATH_PREFIX_CHARS),
+            extend("pattern" = syntax::PATH_PREFIX_PATTERN, "x-allowed" = syntax::PATH_PREFIX_ALLOWED)
+        )]
         path_prefix: String,
         /// Backend servers that serve it.
+        #[schemars(length(min = 1, max = limits::MAX_BACKEND_SERVERS))]
         backend_servers: Vec<BackendServerId>,
     },
 }
@@ -200,14 +258,30 @@
 #[serde(deny_unknown_fields)]
 pub struct Balance {
     /// Weight of step-time skew, from 0 to 100.
+    #[schemars(range(min = 0, max = limits::MAX_WEIGHT))]
     pub skew_weight: f64,
     /// Weight of bytes moved and stalls, from 0 to 100.
+    #[schemars(range(min = 0, max = limits::MAX_WEIGHT))]
     pub rebalance_cost_weight: f64,
     /// Bytes a second that the weight store grants the whole fleet.
+    #[schemars(range(min = 1, max = limits::MAX_WEIGHT_STORE_BYTES_PER_S))]
     pub weight_store_bytes_per_s: u64,
 }
 
 impl Document {
+    /// The document as JSON for people: indented, fields in the order of this module, lists in
+    /// their own order. Equal documents give equal texts.
+    ///
+    /// # Panics
+    ///
+    /// Never: a document's keys are all texts, which is all that the writer could refuse.
+    #[must_use]
+    pub fn canonical_json(&self) -> String {
+        let mut text = serde_json::to_string_pretty(self).expect("a document has only text keys");
+        text.push('\n');
+        text
+    }
+
     /// The backend servers that a target leads to, in document order.
     #[must_use]
     pub fn backends_of<'a>(&'a self, target: &'a Target) -> &'a [BackendServerId] {
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -4,7 +4,8 @@
 use std::fmt;
 
 /// One fault: where, what stands there and what would be allowed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[error("{path}: found {value}, allowed is {allowed}")]
 pub struct Fault {
     /// JSON path, such as `teams[2].tier`; `$` is the whole document.
     pub path: String,
@@ -14,8 +15,12 @@
     pub allowed: String,
 }
 
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: found {}, allowed is {}", self.path, self.value, self.allowed)
+impl Fault {
+    pub(crate) fn new(
+        path: &dyn fmt::Display,
+        value: impl Into<String>,
+        allowed: impl Into<String>,
+    ) -> Self {
+        Self { path: path.to_string(), value: value.into(), allowed: allowed.into() }
     }
 }
--- a/crates/config/src/ids.rs
+++ b/crates/config/src/ids.rs
@@ -1,5 +1,6 @@
 //! Names that operators give to the entities of a document.
 
+use crate::syntax::{ID_ALLOWED, ID_PATTERN};
 use serde::{Deserialize, Serialize};
 use std::borrow::Borrow;
 use std::fmt;
@@ -11,6 +12,7 @@
         #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[derive(schemars::JsonSchema)]
         #[serde(transparent)]
+        #[schemars(extend("pattern" = ID_PATTERN, "x-allowed" = ID_ALLOWED))]
         pub struct $name(Arc<str>);
 
         impl $name {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,8 @@
 //! The one document that defines how a hickorycross fleet behaves.
 //!
 //! Operators fill in the console's forms; the result is one JSON [`Document`]. This crate holds
-//! its types, [`validate`] (every fault at once), its [`Digest`] and the order in which revisions
-//! replace one another ([`Stamp`]).
+//! its types, [`validate`] (every fault at once), its [`schema`], its [`Digest`] and the order in
+//! which revisions replace one another ([`Stamp`]).
 //!
 //! ```
 //! let faults = hickorycross_config::parse(b"{}").unwrap_err();
@@ -13,7 +13,12 @@
 mod document;
 mod fault;
 mod ids;
+mod limits;
 mod parse;
+mod path;
+mod schema;
+mod strict_json;
+mod syntax;
 mod validate;
 
 pub use digest::{Digest, Stamp, hash_api_key};
@@ -24,4 +29,5 @@
 pub use fault::Fault;
 pub use ids::{BackendServerId, FailureDomainId, ModelGroupId, RegionId, RouteId, TeamId, TierId};
 pub use parse::parse;
+pub use schema::schema;
 pub use validate::validate;
