feat(config): changes between documents and warnings of what they take

Cause: an audit trail that says only "revision 12 replaced 11" does not tell an operator what changed, and a form that publishes at once lets a slip remove a runner in use.

`diff` compares two documents entity by entity over their JSON form, so a field added to a type is compared without further code; what no list of entities takes is compared as the document's own. `warnings` works on the types and names what callers or running work would lose.

Ruled out: one enum variant a field (a forgotten field would be silent); comparing lists by position (one removed team would show every later team as changed).

Conclusion: equal documents give no change; order of lists is reported as such. Changing a bound is noted as taking a new schema version, since releases must judge a document alike.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,14 +1,15 @@
 //! The one document that defines how a hickorycross fleet behaves.
 //!
 //! Operators fill in the console's forms; the result is one JSON [`Document`]. This crate holds
-//! its types, [`validate`] (every fault at once), its [`schema`], its [`Digest`] and the order in
-//! which revisions replace one another ([`Stamp`]).
+//! its types, [`validate`] (every fault at once), its [`schema`], what a change does ([`diff`],
+//! [`warnings`]), its [`Digest`] and the order in which revisions replace one another ([`Stamp`]).
 //!
 //! ```
 //! let faults = hickorycross_config::parse(b"{}").unwrap_err();
 //! assert!(!faults.is_empty());
 //! ```
 
+mod diff;
 mod digest;
 mod document;
 mod fault;
@@ -20,7 +21,9 @@
 mod strict_json;
 mod syntax;
 mod validate;
+mod warning;
 
+pub use diff::{Change, Edit, Entity, diff};
 pub use digest::{Digest, Stamp, hash_api_key};
 pub use document::{
     BackendKind, BackendServer, Balance, Document, FailureDomain, KeyHash, ModelGroup, Route,
@@ -31,3 +34,4 @@
 pub use parse::parse;
 pub use schema::schema;
 pub use validate::validate;
+pub use warning::{LimitField, Warning, warnings};
--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -2,6 +2,9 @@
 //!
 //! They leave room above the largest planned fleet (900 backend servers, 260 teams, 29 models,
 //! groups of 32 ranks and 256 experts a layer) and refuse what can only be a slip of the hand.
+//!
+//! Processes of two releases must judge a document alike: one that refuses what the others adopt
+//! stays on the old configuration. Changing a bound therefore takes a new schema version.
 
 /// Largest published document, in bytes: what the configuration service holds in one value.
 pub(crate) const MAX_DOCUMENT_BYTES: usize = 1_000_000;
