--- /dev/null
+++ b/crates/core/src/health/graded.rs
@@ -0,0 +1,211 @@
+//! The health policy in use.
+
+use super::backoff::Backoff;
+use super::border::{HealthOf, Signal, Standing};
+use super::counts::Counts;
+use super::ramp::Ramp;
+use crate::time::{Now, UnixMs};
+
+/// The full share.
+const FULL_PERMILLE: u16 = 1000;
+
+/// Shares after one and after two missed signs of life; with more the circuit opens.
+const MISSED_SHARES_PERMILLE: [u16; 2] = [600, 300];
+
+/// Missed signs of life within this time count once: a link that is silent for a moment makes
+/// every acknowledgement on it overdue together.
+const MISSED_SPACING_MS: u64 = 150;
+
+/// Consecutive failures that open the circuit.
+const FAILURES_TO_OPEN: u32 = 4;
+
+/// Consecutive failures that open the circuit again during a ramp.
+const RAMP_FAILURES_TO_OPEN: u32 = 2;
+
+/// Share of failed attempts that opens the circuit.
+const FAILED_SHARE_TO_OPEN: f64 = 0.3;
+
+/// Share of failed attempts that reduces the share of traffic.
+const FAILED_SHARE_TO_REDUCE: f64 = 0.1;
+
+/// Share of traffic while some attempts fail.
+const REDUCED_PERMILLE: u16 = 500;
+
+/// How long a probe may go without an answer before another one is sent.
+const PROBE_MS: u64 = 2000;
+
+/// How long the word of an agent that its backend server is down holds without a probe. The
+/// message that takes it back may be lost.
+const DOWN_MS: u64 = 5000;
+
+/// Why a circuit is open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// Signs of life are missing; any answer is the end of that.
+    Silence,
+    /// Attempts fail although the agent answers; only the answer to a probe is the end of that.
+    Failures,
+    /// The agent says that its backend server does not answer.
+    Down,
+}
+
+/// Where the circuit of one backend server stands.
+#[derive(Clone, Copy, Debug)]
+enum Circuit {
+    Closed,
+    Ramping(Ramp),
+    Open { cause: Cause, probe_at: UnixMs },
+    Probing { cause: Cause, answer_by: UnixMs },
+}
+
+/// Graded suspicion of one backend server.
+#[derive(Clone, Debug)]
+pub struct Graded {
+    circuit: Circuit,
+    counts: Counts,
+    missed: u32,
+    next_missed_counts: UnixMs,
+    backoff: Backoff,
+}
+
+impl Graded {
+    /// Begins with a closed circuit; entries differ in their seeds so that their probes spread.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            circuit: Circuit::Closed,
+            counts: Counts::default(),
+            missed: 0,
+            next_missed_counts: UnixMs::default(),
+            backoff: Backoff::new(seed),
+        }
+    }
+
+    fn answered(&mut self, now: Now) {
+        self.counts.answered(now);
+        self.missed = 0;
+        match self.circuit {
+            Circuit::Closed => {}
+            Circuit::Ramping(ramp) => self.finish_ramp(now, ramp),
+            Circuit::Open { cause: Cause::Silence, .. } | Circuit::Probing { .. } => {
+                self.begin_ramp(Ramp::warm(now));
+            }
+            Circuit::Open { .. } => {}
+        }
+    }
+
+    fn failed(&mut self, now: Now) {
+        self.counts.failed(now);
+        match self.circuit {
+            Circuit::Closed if self.fails_too_often(now, FAILURES_TO_OPEN) => {
+                self.open(now, Cause::Failures);
+            }
+            Circuit::Ramping(_) if self.fails_too_often(now, RAMP_FAILURES_TO_OPEN) => {
+                self.open(now, Cause::Failures);
+            }
+            Circuit::Probing { .. } => self.open(now, Cause::Failures),
+            Circuit::Closed | Circuit::Ramping(_) | Circuit::Open { .. } => {}
+        }
+    }
+
+    fn missed(&mut self, now: Now) {
+        if !self.next_missed_counts.is_past(now) {
+            return;
+        }
+        self.next_missed_counts = now.after(MISSED_SPACING_MS);
+        self.missed += 1;
+        let too_many = self.missed as usize > MISSED_SHARES_PERMILLE.len();
+        match self.circuit {
+            Circuit::Closed | Circuit::Ramping(_) if too_many => self.open(now, Cause::Silence),
+            Circuit::Probing { .. } => self.open(now, Cause::Silence),
+            Circuit::Closed | Circuit::Ramping(_) | Circuit::Open { .. } => {}
+        }
+    }
+
+    /// Ends only what the agent itself had said. An agent says that all is well after each of its
+    /// own health checks, also while attempts fail; taking that as recovery would send traffic into
+    /// the failure again and again.
+    fn backend_up(&mut self, now: Now) {
+        let cause = match self.circuit {
+            Circuit::Open { cause, .. } | Circuit::Probing { cause, .. } => cause,
+            Circuit::Closed | Circuit::Ramping(_) => return,
+        };
+        if cause != Cause::Failures {
+            self.begin_ramp(Ramp::warm(now));
+        }
+    }
+
+    fn fails_too_often(&self, now: Now, consecutive: u32) -> bool {
+        self.counts.consecutive_failures() >= consecutive
+            || self.counts.failed_share(now) > FAILED_SHARE_TO_OPEN
+    }
+
+    fn open(&mut self, now: Now, cause: Cause) {
+        let probe_at = match cause {
+            Cause::Down => now.after(DOWN_MS),
+            Cause::Silence | Cause::Failures => self.backoff.next(now),
+        };
+        self.circuit = Circuit::Open { cause, probe_at };
+    }
+
+    fn begin_ramp(&mut self, ramp: Ramp) {
+        self.counts = Counts::default();
+        self.missed = 0;
+        self.circuit = Circuit::Ramping(ramp);
+    }
+
+    fn finish_ramp(&mut self, now: Now, ramp: Ramp) {
+        if ramp.share_permille(now).is_none() {
+            self.circuit = Circuit::Closed;
+            self.backoff.reset();
+        }
+    }
+
+    /// The least of the shares that ramp, missed signs of life and failures allow.
+    fn share_permille(&self, now: Now, ramp: Option<Ramp>) -> u16 {
+        let by_ramp = ramp.and_then(|ramp| ramp.share_permille(now)).unwrap_or(FULL_PERMILLE);
+        by_ramp.min(self.share_by_missed()).min(self.share_by_failures(now))
+    }
+
+    fn share_by_missed(&self) -> u16 {
+        let Some(index) = self.missed.checked_sub(1) else {
+            return FULL_PERMILLE;
+        };
+        let last = MISSED_SHARES_PERMILLE.len() - 1;
+        MISSED_SHARES_PERMILLE[(index as usize).min(last)]
+    }
+
+    fn share_by_failures(&self, now: Now) -> u16 {
+        let reduces = self.counts.failed_share(now) > FAILED_SHARE_TO_REDUCE;
+        if reduces { REDUCED_PERMILLE } else { FULL_PERMILLE }
+    }
+}
+
+impl HealthOf for Graded {
+    fn signal(&mut self, now: Now, signal: Signal) {
+        match signal {
+            Signal::Answered => self.answered(now),
+            Signal::Failed => self.failed(now),
+            Signal::Missed => self.missed(now),
+            Signal::Restarted => self.begin_ramp(Ramp::cold(now)),
+            Signal::BackendDown => self.open(now, Cause::Down),
+            Signal::BackendUp => self.backend_up(now),
+        }
+    }
+
+    fn standing(&self, now: Now) -> Standing {
+        match self.circuit {
+            Circuit::Closed => Standing::Share(self.share_permille(now, None)),
+            Circuit::Ramping(ramp) => Standing::Share(self.share_permille(now, Some(ramp))),
+            Circuit::Open { probe_at: due, .. } | Circuit::Probing { answer_by: due, .. } => {
+                if due.is_past(now) { Standing::Probe } else { Standing::Open }
+            }
+        }
+    }
+
+    fn probe_sent(&mut self, now: Now) {
+        if let Circuit::Open { cause, .. } | Circuit::Probing { cause, .. } = self.circuit {
+            self.circuit = Circuit::Probing { cause, answer_by: now.after(PROBE_MS) };
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod ids;
 mod instance;
+mod rendezvous;
 mod time;
 mod verdict;
 
--- a/crates/core/src/routing/border.rs
+++ b/crates/core/src/routing/border.rs
@@ -60,4 +60,8 @@
 
     /// Learns how long an attempt took to its first chunk.
     fn observe(&mut self, now: Now, backend_server: &BackendServerId, first_chunk_ms: u64);
+
+    /// Learns that an attempt failed before its first chunk. Policies that ignore failures need
+    /// not do anything.
+    fn failed(&mut self, _now: Now, _backend_server: &BackendServerId) {}
 }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,9 +1,19 @@
 //! Choice of a backend server for a request.
+//!
+//! [`TwoChoices`] is the policy in use; the others are baselines on the same border.
 
 mod border;
+mod estimate;
 mod least_outstanding;
+mod mix;
+mod projection;
+mod raw_two_choices;
 mod round_robin;
+mod sample;
+mod two_choices;
 
 pub use border::{Candidate, Choice, ChooseBackend, Pick};
 pub use least_outstanding::LeastOutstanding;
+pub use raw_two_choices::RawTwoChoices;
 pub use round_robin::RoundRobin;
+pub use two_choices::TwoChoices;
--- /dev/null
+++ b/crates/core/src/routing/two_choices.rs
@@ -0,0 +1,191 @@
+//! The routing policy in use: two random candidates, weighed by what this entry knows of them.
+
+use super::border::{Candidate, Choice, ChooseBackend, Pick};
+use super::estimate::Estimates;
+use super::mix::Mix;
+use super::projection::{requests_ahead, slots, wait_ms};
+use super::sample::{share_weighted, two_of, usable};
+use crate::rendezvous;
+use crate::time::Now;
+use hickorycross_config::BackendServerId;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Utilisation up to which a candidate counts as having room.
+const ROOM: f64 = 0.8;
+
+/// A candidate is preferred for its place or its cache only while its first chunks take no longer
+/// than this multiple of the usual time.
+const SOUND_SLOWNESS: f64 = 2.0;
+
+/// A candidate is preferred only while a smaller share of its attempts failed.
+const SOUND_FAILED_SHARE: f64 = 0.1;
+
+/// Projected waits are multiplied by this before they are held against a deadline: they come from
+/// lagging reports, and work that expires in a queue is worse than a refusal at once.
+const WAIT_MARGIN: f64 = 1.3;
+
+/// Earliest return after a refusal.
+const LEAST_RETURN_MS: f64 = 100.0;
+
+/// Two random candidates, weighed by own open work and lagging reports, with preference for the
+/// entry's failure domain and for the candidate that is likely to have the prompt's prefix cached.
+#[derive(Clone, Debug)]
+pub struct TwoChoices {
+    rng: ChaCha8Rng,
+    estimates: Estimates,
+    mix: Mix,
+}
+
+/// One choice with what holds for all of its candidates.
+#[derive(Clone, Copy)]
+struct Weighing<'a> {
+    now: Now,
+    choice: &'a Choice<'a>,
+    estimates: &'a Estimates,
+    free_permille: f64,
+}
+
+impl TwoChoices {
+    /// Makes the policy; entries must differ in their seeds, or they follow one another to the
+    /// same candidates.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            estimates: Estimates::default(),
+            mix: Mix::default(),
+        }
+    }
+
+    fn pick(&mut self, now: Now, choice: &Choice<'_>) -> Pick {
+        let weighing = Weighing {
+            now,
+            choice,
+            estimates: &self.estimates,
+            free_permille: self.mix.free_permille(choice.rank),
+        };
+        let usable = usable(&mut self.rng, choice.candidates);
+        if usable.is_empty() {
+            let index = share_weighted(&mut self.rng, choice.candidates);
+            return weighing.in_time_or_refusal(index, &[]);
+        }
+        if let Some(index) = weighing.with_cached_prefix(&usable) {
+            return Pick::Candidate(index);
+        }
+        let near = weighing.near(&usable);
+        let near_best = weighing.better(two_of(&mut self.rng, &near));
+        if let Some(index) = near_best.filter(|&index| weighing.has_room(index)) {
+            return Pick::Candidate(index);
+        }
+        let best = weighing.better(two_of(&mut self.rng, &usable));
+        weighing.in_time_or_refusal(best.unwrap_or(usable[0]), &usable)
+    }
+}
+
+impl Weighing<'_> {
+    fn candidate(&self, index: usize) -> &Candidate<'_> {
+        &self.choice.candidates[index]
+    }
+
+    fn wait_ms(&self, index: usize) -> f64 {
+        wait_ms(self.now, self.candidate(index), self.choice.rank, self.free_permille)
+    }
+
+    /// Expected time to the first chunk, raised by utilisation and by failures.
+    ///
+    /// A candidate that fails fast is always idle; without its failed share it would look best and
+    /// draw all requests into failure.
+    fn cost_ms(&self, index: usize) -> f64 {
+        let candidate = self.candidate(index);
+        let id = candidate.backend_server;
+        let ahead = requests_ahead(self.now, candidate, self.choice.rank);
+        let utilisation = (ahead + 1.0) / slots(candidate);
+        let first_chunk_ms = self.estimates.first_chunk_ms(self.now, id);
+        let answered_share = 1.0 - self.estimates.failed_share(self.now, id);
+        let served_ms = first_chunk_ms * (1.0 + utilisation) + self.wait_ms(index);
+        served_ms / answered_share.powi(4).max(0.001)
+    }
+
+    fn better(&self, pair: Option<(usize, usize)>) -> Option<usize> {
+        let (one, other) = pair?;
+        Some(if self.cost_ms(other) < self.cost_ms(one) { other } else { one })
+    }
+
+    fn has_room(&self, index: usize) -> bool {
+        let candidate = self.candidate(index);
+        let id = candidate.backend_server;
+        let ahead = requests_ahead(self.now, candidate, self.choice.rank);
+        let slowness = self.estimates.first_chunk_ms(self.now, id) / self.estimates.typical_ms();
+        ahead + 1.0 <= slots(candidate) * ROOM
+            && slowness <= SOUND_SLOWNESS
+            && self.estimates.failed_share(self.now, id) <= SOUND_FAILED_SHARE
+    }
+
+    /// The candidate on which all entries agree for this prefix, while it has room. A hint only:
+    /// nothing depends on the cache really holding the prefix.
+    fn with_cached_prefix(&self, usable: &[usize]) -> Option<usize> {
+        let prefix = self.choice.prefix?;
+        let weight = |index: usize| {
+            rendezvous::weight(prefix, self.candidate(index).backend_server.as_str())
+        };
+        let holder = usable.iter().copied().max_by_key(|&index| weight(index))?;
+        self.has_room(holder).then_some(holder)
+    }
+
+    fn near(&self, usable: &[usize]) -> Vec<usize> {
+        let is_near = |index: &usize| self.candidate(*index).failure_domain == self.choice.home;
+        usable.iter().copied().filter(is_near).collect()
+    }
+
+    fn slack_ms(&self) -> f64 {
+        self.choice.deadline.since(self.now.unix_ms) as f64
+    }
+
+    fn begins_in_time(&self, index: usize) -> bool {
+        self.wait_ms(index) * WAIT_MARGIN < self.slack_ms()
+    }
+
+    /// The picked candidate if it begins in time, else the one with the shortest wait if that one
+    /// does, else a refusal.
+    fn in_time_or_refusal(&self, picked: usize, usable: &[usize]) -> Pick {
+        if self.begins_in_time(picked) {
+            return Pick::Candidate(picked);
+        }
+        let shortest = usable
+            .iter()
+            .copied()
+            .min_by(|&one, &other| self.wait_ms(one).total_cmp(&self.wait_ms(other)))
+            .unwrap_or(picked);
+        if self.begins_in_time(shortest) {
+            return Pick::Candidate(shortest);
+        }
+        self.refusal(shortest)
+    }
+
+    /// Coming back makes sense once enough of the queue has been served for the same slack to
+    /// suffice.
+    fn refusal(&self, shortest: usize) -> Pick {
+        let excess_ms = self.wait_ms(shortest) * WAIT_MARGIN - self.slack_ms();
+        let return_ms = excess_ms.max(LEAST_RETURN_MS).ceil();
+        Pick::NoneInTime { retry_at: self.now.after(return_ms as u64) }
+    }
+}
+
+impl ChooseBackend for TwoChoices {
+    fn choose(&mut self, now: Now, choice: &Choice<'_>) -> Pick {
+        let pick = self.pick(now, choice);
+        if let Pick::Candidate(_) = pick {
+            self.mix.sent(now, choice.rank);
+        }
+        pick
+    }
+
+    fn observe(&mut self, now: Now, backend_server: &BackendServerId, first_chunk_ms: u64) {
+        self.estimates.answered(now, backend_server, first_chunk_ms);
+    }
+
+    fn failed(&mut self, now: Now, backend_server: &BackendServerId) {
+        self.estimates.failed(now, backend_server);
+    }
+}
