feat(core): signs of life apart from answers in health signals

Cause: an acknowledgement counted as an answer, so each failing attempt also counted as a success and the circuit of a backend server that fails fast would open late. Border: Signal gains Heard. Not yet measured.

--- a/crates/core/src/health/border.rs
+++ b/crates/core/src/health/border.rs
@@ -5,8 +5,11 @@
 /// What was seen of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
-    /// A whole answer, or a message in answer to ours.
+    /// A whole answer, or a first chunk of one.
     Answered,
+    /// A message in answer to ours, such as an acknowledgement: the agent lives and the link
+    /// works. It says nothing of the backend server, which may fail every attempt.
+    Heard,
     /// An attempt failed there, or it answered with a server error.
     Failed,
     /// A heartbeat or an acknowledgement is overdue.
--- a/crates/core/src/health/graded.rs
+++ b/crates/core/src/health/graded.rs
@@ -82,15 +82,22 @@
     }
 
     fn answered(&mut self, now: Now) {
+        self.heard(now);
         self.counts.answered(now);
+        if let Circuit::Probing { .. } = self.circuit {
+            self.begin_ramp(Ramp::warm(now));
+        }
+    }
+
+    /// Ends silence and nothing else. An agent acknowledges also what its backend server fails a
+    /// moment later: were that a sign of health, the circuit of a failing one would never open.
+    fn heard(&mut self, now: Now) {
         self.missed = 0;
         match self.circuit {
-            Circuit::Closed => {}
+            Circuit::Open { cause: Cause::Silence, .. }
+            | Circuit::Probing { cause: Cause::Silence, .. } => self.begin_ramp(Ramp::warm(now)),
             Circuit::Ramping(ramp) => self.finish_ramp(now, ramp),
-            Circuit::Open { cause: Cause::Silence, .. } | Circuit::Probing { .. } => {
-                self.begin_ramp(Ramp::warm(now));
-            }
-            Circuit::Open { .. } => {}
+            Circuit::Closed | Circuit::Open { .. } | Circuit::Probing { .. } => {}
         }
     }
 
@@ -185,6 +192,7 @@
     fn signal(&mut self, now: Now, signal: Signal) {
         match signal {
             Signal::Answered => self.answered(now),
+            Signal::Heard => self.heard(now),
             Signal::Failed => self.failed(now),
             Signal::Missed => self.missed(now),
             Signal::Restarted => self.begin_ramp(Ramp::cold(now)),
