--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 mod instance;
 mod key_digest;
 mod key_home;
+mod rendezvous;
 mod time;
 mod verdict;
 
