feat(placement): estimates, search, policies and their baselines

Cause: the popularity of experts drifts and one overloaded rank holds back its group, so the map has to follow demand without paying for noise.

The core gets the map's shape and checks, a load estimator with a noise model, a search over small edits, the weighted policy and three baselines behind one trait object.

Ruled out: running sums for trials of an edit. Taking a very slow rank's term out of a running sum cancels the digits of the others and shows gains that do not exist; trials sum anew.

--- /dev/null
+++ b/crates/core/src/placement/change.rs
@@ -0,0 +1,31 @@
+//! Describing a change of map: what is loaded and what is expected of it.
+
+use crate::placement::estimate::LoadEstimator;
+use crate::placement::layer::ExpertMap;
+use crate::placement::policy::{Change, Prediction};
+use crate::placement::skew::layer_skew;
+
+/// Describes the change from `present` to `target`; none when they are equal.
+pub(crate) fn change_between(
+    estimator: &LoadEstimator,
+    present: &ExpertMap,
+    target: ExpertMap,
+) -> Option<Change> {
+    if *present == target {
+        return None;
+    }
+    let loads = present.loads_towards(&target);
+    let moved_bytes = estimator.shape().expert_bytes.saturating_mul(loads.len() as u64);
+    let prediction = Prediction {
+        skew_before: map_skew(estimator, present),
+        skew_after: map_skew(estimator, &target),
+        moved_bytes,
+    };
+    Some(Change { target, loads, prediction })
+}
+
+fn map_skew(estimator: &LoadEstimator, map: &ExpertMap) -> f64 {
+    let skews = map.layers.iter().enumerate();
+    let sum: f64 = skews.map(|(layer, placed)| layer_skew(placed, estimator.loads(layer))).sum();
+    sum / map.layers.len().max(1) as f64
+}
--- /dev/null
+++ b/crates/core/src/placement/estimate.rs
@@ -0,0 +1,191 @@
+//! Per-expert loads, smoothed per layer from lagging reports.
+//!
+//! Each layer keeps a running mean over up to [`WINDOW_REPORTS`] reports and a short one beside it.
+//! When the two differ by more than noise explains, demand has changed and the window restarts
+//! from the short mean. Slow drift is followed by the window itself.
+
+use crate::placement::layer::LayerPlacement;
+use crate::placement::noise::LayerNoise;
+use crate::placement::report::{LoadReport, ReportFault};
+use crate::placement::shape::GroupShape;
+use crate::time::{Now, UnixMs};
+
+/// Reports over which a load is averaged when demand is steady.
+const WINDOW_REPORTS: u32 = 60;
+/// Reports over which the short mean runs.
+const SHORT_REPORTS: u32 = 3;
+/// Mean square of the normalised difference of the two means above which demand has changed. It is
+/// 1 on noise alone.
+const CHANGE_RATIO: f64 = 3.0;
+/// Age of the newest report above which no decision is made.
+///
+/// Without this bound a coordinator that was cut off from its ranks would wake up, judge demand by
+/// what it last knew and move experts away from where they are needed. One would notice a change
+/// right after a gap in the reports, undone soon after.
+const MAX_REPORT_AGE_MS: u64 = 30_000;
+
+/// Smoothed loads of a group with their noise.
+#[derive(Clone, Debug)]
+pub struct LoadEstimator {
+    shape: GroupShape,
+    layers: Vec<LayerEstimate>,
+    covered_step: Option<u64>,
+    newest_at: UnixMs,
+    steps_per_s: f64,
+}
+
+/// Smoothed loads of one layer, in tokens a step.
+#[derive(Clone, Debug)]
+pub(crate) struct LayerEstimate {
+    mean: Vec<f64>,
+    short: Vec<f64>,
+    noise: LayerNoise,
+    reports: u32,
+    steps_per_report: f64,
+    sample: Vec<f64>,
+}
+
+impl LoadEstimator {
+    /// An estimator that has seen no report.
+    #[must_use]
+    pub fn new(shape: GroupShape) -> Self {
+        let experts = usize::from(shape.experts_per_layer);
+        Self {
+            shape,
+            layers: (0..shape.layers).map(|_| LayerEstimate::new(experts)).collect(),
+            covered_step: None,
+            newest_at: UnixMs::default(),
+            steps_per_s: 0.0,
+        }
+    }
+
+    /// Takes a report.
+    ///
+    /// # Errors
+    ///
+    /// [`ReportFault`] when it is malformed, a repetition or older than one used before; the
+    /// estimates are then unchanged.
+    pub fn observe(&mut self, report: &LoadReport) -> Result<(), ReportFault> {
+        report.check(&self.shape)?;
+        // A repeated or overtaken report would count its steps twice and make the estimates look
+        // surer than they are; the step numbers expose it.
+        if let Some(covered) = self.covered_step.filter(|covered| report.first_step <= *covered) {
+            return Err(ReportFault::Covered { last_step: report.last_step, covered });
+        }
+        self.observe_rate(report);
+        for (layer, loads) in self.layers.iter_mut().zip(&report.layer_loads_tokens) {
+            layer.observe(loads, report.steps() as f64);
+        }
+        self.covered_step = Some(report.last_step);
+        self.newest_at = report.ended_at;
+        Ok(())
+    }
+
+    fn observe_rate(&mut self, report: &LoadReport) {
+        let Some(covered) = self.covered_step else { return };
+        let elapsed_ms = report.ended_at.since(self.newest_at);
+        if elapsed_ms > 0 {
+            self.steps_per_s = (report.last_step - covered) as f64 * 1e3 / elapsed_ms as f64;
+        }
+    }
+
+    /// Whether the estimates are fresh and long enough to decide on.
+    #[must_use]
+    pub fn is_ready(&self, now: Now) -> bool {
+        let fresh = !self.newest_at.after(MAX_REPORT_AGE_MS).is_past(now);
+        fresh && self.steps_per_s > 0.0 && self.layers.iter().all(|layer| layer.noise.is_settled())
+    }
+
+    /// Steps a second between the last two reports; 0 before the second.
+    #[must_use]
+    pub fn steps_per_s(&self) -> f64 {
+        self.steps_per_s
+    }
+
+    /// The last step that a used report covers.
+    #[must_use]
+    pub fn covered_step(&self) -> Option<u64> {
+        self.covered_step
+    }
+
+    /// Smoothed loads of a layer's experts, in tokens a step.
+    #[must_use]
+    pub fn loads(&self, layer: usize) -> &[f64] {
+        &self.layers[layer].mean
+    }
+
+    pub(crate) fn layer(&self, layer: usize) -> &LayerEstimate {
+        &self.layers[layer]
+    }
+
+    pub(crate) fn shape(&self) -> &GroupShape {
+        &self.shape
+    }
+}
+
+impl LayerEstimate {
+    fn new(experts: usize) -> Self {
+        Self {
+            mean: vec![0.0; experts],
+            short: vec![0.0; experts],
+            noise: LayerNoise::new(experts),
+            reports: 0,
+            steps_per_report: 1.0,
+            sample: Vec::with_capacity(experts),
+        }
+    }
+
+    fn observe(&mut self, loads_tokens: &[f32], steps: f64) {
+        self.sample.clear();
+        self.sample.extend(loads_tokens.iter().map(|tokens| f64::from(*tokens) / steps));
+        self.noise.observe(&self.sample, steps);
+        self.steps_per_report = steps;
+        self.reports = (self.reports + 1).min(WINDOW_REPORTS);
+        smooth(&mut self.mean, &self.sample, self.reports);
+        smooth(&mut self.short, &self.sample, self.reports.min(SHORT_REPORTS));
+        if self.has_changed() {
+            self.mean.copy_from_slice(&self.short);
+            self.reports = SHORT_REPORTS;
+        }
+    }
+
+    fn has_changed(&self) -> bool {
+        if self.reports <= SHORT_REPORTS || !self.noise.is_settled() {
+            return false;
+        }
+        let scale = self.noise.correlated_reports() / f64::from(SHORT_REPORTS);
+        let squares = self.mean.iter().zip(&self.short).enumerate().map(|(expert, pair)| {
+            let difference = pair.0 - pair.1;
+            difference * difference / self.report_variance(expert)
+        });
+        squares.sum::<f64>() > CHANGE_RATIO * scale * self.mean.len() as f64
+    }
+
+    fn report_variance(&self, expert: usize) -> f64 {
+        self.noise.report_variance(expert, self.mean[expert], self.steps_per_report)
+    }
+
+    pub(crate) fn loads(&self) -> &[f64] {
+        &self.mean
+    }
+
+    /// Square of the standard error of each rank's load, in square tokens a step.
+    pub(crate) fn rank_error_squares(&self, placed: &LayerPlacement) -> Vec<f64> {
+        let replicas = placed.replicas(self.mean.len());
+        let scale = self.noise.correlated_reports() / f64::from(self.reports.max(1));
+        let square = |expert: &u16| {
+            let expert = usize::from(*expert);
+            let split = f64::from(replicas[expert]);
+            self.report_variance(expert) / (split * split)
+        };
+        let sum = |experts: &Vec<u16>| scale * experts.iter().map(square).sum::<f64>();
+        placed.experts_of_rank.iter().map(sum).collect()
+    }
+}
+
+fn smooth(mean: &mut [f64], sample: &[f64], reports: u32) {
+    let gain = 1.0 / f64::from(reports);
+    for (mean, sample) in mean.iter_mut().zip(sample) {
+        *mean += gain * (sample - *mean);
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/layer.rs
@@ -0,0 +1,178 @@
+//! Which rank holds which experts.
+
+use crate::placement::shape::GroupShape;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Experts of one layer by rank.
+///
+/// An expert may stand on several ranks; its load is split evenly over them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LayerPlacement {
+    /// For each rank, the experts that it holds, without repetition.
+    pub experts_of_rank: Vec<Vec<u16>>,
+}
+
+/// The placements of all layers of a group.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ExpertMap {
+    /// One placement for each layer.
+    pub layers: Vec<LayerPlacement>,
+}
+
+/// One expert's weights to be loaded by one rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ExpertLoad {
+    /// Index of the layer.
+    pub layer: u16,
+    /// Index of the expert in its layer.
+    pub expert: u16,
+    /// The rank that loads it.
+    pub rank: u16,
+}
+
+/// Why a map does not fit its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum MapFault {
+    /// The map has another number of layers than the group.
+    #[error("{found} layers in place of {expected}")]
+    Layers {
+        /// Layers of the map.
+        found: usize,
+        /// Layers of the group.
+        expected: u16,
+    },
+    /// A layer has another number of ranks than the group.
+    #[error("layer {layer}: {found} ranks in place of {expected}")]
+    Ranks {
+        /// Index of the layer.
+        layer: usize,
+        /// Ranks of the layer.
+        found: usize,
+        /// Ranks of the group.
+        expected: u16,
+    },
+    /// A rank holds more experts than it has slots.
+    #[error("layer {layer} rank {rank}: {found} experts in {slots} slots")]
+    Slots {
+        /// Index of the layer.
+        layer: usize,
+        /// Index of the rank.
+        rank: usize,
+        /// Experts that it holds.
+        found: usize,
+        /// Slots that it has.
+        slots: u16,
+    },
+    /// A rank names an expert that the layer does not have, or names one twice.
+    #[error("layer {layer} rank {rank}: expert {expert} is unknown or repeated")]
+    Expert {
+        /// Index of the layer.
+        layer: usize,
+        /// Index of the rank.
+        rank: usize,
+        /// The expert named.
+        expert: u16,
+    },
+    /// No rank holds an expert.
+    #[error("layer {layer}: no rank holds expert {expert}")]
+    Missing {
+        /// Index of the layer.
+        layer: usize,
+        /// The expert without a rank.
+        expert: usize,
+    },
+}
+
+impl LayerPlacement {
+    /// Counts the ranks that hold each of `experts` experts.
+    #[must_use]
+    pub fn replicas(&self, experts: usize) -> Vec<u16> {
+        let mut replicas = vec![0; experts];
+        for expert in self.experts_of_rank.iter().flatten() {
+            replicas[usize::from(*expert)] += 1;
+        }
+        replicas
+    }
+
+    /// Splits expert loads evenly over replicas and sums them by rank, in the unit of `loads`.
+    #[must_use]
+    pub fn rank_loads(&self, loads: &[f64]) -> Vec<f64> {
+        let replicas = self.replicas(loads.len());
+        let share = |expert: &u16| {
+            let expert = usize::from(*expert);
+            loads[expert] / f64::from(replicas[expert])
+        };
+        self.experts_of_rank.iter().map(|experts| experts.iter().map(share).sum()).collect()
+    }
+
+    /// Whether `rank` holds `expert`.
+    #[must_use]
+    pub fn holds(&self, rank: u16, expert: u16) -> bool {
+        self.experts_of_rank[usize::from(rank)].contains(&expert)
+    }
+
+    fn check(&self, layer: usize, shape: &GroupShape) -> Result<(), MapFault> {
+        if self.experts_of_rank.len() != usize::from(shape.ranks) {
+            let found = self.experts_of_rank.len();
+            return Err(MapFault::Ranks { layer, found, expected: shape.ranks });
+        }
+        let mut held = vec![false; usize::from(shape.experts_per_layer)];
+        for (rank, experts) in self.experts_of_rank.iter().enumerate() {
+            check_rank(layer, rank, experts, shape)?;
+            for expert in experts {
+                held[usize::from(*expert)] = true;
+            }
+        }
+        match held.iter().position(|held| !held) {
+            Some(expert) => Err(MapFault::Missing { layer, expert }),
+            None => Ok(()),
+        }
+    }
+}
+
+fn check_rank(
+    layer: usize,
+    rank: usize,
+    experts: &[u16],
+    shape: &GroupShape,
+) -> Result<(), MapFault> {
+    let slots = shape.expert_slots_per_rank;
+    if experts.len() > usize::from(slots) {
+        return Err(MapFault::Slots { layer, rank, found: experts.len(), slots });
+    }
+    for (index, expert) in experts.iter().enumerate() {
+        let unknown = *expert >= shape.experts_per_layer;
+        if unknown || experts[..index].contains(expert) {
+            return Err(MapFault::Expert { layer, rank, expert: *expert });
+        }
+    }
+    Ok(())
+}
+
+impl ExpertMap {
+    /// Checks the map against its group: every expert placed, no slot exceeded, none repeated.
+    ///
+    /// # Errors
+    ///
+    /// The first [`MapFault`] found.
+    pub fn validate(&self, shape: &GroupShape) -> Result<(), MapFault> {
+        if self.layers.len() != usize::from(shape.layers) {
+            return Err(MapFault::Layers { found: self.layers.len(), expected: shape.layers });
+        }
+        self.layers.iter().enumerate().try_for_each(|(layer, placed)| placed.check(layer, shape))
+    }
+
+    /// Lists what ranks must load so that `target` can follow this map.
+    #[must_use]
+    pub fn loads_towards(&self, target: &Self) -> Vec<ExpertLoad> {
+        let mut loads = Vec::new();
+        for (layer, (present, wanted)) in (0..).zip(self.layers.iter().zip(&target.layers)) {
+            for (rank, experts) in (0..).zip(&wanted.experts_of_rank) {
+                let missing = experts.iter().filter(|expert| !present.holds(rank, **expert));
+                loads.extend(missing.map(|expert| ExpertLoad { layer, expert: *expert, rank }));
+            }
+        }
+        loads
+    }
+}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -1,1 +1,37 @@
 //! When to rebalance experts, and which to move.
+//!
+//! Step reports arrive late and feed a [`LoadEstimator`]. A [`RebalancePolicy`] compares the
+//! present [`ExpertMap`] with maps that a few loads would give and proposes a [`Change`] when that
+//! pays. Whether and when the ranks adopt the new map is the business of the group agreement, not of
+//! this module.
+
+mod change;
+mod cooldown;
+mod cost;
+mod estimate;
+mod layer;
+mod noise;
+mod pack;
+mod periodic;
+mod policy;
+mod realised;
+mod report;
+mod search;
+mod shape;
+mod skew;
+mod static_map;
+mod threshold;
+mod weighted;
+
+pub use cost::{CostModel, HORIZON_MS, STALL_STEPS_PER_CHANGE};
+pub use estimate::LoadEstimator;
+pub use layer::{ExpertLoad, ExpertMap, LayerPlacement, MapFault};
+pub use pack::{pack_layer, pack_map, refine_layer};
+pub use periodic::PeriodicFull;
+pub use policy::{Change, ChangeOutcome, Prediction, RebalancePolicy};
+pub use report::{LoadReport, ReportFault};
+pub use shape::{GroupShape, ShapeFault};
+pub use skew::layer_skew;
+pub use static_map::StaticMap;
+pub use threshold::PlainThreshold;
+pub use weighted::{Weighted, WeightedSettings};
--- /dev/null
+++ b/crates/core/src/placement/periodic.rs
@@ -0,0 +1,50 @@
+//! Baseline: a full repacking at fixed intervals.
+
+use crate::placement::change::change_between;
+use crate::placement::estimate::LoadEstimator;
+use crate::placement::layer::ExpertMap;
+use crate::placement::pack::pack_map;
+use crate::placement::policy::{Change, ChangeOutcome, RebalancePolicy};
+use crate::placement::report::{LoadReport, ReportFault};
+use crate::placement::shape::GroupShape;
+use crate::time::{Now, UnixMs};
+
+/// Packs all layers anew, whatever it costs.
+#[derive(Clone, Debug)]
+pub struct PeriodicFull {
+    estimator: LoadEstimator,
+    period_ms: u64,
+    due_at: UnixMs,
+}
+
+impl PeriodicFull {
+    /// Repacks every `period_ms`, first at `first_at`.
+    #[must_use]
+    pub fn new(shape: GroupShape, period_ms: u64, first_at: UnixMs) -> Self {
+        Self { estimator: LoadEstimator::new(shape), period_ms, due_at: first_at }
+    }
+}
+
+impl RebalancePolicy for PeriodicFull {
+    fn name(&self) -> &'static str {
+        "periodic"
+    }
+
+    fn observe(&mut self, report: &LoadReport) -> Result<(), ReportFault> {
+        self.estimator.observe(report)
+    }
+
+    fn decide(&mut self, now: Now, present: &ExpertMap) -> Option<Change> {
+        if !self.due_at.is_past(now) || !self.estimator.is_ready(now) {
+            return None;
+        }
+        self.due_at = now.after(self.period_ms);
+        let shape = self.estimator.shape();
+        let loads: Vec<&[f64]> =
+            (0..usize::from(shape.layers)).map(|layer| self.estimator.loads(layer)).collect();
+        let target = pack_map(shape, &loads);
+        change_between(&self.estimator, present, target)
+    }
+
+    fn settle(&mut self, _now: Now, _outcome: ChangeOutcome) {}
+}
--- /dev/null
+++ b/crates/core/src/placement/skew.rs
@@ -0,0 +1,94 @@
+//! Predicted skew of a layer: its slowest against its fastest rank.
+//!
+//! Even a perfect map shows skew in every step, because the tokens of one step are a sample. The
+//! prediction therefore takes a smooth maximum and minimum whose softness follows that sampling
+//! noise. It counts a rank that is nearly as slow as the slowest, and it shows no gain in evening
+//! out differences that lie within the noise.
+
+use crate::placement::layer::LayerPlacement;
+
+/// Softness of the extremes as a share of the standard deviation of one rank's load in one step.
+/// With it the smooth extremes of 8 to 64 equal ranks lie within a tenth of the mean extremes of
+/// as many normal draws.
+const SOFTNESS_PER_DEVIATION: f64 = 0.6;
+/// Least softness as a share of the mean load, which keeps exponents within range.
+const MIN_SOFTNESS: f64 = 0.01;
+
+/// Softness for a mean rank load in tokens a step, if tokens arrive as independent counts.
+pub(crate) fn softness_tokens(mean_tokens: f64) -> f64 {
+    let softness = SOFTNESS_PER_DEVIATION * mean_tokens.max(0.0).sqrt();
+    softness.max(MIN_SOFTNESS * mean_tokens).max(f64::MIN_POSITIVE)
+}
+
+/// The smooth extremes of rank loads, with each rank's terms kept for cheap trials.
+#[derive(Clone, Debug)]
+pub(crate) struct SmoothSpread {
+    softness: f64,
+    highest: f64,
+    lowest: f64,
+    terms: Vec<RankTerms>,
+}
+
+/// One rank's share in the smooth extremes.
+#[derive(Clone, Copy, Debug)]
+struct RankTerms {
+    load: f64,
+    peak: f64,
+    trough: f64,
+}
+
+impl SmoothSpread {
+    pub(crate) fn new(rank_loads: &[f64], softness: f64) -> Self {
+        let highest = rank_loads.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        let lowest = rank_loads.iter().copied().fold(f64::INFINITY, f64::min);
+        let mut spread = Self { softness, highest, lowest, terms: Vec::new() };
+        spread.terms = rank_loads.iter().map(|load| spread.terms_at(*load)).collect();
+        spread
+    }
+
+    fn terms_at(&self, load: f64) -> RankTerms {
+        let peak = ((load - self.highest) / self.softness).exp();
+        let trough = ((self.lowest - load) / self.softness).exp();
+        RankTerms { load, peak, trough }
+    }
+
+    /// The spread in the unit of the loads.
+    pub(crate) fn value(&self) -> f64 {
+        let peak_sum = self.terms.iter().map(|terms| terms.peak).sum();
+        let trough_sum = self.terms.iter().map(|terms| terms.trough).sum();
+        self.spread(peak_sum, trough_sum)
+    }
+
+    /// The spread if each rank's load differed by `deltas`.
+    ///
+    /// The sums are formed anew. Subtracting the terms of a very slow rank from a running sum would
+    /// cancel all digits of the others, and the trial would show a gain that does not exist.
+    pub(crate) fn value_with(&self, deltas: &[f64]) -> f64 {
+        let (mut peak_sum, mut trough_sum) = (0.0, 0.0);
+        for (terms, delta) in self.terms.iter().zip(deltas) {
+            let terms = if *delta == 0.0 { *terms } else { self.terms_at(terms.load + delta) };
+            peak_sum += terms.peak;
+            trough_sum += terms.trough;
+        }
+        self.spread(peak_sum, trough_sum)
+    }
+
+    fn spread(&self, peak_sum: f64, trough_sum: f64) -> f64 {
+        let peak = peak_sum.max(f64::MIN_POSITIVE).ln();
+        let trough = trough_sum.max(f64::MIN_POSITIVE).ln();
+        self.highest - self.lowest + self.softness * (peak + trough)
+    }
+}
+
+/// Predicted skew of a layer: slowest less fastest rank as a share of the mean rank.
+///
+/// `loads` are tokens a step for each expert. A layer without load has no skew.
+#[must_use]
+pub fn layer_skew(placed: &LayerPlacement, loads: &[f64]) -> f64 {
+    let rank_loads = placed.rank_loads(loads);
+    let mean = rank_loads.iter().sum::<f64>() / rank_loads.len().max(1) as f64;
+    if mean <= 0.0 {
+        return 0.0;
+    }
+    SmoothSpread::new(&rank_loads, softness_tokens(mean)).value() / mean
+}
--- /dev/null
+++ b/crates/core/src/placement/threshold.rs
@@ -0,0 +1,61 @@
+//! Baseline: edits whenever predicted skew lies above a fixed threshold.
+
+use crate::placement::change::change_between;
+use crate::placement::estimate::LoadEstimator;
+use crate::placement::layer::ExpertMap;
+use crate::placement::pack::refine_layer;
+use crate::placement::policy::{Change, ChangeOutcome, RebalancePolicy};
+use crate::placement::report::{LoadReport, ReportFault};
+use crate::placement::shape::GroupShape;
+use crate::placement::skew::layer_skew;
+use crate::time::{Now, UnixMs};
+
+/// Edits of one layer in one change.
+const EDITS_PER_LAYER: u32 = 4;
+
+/// Evens out each layer whose predicted skew is above a threshold, with a fixed cool-down.
+#[derive(Clone, Debug)]
+pub struct PlainThreshold {
+    estimator: LoadEstimator,
+    threshold: f64,
+    cool_down_ms: u64,
+    closed_until: UnixMs,
+}
+
+impl PlainThreshold {
+    /// Acts above a skew of `threshold` (slowest less fastest rank as a share of the mean) and
+    /// waits `cool_down_ms` after each change.
+    #[must_use]
+    pub fn new(shape: GroupShape, threshold: f64, cool_down_ms: u64) -> Self {
+        let estimator = LoadEstimator::new(shape);
+        Self { estimator, threshold, cool_down_ms, closed_until: UnixMs::default() }
+    }
+}
+
+impl RebalancePolicy for PlainThreshold {
+    fn name(&self) -> &'static str {
+        "threshold"
+    }
+
+    fn observe(&mut self, report: &LoadReport) -> Result<(), ReportFault> {
+        self.estimator.observe(report)
+    }
+
+    fn decide(&mut self, now: Now, present: &ExpertMap) -> Option<Change> {
+        if !self.closed_until.is_past(now) || !self.estimator.is_ready(now) {
+            return None;
+        }
+        let mut target = present.clone();
+        for (layer, placed) in target.layers.iter_mut().enumerate() {
+            let loads = self.estimator.loads(layer);
+            if layer_skew(placed, loads) > self.threshold {
+                *placed = refine_layer(self.estimator.shape(), placed, loads, EDITS_PER_LAYER);
+            }
+        }
+        change_between(&self.estimator, present, target)
+    }
+
+    fn settle(&mut self, now: Now, _outcome: ChangeOutcome) {
+        self.closed_until = now.after(self.cool_down_ms);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/placement_map.rs
@@ -0,0 +1,169 @@
+//! Invariants of expert maps and of every map that a policy proposes.
+
+use googletest::prelude::*;
+use hickorycross_config::Balance;
+use hickorycross_core::Now;
+use hickorycross_core::placement::{
+    Change, ChangeOutcome, ExpertMap, GroupShape, LayerPlacement, LoadReport, MapFault,
+    PeriodicFull, PlainThreshold, RebalancePolicy, ShapeFault, Weighted, WeightedSettings,
+    pack_layer, refine_layer,
+};
+use proptest::prelude::{Strategy, any, proptest};
+use proptest::test_runner::Config;
+
+const STEPS: u64 = 200;
+const BALANCE: Balance =
+    Balance { skew_weight: 20.0, rebalance_cost_weight: 1.0, weight_store_bytes_per_s: 1 << 30 };
+
+fn shape(ranks: u16, experts: u16, slots: u16) -> GroupShape {
+    GroupShape {
+        ranks,
+        layers: 2,
+        experts_per_layer: experts,
+        expert_slots_per_rank: slots,
+        expert_bytes: 1 << 20,
+    }
+}
+
+fn report(index: u64, loads: &[f32], layers: u16) -> LoadReport {
+    LoadReport {
+        first_step: index * STEPS,
+        last_step: index * STEPS + STEPS - 1,
+        ended_at: Now::at(index * 1000).unix_ms,
+        layer_loads_tokens: vec![loads.to_vec(); usize::from(layers)],
+    }
+}
+
+struct MapCase {
+    name: &'static str,
+    experts_of_rank: Vec<Vec<u16>>,
+    expected: std::result::Result<(), MapFault>,
+}
+
+#[gtest]
+fn maps_are_checked() {
+    let cases = [
+        MapCase { name: "plain", experts_of_rank: vec![vec![0, 1], vec![2]], expected: Ok(()) },
+        MapCase {
+            name: "replica",
+            experts_of_rank: vec![vec![0, 1], vec![2, 0]],
+            expected: Ok(()),
+        },
+        MapCase {
+            name: "too few ranks",
+            experts_of_rank: vec![vec![0, 1]],
+            expected: Err(MapFault::Ranks { layer: 0, found: 1, expected: 2 }),
+        },
+        MapCase {
+            name: "too many experts on a rank",
+            experts_of_rank: vec![vec![0, 1, 2], vec![2]],
+            expected: Err(MapFault::Slots { layer: 0, rank: 0, found: 3, slots: 2 }),
+        },
+        MapCase {
+            name: "repeated",
+            experts_of_rank: vec![vec![0, 0], vec![1, 2]],
+            expected: Err(MapFault::Expert { layer: 0, rank: 0, expert: 0 }),
+        },
+        MapCase {
+            name: "unknown",
+            experts_of_rank: vec![vec![0, 3], vec![1, 2]],
+            expected: Err(MapFault::Expert { layer: 0, rank: 0, expert: 3 }),
+        },
+        MapCase {
+            name: "missing",
+            experts_of_rank: vec![vec![0], vec![2]],
+            expected: Err(MapFault::Missing { layer: 0, expert: 1 }),
+        },
+    ];
+    let shape = GroupShape { layers: 1, ..shape(2, 3, 2) };
+    for case in cases {
+        let map =
+            ExpertMap { layers: vec![LayerPlacement { experts_of_rank: case.experts_of_rank }] };
+        expect_that!(map.validate(&shape), eq(case.expected), "{}", case.name);
+    }
+}
+
+struct ShapeCase {
+    shape: GroupShape,
+    expected: std::result::Result<(), ShapeFault>,
+}
+
+#[gtest]
+fn shapes_are_checked() {
+    let cases = [
+        ShapeCase { shape: shape(8, 64, 8), expected: Ok(()) },
+        ShapeCase { shape: shape(0, 64, 8), expected: Err(ShapeFault::Zero) },
+        ShapeCase {
+            shape: shape(8, 64, 7),
+            expected: Err(ShapeFault::TooFewSlots { slots: 56, experts: 64 }),
+        },
+    ];
+    for case in cases {
+        expect_that!(case.shape.validate(), eq(case.expected));
+    }
+}
+
+fn policies(shape: GroupShape) -> Vec<Box<dyn RebalancePolicy>> {
+    vec![
+        Box::new(PeriodicFull::new(shape, 1000, Now::at(0).unix_ms)),
+        Box::new(PlainThreshold::new(shape, 0.05, 1000)),
+        Box::new(Weighted::new(shape, &WeightedSettings::new(BALANCE))),
+    ]
+}
+
+fn check_change(shape: &GroupShape, present: &ExpertMap, change: &Change) {
+    assert_eq!(change.target.validate(shape), Ok(()));
+    assert_eq!(change.loads, present.loads_towards(&change.target));
+    assert_eq!(change.prediction.moved_bytes, change.loads.len() as u64 * shape.expert_bytes);
+}
+
+fn shapes() -> impl Strategy<Value = GroupShape> {
+    (1u16..10, 1u16..40, 0u16..4)
+        .prop_map(|(ranks, experts, spare)| shape(ranks, experts, experts.div_ceil(ranks) + spare))
+}
+
+proptest! {
+    #![proptest_config(Config::with_cases(32))]
+
+    #[test]
+    fn packed_and_refined_layers_keep_the_invariants(
+        shape in shapes(),
+        loads in proptest::collection::vec(0.0f64..1e4, 40),
+    ) {
+        let loads = &loads[..usize::from(shape.experts_per_layer)];
+        let packed = pack_layer(&shape, loads);
+        let refined = refine_layer(&shape, &packed, loads, 10);
+        let map = ExpertMap { layers: vec![packed, refined] };
+        assert_eq!(map.validate(&shape), Ok(()));
+    }
+
+    #[test]
+    fn every_proposed_map_keeps_the_invariants(
+        shape in shapes(),
+        demands in proptest::collection::vec(proptest::collection::vec(0.0f32..1e6, 40), 1..4),
+        adopts in any::<bool>(),
+    ) {
+        for mut policy in policies(shape) {
+            let experts = usize::from(shape.experts_per_layer);
+            let even = vec![1.0; experts];
+            let mut map = ExpertMap { layers: vec![pack_layer(&shape, &even); 2] };
+            for index in 0..60u64 {
+                let demand = &demands[index as usize * demands.len() / 60][..experts];
+                policy.observe(&report(index, demand, shape.layers)).expect("well-formed");
+                let now = Now::at(index * 1000);
+                let Some(change) = policy.decide(now, &map) else { continue };
+                check_change(&shape, &map, &change);
+                if policy.name() == "weighted" {
+                    let limit = WeightedSettings::MAX_LOADS_PER_LAYER * u32::from(shape.layers);
+                    assert!(change.loads.len() <= limit as usize);
+                }
+                if adopts {
+                    map = change.target;
+                    policy.settle(now, ChangeOutcome::Adopted { first_step: index * STEPS + 100 });
+                } else {
+                    policy.settle(now, ChangeOutcome::Abandoned);
+                }
+            }
+        }
+    }
+}
