--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -124,8 +124,11 @@
 
 /// Only a connection that was never made proves that the backend server saw nothing.
 fn send_failure(error: &reqwest::Error) -> (Verdict, String) {
-    let verdict =
-        if error.is_connect() || error.is_builder() { Verdict::NotRun } else { Verdict::MayHaveRun };
+    let verdict = if error.is_connect() || error.is_builder() {
+        Verdict::NotRun
+    } else {
+        Verdict::MayHaveRun
+    };
     (verdict, error.to_string())
 }
 
--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -74,10 +74,8 @@
     ) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let health = tokio::spawn(watch_health(
-            self.parts.backend.clone(),
-            self.backend_events.clone(),
-        ));
+        let health =
+            tokio::spawn(watch_health(self.parts.backend.clone(), self.backend_events.clone()));
         let mut draining = false;
         while !self.drained {
             tokio::select! {
@@ -100,8 +98,6 @@
         self.handle(AgentEvent::Tick);
         let ready = self.exchange.in_force().is_some();
         self.parts.view.update(|status| status.ready = ready);
-        let counters = self.parts.core.counters();
-        crate::export::record(counters);
     }
 
     fn handle(&mut self, event: AgentEvent) {
@@ -227,8 +223,7 @@
         let follow =
             if is_watcher(&self.parts.own, instances) { Follow::Watch } else { Follow::Poll };
         self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
-        for Probe { link, address, .. } in
-            self.parts.gate.listed(self.parts.clock.now(), instances)
+        for Probe { link, address, .. } in self.parts.gate.listed(self.parts.clock.now(), instances)
         {
             self.parts.links.open(link, address);
         }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,7 +9,6 @@
 mod driver;
 mod program;
 mod settings;
-mod view;
 
 pub use cli::{command_line, run};
 pub use program::{Agent, StartError};
--- a/crates/core/src/entry/border.rs
+++ b/crates/core/src/entry/border.rs
@@ -116,6 +116,8 @@
     KeyConflict,
     /// The answer broke the rules of the protocol.
     BadAnswer,
+    /// The request broke the rules of the API.
+    BadRequest,
 }
 
 /// The final answer to a request that was given up.
--- a/crates/core/src/entry/plain.rs
+++ b/crates/core/src/entry/plain.rs
@@ -72,7 +72,7 @@
         match signal {
             Signal::BackendDown => self.down = true,
             Signal::BackendUp | Signal::Answered => self.down = false,
-            Signal::Failed | Signal::Missed | Signal::Restarted => {}
+            Signal::Heard | Signal::Failed | Signal::Missed | Signal::Restarted => {}
         }
     }
 
--- /dev/null
+++ b/crates/entry/src/driver.rs
@@ -0,0 +1,255 @@
+//! Turns what happens around the process into events for the core and carries out its actions.
+
+use crate::catalog::Catalog;
+use crate::inbox::{Inbound, Part};
+use hickorycross_core::adoption::{Exchange, ExchangeAction, Probe, StartGate, is_watcher};
+use hickorycross_core::entry::{EntryAction, EntryCore, EntryEvent};
+use hickorycross_core::message::ToEntry;
+use hickorycross_core::{Instance, InstanceId, LinkId, RequestId};
+use hickorycross_protocol::{ConfigOffer, Frame, Hello, PeerRole};
+use hickorycross_runtime::clock::SteadyClock;
+use hickorycross_runtime::link::{LinkEvent, Links};
+use hickorycross_runtime::platform::{Follow, PlatformEvent};
+use hickorycross_runtime::trail::Trail;
+use hickorycross_runtime::view::View;
+use indexmap::IndexMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::{oneshot, watch};
+use tokio::time::MissedTickBehavior;
+
+/// Pause between two ticks of the core.
+const TICK: Duration = Duration::from_millis(20);
+
+/// What reaches the driver from outside.
+pub(crate) struct Inputs {
+    pub(crate) callers: UnboundedReceiver<Inbound>,
+    pub(crate) links: UnboundedReceiver<LinkEvent>,
+    pub(crate) platform: UnboundedReceiver<PlatformEvent>,
+    pub(crate) drain: oneshot::Receiver<()>,
+}
+
+/// What the driver acts on.
+pub(crate) struct Parts {
+    pub(crate) core: EntryCore,
+    pub(crate) gate: StartGate,
+    pub(crate) own: InstanceId,
+    pub(crate) links: Links,
+    pub(crate) view: Arc<View>,
+    pub(crate) trail: Arc<Trail>,
+    pub(crate) catalog: Arc<Catalog>,
+    pub(crate) clock: SteadyClock,
+    pub(crate) follow: watch::Sender<Follow>,
+}
+
+/// Runs an entry until it has drained.
+pub(crate) struct Driver {
+    parts: Parts,
+    exchange: Exchange,
+    answers: IndexMap<RequestId, UnboundedSender<Part>>,
+    drained: bool,
+}
+
+impl Driver {
+    pub(crate) fn new(parts: Parts) -> Self {
+        Self { parts, exchange: Exchange::default(), answers: IndexMap::new(), drained: false }
+    }
+
+    pub(crate) async fn run(mut self, mut inputs: Inputs) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut draining = false;
+        while !self.drained {
+            tokio::select! {
+                biased;
+                _ = &mut inputs.drain, if !draining => {
+                    draining = true;
+                    self.handle(EntryEvent::Drain);
+                }
+                _ = ticks.tick() => self.tick(),
+                Some(event) = inputs.links.recv() => self.on_link(event),
+                Some(event) = inputs.callers.recv() => self.on_caller(event),
+                Some(event) = inputs.platform.recv() => self.on_platform(event),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.handle(EntryEvent::Tick);
+        let now = self.parts.clock.now();
+        let ready = self.exchange.in_force().is_some() && self.parts.gate.is_open(now);
+        self.parts.view.update(|status| status.ready = ready);
+    }
+
+    fn handle(&mut self, event: EntryEvent) {
+        let mut actions = Vec::new();
+        self.parts.core.handle(self.parts.clock.now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: EntryAction) {
+        match action {
+            EntryAction::OpenLink { link, address, .. } => self.parts.links.open(link, address),
+            EntryAction::CloseLink { link } => self.parts.links.close(link),
+            EntryAction::Send { link, message } => {
+                self.parts.links.send(link, Frame::ToAgent(message));
+            }
+            EntryAction::Begin { request, head } => self.pass_on(request, Part::Begin(head)),
+            EntryAction::Chunk { request, bytes } => self.pass_on(request, Part::Chunk(bytes)),
+            EntryAction::Finish { request } => self.end(request, Part::Finish),
+            EntryAction::Refuse { request, refusal } => self.end(request, Part::Refuse(refusal)),
+            EntryAction::Audit(record) => self.parts.trail.write(record),
+            EntryAction::Drained => self.drained = true,
+        }
+    }
+
+    fn pass_on(&self, request: RequestId, part: Part) {
+        if let Some(answer) = self.answers.get(&request) {
+            let _ = answer.send(part);
+        }
+    }
+
+    fn end(&mut self, request: RequestId, part: Part) {
+        if let Some(answer) = self.answers.swap_remove(&request) {
+            let _ = answer.send(part);
+        }
+    }
+
+    fn on_caller(&mut self, event: Inbound) {
+        match event {
+            Inbound::Arrived { arrival, parts } => {
+                self.answers.insert(arrival.request, parts);
+                self.handle(EntryEvent::Arrived(arrival));
+            }
+            Inbound::CallerGone { request } => {
+                self.answers.swap_remove(&request);
+                self.handle(EntryEvent::CallerGone { request });
+            }
+        }
+    }
+
+    fn on_link(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Opened { link, hello } => self.on_opened(link, hello),
+            LinkEvent::Frame { link, frame } => self.on_frame(link, frame),
+            LinkEvent::Closed { link, reason } => {
+                log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
+                self.parts.gate.settled(link);
+                if !self.parts.gate.owns(link) {
+                    self.handle(EntryEvent::LinkClosed { link });
+                }
+            }
+        }
+    }
+
+    fn on_opened(&mut self, link: LinkId, hello: Hello) {
+        let now = self.parts.clock.now();
+        let actions = self.exchange.heard(now, link, hello.stamp);
+        let asks = actions.iter().any(|action| matches!(action, ExchangeAction::Request { .. }));
+        self.act_on_exchange(actions);
+        if self.parts.gate.owns(link) {
+            if !asks {
+                self.parts.gate.settled(link);
+                self.parts.links.close(link);
+            }
+            return;
+        }
+        if let PeerRole::Agent { backend_server } = hello.role {
+            let incarnation = hello.incarnation;
+            self.handle(EntryEvent::LinkOpened { link, backend_server, incarnation });
+        }
+    }
+
+    fn on_frame(&mut self, link: LinkId, frame: Frame) {
+        let now = self.parts.clock.now();
+        match frame {
+            Frame::ToEntry(message) => {
+                if let ToEntry::HeartbeatAck { stamp, .. } = &message {
+                    let actions = self.exchange.heard(now, link, *stamp);
+                    self.act_on_exchange(actions);
+                }
+                self.handle(EntryEvent::Message { link, message });
+            }
+            Frame::Announce(stamp) => {
+                let actions = self.exchange.heard(now, link, stamp);
+                self.act_on_exchange(actions);
+            }
+            Frame::ConfigRequest => {
+                let actions = self.exchange.requested(link).into_iter().collect();
+                self.act_on_exchange(actions);
+            }
+            Frame::ConfigOffer(offer) => self.on_offer(link, &offer),
+            Frame::Hello(_) | Frame::ToAgent(_) => {
+                log::warn!(target: "link", link = link.0; "unexpected frame");
+            }
+        }
+    }
+
+    fn on_offer(&mut self, link: LinkId, offer: &ConfigOffer) {
+        let now = self.parts.clock.now();
+        let actions = self.exchange.peer_offer(now, offer.stamp, &offer.document);
+        self.act_on_exchange(actions);
+        if self.parts.gate.owns(link) {
+            self.parts.gate.settled(link);
+            self.parts.links.close(link);
+        }
+    }
+
+    fn on_platform(&mut self, event: PlatformEvent) {
+        let now = self.parts.clock.now();
+        match event {
+            PlatformEvent::Config(offer) => {
+                let actions = self.exchange.offer(now, &offer);
+                self.act_on_exchange(actions);
+            }
+            PlatformEvent::Instances(instances) => self.on_instances(instances),
+            PlatformEvent::Unreachable { detail } => {
+                log::warn!(target: "platform", detail = detail.as_str(); "unreachable");
+            }
+        }
+    }
+
+    fn on_instances(&mut self, instances: Vec<Instance>) {
+        let follow =
+            if is_watcher(&self.parts.own, &instances) { Follow::Watch } else { Follow::Poll };
+        self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
+        for Probe { link, address, .. } in
+            self.parts.gate.listed(self.parts.clock.now(), &instances)
+        {
+            self.parts.links.open(link, address);
+        }
+        self.handle(EntryEvent::Instances(instances));
+    }
+
+    fn act_on_exchange(&mut self, actions: Vec<ExchangeAction>) {
+        for action in actions {
+            match action {
+                ExchangeAction::Adopted { stamp, document } => {
+                    self.parts.view.update(|status| status.stamp = stamp);
+                    self.parts.catalog.adopt(Arc::clone(&document));
+                    self.handle(EntryEvent::Adopted { stamp, document });
+                }
+                ExchangeAction::Announce { link, stamp } => {
+                    self.parts.links.send(link, Frame::Announce(stamp));
+                }
+                ExchangeAction::AnnounceToAll(stamp) => {
+                    self.parts.links.broadcast(&Frame::Announce(stamp));
+                }
+                ExchangeAction::Request { link } => {
+                    self.parts.links.send(link, Frame::ConfigRequest);
+                }
+                ExchangeAction::Offer { link, stamp, bytes } => {
+                    let document = bytes.to_vec();
+                    let offer = Frame::ConfigOffer(ConfigOffer { stamp, document });
+                    self.parts.links.send(link, offer);
+                }
+                ExchangeAction::Audit(record) => self.parts.trail.write(record),
+            }
+        }
+        let refused = self.exchange.refused();
+        self.parts.view.update(|status| status.refused = refused);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,21 @@
-//! entry
+//! The hickorycross entry: takes callers' requests and brings back their answers.
+//!
+//! - [`Settings`] is its settings file, [`command_line`] its flags.
+//! - [`Entry`] is a running entry: it turns callers, links and the platform into events for
+//!   `hickorycross_core::entry` and carries out its actions.
+
+mod answer;
+mod callers;
+mod catalog;
+mod cli;
+mod demo;
+mod driver;
+mod inbox;
+mod policies;
+mod program;
+mod refusal;
+mod settings;
+
+pub use cli::{command_line, run};
+pub use program::{Entry, StartError};
+pub use settings::Settings;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,2 +1,7 @@
-//! Main.
-fn main() {}
+//! Starts the entry.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hickorycross_entry::run(std::env::args_os())
+}
--- a/crates/runtime/src/view.rs
+++ b/crates/runtime/src/view.rs
@@ -1,10 +1,10 @@
 //! The state of a process as its operators and its peers see it.
 
-use hickorycross_core::{Incarnation, InstanceId};
-use hickorycross_protocol::{Hello, PeerRole, VERSIONS};
 use crate::clock::SteadyClock;
 use crate::link::Greet;
 use crate::operators::{Inspect, Status};
+use hickorycross_core::{Incarnation, InstanceId};
+use hickorycross_protocol::{Hello, PeerRole, VERSIONS};
 use std::sync::{Mutex, PoisonError};
 
 /// State shared between the driver, which writes it, and the servers, which show it.
