feat(standins): orders and lock-step groups of engines

Engines take fenced orders for the ranks that they host, and a clock shared within the process makes a step only when every rank holds a grant for it. The clock records which map each rank used, so that tests can see a mixed step.

Ruled out: a digest check in the engine. The digest of a grant is passed on as it came and recorded beside one of the content, as the engine cannot know how those who order compute theirs.

--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -1,12 +1,14 @@
 //! A model engine behind the usual model API.
 
 mod answer;
+mod orders;
 mod request;
 mod routes;
 
 pub use answer::expected_answer;
 
 use crate::calls::Call;
+use crate::group::{OrderSeen, RankHost, RankOptions};
 use crate::http::HttpServer;
 use crate::worker::{Knobs, Worker};
 use indexmap::IndexMap;
@@ -21,6 +23,8 @@
     pub models: Vec<String>,
     /// The knobs at the start.
     pub knobs: Knobs,
+    /// Ranks of a group that it hosts. Its tokens then wait for the group's steps.
+    pub ranks: Option<RankOptions>,
 }
 
 /// A running stand-in of a model engine.
@@ -35,6 +39,7 @@
 struct State {
     models: Vec<String>,
     worker: Worker,
+    ranks: Option<Arc<RankHost>>,
 }
 
 impl EngineStandIn {
@@ -44,8 +49,14 @@
     ///
     /// No port could be bound.
     pub async fn start(options: EngineOptions) -> io::Result<Self> {
-        let state = Arc::new(State { models: options.models, worker: Worker::new(options.knobs) });
-        let server = HttpServer::start(state.clone(), routes::routes()).await?;
+        let mut worker = Worker::new(options.knobs);
+        let ranks = options.ranks.map(|ranks| RankHost::new(ranks, worker.subscribe()));
+        if let Some(ranks) = &ranks {
+            worker.pace_by(ranks.group().subscribe());
+        }
+        let state = Arc::new(State { models: options.models, worker, ranks });
+        let server =
+            HttpServer::start(state.clone(), [routes::routes(), orders::routes()].concat()).await?;
         Ok(Self { server, state })
     }
 
@@ -90,6 +101,18 @@
         self.state.worker.calls.runs_by_attempt()
     }
 
+    /// Every order so far, refused ones included.
+    #[must_use]
+    pub fn orders(&self) -> Vec<OrderSeen> {
+        self.state.ranks.as_ref().map(|ranks| ranks.orders()).unwrap_or_default()
+    }
+
+    /// Experts that its ranks have loaded because of new maps, counted by layer and rank.
+    #[must_use]
+    pub fn experts_moved(&self) -> u64 {
+        self.state.ranks.as_ref().map_or(0, |ranks| ranks.experts_moved())
+    }
+
     /// Refuses connections, as a process that has died.
     pub async fn refuse(&self) {
         self.server.relay().refuse().await;
@@ -105,8 +128,17 @@
         self.server.relay().heal().await;
     }
 
-    /// Ends it, cutting every connection.
+    /// Ends it, cutting every connection. A group that it belongs to makes no further step.
     pub fn shutdown(&self) {
         self.server.shutdown();
+        if let Some(ranks) = &self.state.ranks {
+            ranks.leave();
+        }
+    }
+}
+
+impl Drop for EngineStandIn {
+    fn drop(&mut self) {
+        self.shutdown();
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -19,12 +19,14 @@
 mod worker;
 
 pub mod engine;
+pub mod group;
 pub mod platform;
 pub mod relay;
 pub mod service;
 
 pub use calls::{Call, CallState};
 pub use engine::{EngineOptions, EngineStandIn, expected_answer};
+pub use group::{GroupClock, GroupOptions, RankOptions};
 pub use head::{ATTEMPT_HEADER, IDEMPOTENCY_HEADER, PRIORITY_HEADER};
 pub use platform::PlatformStandIn;
 pub use relay::TcpRelay;
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -63,6 +63,8 @@
     pub(crate) calls: CallLog,
     knobs: watch::Sender<Knobs>,
     slots: Slots,
+    /// Steps of the group that makes the pieces, if one does.
+    steps: Option<watch::Receiver<u64>>,
 }
 
 /// One request that has a slot.
@@ -70,6 +72,7 @@
 pub(crate) struct Run {
     call: OpenCall,
     knobs: watch::Receiver<Knobs>,
+    steps: Option<watch::Receiver<u64>>,
     pieces: u32,
     _slot: Slot,
 }
@@ -89,9 +92,19 @@
             calls: CallLog::default(),
             knobs: watch::Sender::new(knobs),
             slots: Slots::new(knobs.slots),
+            steps: None,
         }
     }
 
+    /// Makes every piece of an answer wait for a step besides.
+    pub(crate) fn pace_by(&mut self, steps: watch::Receiver<u64>) {
+        self.steps = Some(steps);
+    }
+
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Knobs> {
+        self.knobs.subscribe()
+    }
+
     pub(crate) fn knobs(&self) -> Knobs {
         *self.knobs.borrow()
     }
@@ -115,7 +128,8 @@
         }
         let slot = self.slots.take(priority).await?;
         call.start();
-        Some(Run { call, knobs: self.knobs.subscribe(), pieces: 0, _slot: slot })
+        let steps = self.steps.clone();
+        Some(Run { call, knobs: self.knobs.subscribe(), steps, pieces: 0, _slot: slot })
     }
 }
 
@@ -133,6 +147,10 @@
         if scaled_ms > 0 {
             tokio::time::sleep(Duration::from_millis(scaled_ms)).await;
         }
+        if let Some(steps) = &mut self.steps {
+            steps.mark_unchanged();
+            steps.changed().await.map_err(|_| Ended::Broken)?;
+        }
         self.pieces += 1;
         Ok(())
     }
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -14,7 +14,8 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 
 async fn engine(knobs: Knobs) -> EngineStandIn {
-    EngineStandIn::start(EngineOptions { models: vec!["m".to_owned()], knobs }).await.unwrap()
+    let models = vec!["m".to_owned()];
+    EngineStandIn::start(EngineOptions { models, knobs, ranks: None }).await.unwrap()
 }
 
 fn post(engine: &EngineStandIn, path: &str, body: &str, attempt: &str) -> reqwest::RequestBuilder {
