feat(core): queue, revocation, retention, keys and drain of the agent

Tables of attempts, runs and keys with systems in modules of their own; focused tests follow. An entry acknowledges the end marker by naming one chunk more than the count.

--- a/crates/core/src/agent/border.rs
+++ b/crates/core/src/agent/border.rs
@@ -100,7 +100,8 @@
         /// Priority for engines that honour one: rank of the tier, 0 first.
         priority: u8,
     },
-    /// Cancel a request at the backend server.
+    /// Cancel a request at the backend server. Its slot stays taken until the program reports
+    /// [`AgentEvent::BackendFailed`] or [`AgentEvent::BackendEnd`].
     Abort {
         /// The attempt.
         attempt: AttemptId,
--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -1,219 +1,190 @@
-//! The agent's core: one event in, actions out.
+//! The agent's core: its tables, and one event in, actions out.
 
 use super::attempt::{Attempt, Stage};
 use super::border::{AgentAction, AgentEvent};
+use super::constants::{CLOCK_SKEW_BOUND_MS, ORPHAN_MS};
+use super::counters::AgentCounters;
+use super::demand::DemandTable;
+use super::execution::Execution;
+use super::guard::StartGuard;
+use super::home_history::HomeHistory;
 use super::identity::AgentIdentity;
+use super::keys::KeyTable;
+use super::mechanisms::Mechanisms;
+use super::queue::{FairQueue, QueueRules};
+use super::service_time::ServiceTime;
+use super::snapshot::DrainState;
 use crate::ids::{AttemptId, Incarnation, LinkId};
-use crate::message::{AgentState, Load, RefusalReason, Submit, ToAgent, ToEntry};
-use crate::time::Now;
-use crate::verdict::Verdict;
+use crate::message::{RefusalReason, ToEntry};
+use crate::time::{Now, UnixMs};
 use hickorycross_config::{Document, Stamp};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 /// The decisions of one agent.
+///
+/// Every event is handled at once and in order; the systems that start queued work and finish a
+/// drain run after each of them, those that expire rows run at each [`AgentEvent::Tick`].
 #[derive(Debug)]
 pub struct AgentCore {
-    identity: AgentIdentity,
-    stamp: Stamp,
-    document: Option<Arc<Document>>,
-    links: IndexMap<LinkId, Incarnation>,
-    attempts: IndexMap<AttemptId, Attempt>,
-    leaving: bool,
-    drained: bool,
-    healthy: bool,
+    pub(super) identity: AgentIdentity,
+    pub(super) mechanisms: Mechanisms,
+    pub(super) random: ChaCha8Rng,
+    pub(super) stamp: Stamp,
+    pub(super) document: Option<Arc<Document>>,
+    pub(super) links: IndexMap<LinkId, Incarnation>,
+    pub(super) attempts: IndexMap<AttemptId, Attempt>,
+    /// The latest deadline of a forgotten attempt that may have started. Of an attempt with a
+    /// later deadline and no row it is certain that it never started here.
+    pub(super) forgotten_through: UnixMs,
+    pub(super) queue: FairQueue,
+    pub(super) executions: IndexMap<AttemptId, Execution>,
+    pub(super) running: IndexSet<AttemptId>,
+    pub(super) retained_bytes: u64,
+    /// Ended runs whose answers are held for repeats of their key, oldest first.
+    pub(super) replayable: VecDeque<AttemptId>,
+    pub(super) keys: KeyTable,
+    pub(super) homes: HomeHistory,
+    pub(super) guard: StartGuard,
+    pub(super) demand: DemandTable,
+    pub(super) service: ServiceTime,
+    pub(super) counters: AgentCounters,
+    pub(super) healthy: bool,
+    pub(super) drain: DrainState,
 }
 
 impl AgentCore {
     /// An agent that has adopted nothing yet. `seed` feeds every random choice.
     #[must_use]
-    pub fn new(identity: AgentIdentity, _seed: u64) -> Self {
+    pub fn new(identity: AgentIdentity, seed: u64) -> Self {
+        Self::with_mechanisms(identity, seed, Mechanisms::default())
+    }
+
+    /// An agent without some mechanisms, for tests that show what each one prevents.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_mechanisms(identity: AgentIdentity, seed: u64, mechanisms: Mechanisms) -> Self {
+        let rules = QueueRules {
+            eviction: mechanisms.eviction,
+            team_fairness: mechanisms.team_fairness,
+            tier_floors: mechanisms.tier_floors,
+        };
         Self {
+            homes: HomeHistory::new(identity.backend_server.clone()),
             identity,
+            mechanisms,
+            random: ChaCha8Rng::seed_from_u64(seed),
             stamp: Stamp::NONE,
             document: None,
             links: IndexMap::new(),
             attempts: IndexMap::new(),
-            leaving: false,
-            drained: false,
+            forgotten_through: UnixMs::default(),
+            queue: FairQueue::new(rules),
+            executions: IndexMap::new(),
+            running: IndexSet::new(),
+            retained_bytes: 0,
+            replayable: VecDeque::new(),
+            keys: KeyTable::default(),
+            guard: StartGuard::default(),
+            demand: DemandTable::default(),
+            service: ServiceTime::default(),
+            counters: AgentCounters::default(),
             healthy: true,
+            drain: DrainState::Serving,
         }
     }
 
     /// Handles one event and appends what is to be done.
     pub fn handle(&mut self, now: Now, event: AgentEvent, actions: &mut Vec<AgentAction>) {
         match event {
-            AgentEvent::Tick => {}
-            AgentEvent::Adopted { stamp, document } => {
-                self.stamp = stamp;
-                self.document = Some(document);
-            }
-            AgentEvent::LinkOpened { link, entry } => {
-                self.links.insert(link, entry);
-            }
-            AgentEvent::LinkClosed { link } => {
-                self.links.shift_remove(&link);
-            }
+            AgentEvent::Tick => self.sweep(now, actions),
+            AgentEvent::Adopted { stamp, document } => self.adopt(now, stamp, document, actions),
+            AgentEvent::LinkOpened { link, entry } => self.open_link(link, entry, actions),
+            AgentEvent::LinkClosed { link } => self.close_link(now, link),
             AgentEvent::Message { link, message } => self.message(now, link, message, actions),
             AgentEvent::BackendHead { attempt, head } => {
-                self.reply(attempt, ToEntry::Head { attempt, head }, actions);
+                self.backend_head(attempt, head, actions);
             }
-            AgentEvent::BackendChunk { attempt, bytes } => self.chunk(attempt, bytes, actions),
-            AgentEvent::BackendEnd { attempt } => self.end(now, attempt, actions),
+            AgentEvent::BackendChunk { attempt, bytes } => {
+                self.backend_chunk(attempt, bytes, actions);
+            }
+            AgentEvent::BackendEnd { attempt } => self.backend_end(now, attempt, actions),
             AgentEvent::BackendFailed { attempt, verdict, detail } => {
-                self.failed(attempt, verdict, detail, actions);
+                self.backend_failed(now, attempt, verdict, detail, actions);
             }
-            AgentEvent::BackendHealth { healthy } => self.healthy = healthy,
-            AgentEvent::Drain => self.leaving = true,
+            AgentEvent::BackendHealth { healthy } => self.backend_health(now, healthy, actions),
+            AgentEvent::Drain => self.begin_drain(now, actions),
         }
         self.start_queued(now, actions);
-        self.finish_drain(actions);
+        self.finish_drain(now, actions);
+    }
+
+    /// What has been counted since the start of the process.
+    #[must_use]
+    pub fn counters(&self) -> &AgentCounters {
+        &self.counters
     }
 
-    fn message(
+    fn adopt(
         &mut self,
         now: Now,
-        link: LinkId,
-        message: ToAgent,
+        stamp: Stamp,
+        document: Arc<Document>,
         actions: &mut Vec<AgentAction>,
     ) {
-        match message {
-            ToAgent::Submit(submit) => self.submit(now, link, *submit, actions),
-            ToAgent::Heartbeat { nonce, .. } => {
-                let load = self.load(now);
-                let message = ToEntry::HeartbeatAck { nonce, stamp: self.stamp, load };
-                actions.push(AgentAction::Send { link, message });
+        match &self.document {
+            Some(before) if self.mechanisms.key_moved_homes => {
+                self.homes.change(now, before, &document);
             }
+            None if self.mechanisms.key_unknown_horizon => self.homes.begin(now, &document),
             _ => {}
         }
-    }
-
-    fn submit(&mut self, now: Now, link: LinkId, submit: Submit, actions: &mut Vec<AgentAction>) {
-        let attempt = submit.attempt;
-        let load = self.load(now);
-        let message = match self.refusal(now, &submit) {
-            Some(reason) => ToEntry::Refused { attempt, reason, retry_at: None, load },
-            None => {
-                self.attempts.entry(attempt).or_insert_with(|| Attempt::queued(link, submit));
-                ToEntry::Accepted { attempt, load }
-            }
-        };
-        actions.push(AgentAction::Send { link, message });
-    }
-
-    fn refusal(&self, now: Now, submit: &Submit) -> Option<RefusalReason> {
-        if submit.agent != self.identity.incarnation {
-            return Some(RefusalReason::WrongIncarnation);
-        }
-        if submit.deadline.is_past(now) {
-            return Some(RefusalReason::Expired);
+        self.queue.adopt(&document);
+        self.stamp = stamp;
+        self.document = Some(document);
+        if self.backend().is_none() {
+            self.hand_back_all(now, RefusalReason::UnknownRoute, actions);
         }
-        if self.leaving {
-            return Some(RefusalReason::Leaving);
-        }
-        if !self.healthy {
-            return Some(RefusalReason::BackendDown);
-        }
-        let known = self.document.as_ref().is_some_and(|document| {
-            document.route(submit.route.as_str()).is_some()
-                && document.tier(submit.tier.as_str()).is_some()
-        });
-        (!known).then_some(RefusalReason::UnknownRoute)
     }
 
-    fn start_queued(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
-        let mut free = self.slots().saturating_sub(self.running());
-        for (id, attempt) in &mut self.attempts {
-            if free == 0 {
-                return;
-            }
-            let Stage::Queued(submit) = &attempt.stage else { continue };
-            if submit.deadline.is_past(now) {
-                continue;
-            }
-            let priority = self
-                .document
-                .as_ref()
-                .and_then(|document| document.tier(submit.tier.as_str()))
-                .map_or(u8::MAX, |tier| tier.rank);
-            actions.push(AgentAction::Start {
-                attempt: *id,
-                head: submit.head.clone(),
-                body: submit.body.clone(),
-                deadline: submit.deadline,
-                priority,
-            });
-            attempt.stage = Stage::Running { chunk_count: 0, byte_count: 0 };
-            free -= 1;
+    fn open_link(&mut self, link: LinkId, entry: Incarnation, actions: &mut Vec<AgentAction>) {
+        self.links.insert(link, entry);
+        if self.drain != DrainState::Serving {
+            actions.push(AgentAction::Send { link, message: ToEntry::Leaving });
         }
     }
 
-    fn chunk(&mut self, attempt: AttemptId, bytes: bytes::Bytes, actions: &mut Vec<AgentAction>) {
-        let Some(row) = self.attempts.get_mut(&attempt) else { return };
-        let Stage::Running { chunk_count, byte_count } = &mut row.stage else { return };
-        let index = *chunk_count;
-        *chunk_count += 1;
-        *byte_count += bytes.len() as u64;
-        self.reply(attempt, ToEntry::Chunk { attempt, index, bytes }, actions);
+    fn close_link(&mut self, now: Now, link: LinkId) {
+        self.links.shift_remove(&link);
+        for attempt in self.attempts.values_mut().filter(|row| row.link == Some(link)) {
+            attempt.link = None;
+            attempt.orphan_at = now.after(ORPHAN_MS);
+        }
     }
 
-    fn end(&mut self, now: Now, attempt: AttemptId, actions: &mut Vec<AgentAction>) {
-        let Some(row) = self.attempts.get_mut(&attempt) else { return };
-        let Stage::Running { chunk_count, byte_count } = row.stage else { return };
-        row.stage = Stage::Done;
-        let load = self.load(now);
-        self.reply(attempt, ToEntry::End { attempt, chunk_count, byte_count, load }, actions);
+    /// Whether an attempt without a row certainly never started here.
+    pub(super) fn never_started(&self, deadline: UnixMs) -> bool {
+        !self.mechanisms.forgotten_watermark || deadline > self.forgotten_through
     }
 
-    fn failed(
+    /// Adds a row for an attempt.
+    pub(super) fn record(
         &mut self,
         attempt: AttemptId,
-        verdict: Verdict,
-        detail: String,
-        actions: &mut Vec<AgentAction>,
+        link: Option<LinkId>,
+        deadline: UnixMs,
+        stage: Stage,
     ) {
-        let Some(row) = self.attempts.get_mut(&attempt) else { return };
-        row.stage = Stage::Done;
-        self.reply(attempt, ToEntry::Failed { attempt, verdict, detail }, actions);
-    }
-
-    fn reply(&self, attempt: AttemptId, message: ToEntry, actions: &mut Vec<AgentAction>) {
-        let Some(row) = self.attempts.get(&attempt) else { return };
-        actions.push(AgentAction::Send { link: row.link, message });
-    }
-
-    fn finish_drain(&mut self, actions: &mut Vec<AgentAction>) {
-        if self.leaving && !self.drained && self.running() == 0 {
-            self.drained = true;
-            actions.push(AgentAction::Drained);
-        }
-    }
-
-    fn running(&self) -> u32 {
-        let running = |attempt: &&Attempt| matches!(attempt.stage, Stage::Running { .. });
-        self.attempts.values().filter(running).count() as u32
-    }
-
-    fn slots(&self) -> u32 {
-        self.document
-            .as_ref()
-            .and_then(|document| document.backend(self.identity.backend_server.as_str()))
-            .map_or(0, |backend| backend.slots)
-    }
-
-    fn load(&self, now: Now) -> Load {
-        let state = match (self.leaving, self.healthy) {
-            (true, _) => AgentState::Leaving,
-            (false, true) => AgentState::Serving,
-            (false, false) => AgentState::BackendDown,
+        let row = Attempt {
+            link,
+            deadline,
+            orphan_at: UnixMs::NEVER,
+            forget_at: deadline.after(CLOCK_SKEW_BOUND_MS),
+            stage,
         };
-        Load {
-            sampled: now.unix_ms,
-            state,
-            running: self.running(),
-            slots: self.slots(),
-            waiting: Vec::new(),
-            service_ms: 0,
-        }
+        self.attempts.insert(attempt, row);
     }
 }
--- /dev/null
+++ b/crates/core/src/agent/drain.rs
@@ -0,0 +1,40 @@
+//! Graceful stop of an agent.
+
+use super::border::AgentAction;
+use super::core::AgentCore;
+use super::snapshot::DrainState;
+use crate::audit::Change;
+use crate::ids::AttemptId;
+use crate::message::{RefusalReason, ToEntry};
+use crate::time::Now;
+
+impl AgentCore {
+    /// Takes nothing new from now on and hands back what is queued.
+    pub(super) fn begin_drain(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
+        if self.drain != DrainState::Serving {
+            return;
+        }
+        self.drain = DrainState::Draining;
+        self.audit(now, Change::DrainBegun, actions);
+        for link in self.links.keys() {
+            actions.push(AgentAction::Send { link: *link, message: ToEntry::Leaving });
+        }
+        if self.mechanisms.hand_back_on_drain {
+            self.hand_back_all(now, RefusalReason::Leaving, actions);
+        }
+    }
+
+    /// Reports once that nothing is left: no run, and no answer that an entry may still fetch.
+    pub(super) fn finish_drain(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
+        if self.drain != DrainState::Draining || !self.running.is_empty() {
+            return;
+        }
+        let runs: Vec<AttemptId> = self.executions.keys().copied().collect();
+        if !runs.into_iter().all(|run| self.is_settled(now, run)) {
+            return;
+        }
+        self.drain = DrainState::Drained;
+        self.audit(now, Change::DrainEnded, actions);
+        actions.push(AgentAction::Drained);
+    }
+}
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -101,7 +101,8 @@
     Received {
         /// The attempt.
         attempt: AttemptId,
-        /// Index of the first chunk not yet held; past the last one once the answer is whole.
+        /// Index of the first chunk not yet held; one more than the count of chunks once the end
+        /// marker has come too. Naming just the count says nothing of the end marker.
         next_chunk: u32,
     },
     /// Sign of life; answered by [`ToEntry::HeartbeatAck`].
@@ -185,7 +186,8 @@
     Expired,
     /// The attempt was revoked before.
     Revoked,
-    /// It was meant for another incarnation of the agent.
+    /// It was meant for another incarnation of the agent. This one did not run it; an entry that
+    /// sent it to the other one as well knows nothing of what that one did.
     WrongIncarnation,
     /// This agent is not the home of the idempotency key under its revision.
     NotKeyHome,
