test(core): each mechanism of the agent against its failure

The scenario of the full queue found that eviction took the oldest of equal victims; it takes the newest now.

--- a/crates/core/src/agent/queue.rs
+++ b/crates/core/src/agent/queue.rs
@@ -13,7 +13,6 @@
 use crate::time::{Now, UnixMs};
 use hickorycross_config::{Document, TeamId, TierId};
 use indexmap::IndexMap;
-use std::cmp::Reverse;
 
 const FULL_CREDIT: u32 = 1_000;
 const CREDIT_CAP: u32 = 2 * FULL_CREDIT;
@@ -256,13 +255,13 @@
         (largest > own + 1).then(|| self.victim_of(rank)).flatten()
     }
 
-    /// The latest deadline of the team that waits with the most attempts.
+    /// The latest deadline of the team that waits with the most attempts; of equals the newest.
     fn victim_of(&self, rank: u8) -> Option<AttemptId> {
         let counts = self.teams_of(rank);
         let of_rank = self.waiting.iter().filter(|(_, waiting)| waiting.rank == rank);
-        let last = of_rank.min_by_key(|(_, waiting)| {
+        let last = of_rank.max_by_key(|(_, waiting)| {
             let count = counts.get(&waiting.team).copied().unwrap_or(0);
-            Reverse((count, waiting.deadline))
+            (count, waiting.deadline)
         });
         last.map(|(attempt, _)| *attempt)
     }
--- /dev/null
+++ b/crates/core/tests/agent_rig/mod.rs
@@ -0,0 +1,330 @@
+//! What the tests of the agent share: one document, one agent under virtual time, short names.
+
+#![allow(dead_code, reason = "each test program uses a part of it")]
+
+use bytes::Bytes;
+use hickorycross_config::{
+    BackendKind, BackendServer, BackendServerId, Balance, Digest, Document, Route, RouteId, Stamp,
+    Target, Team, TeamId, TeamLimit, Tier, TierId,
+};
+use hickorycross_core::agent::{
+    AgentAction, AgentCore, AgentEvent, AgentIdentity, Mechanisms, key_home,
+};
+use hickorycross_core::audit::Change;
+use hickorycross_core::message::{
+    KeyDigest, RefusalReason, RequestHead, RevokeOutcome, Submit, ToAgent, ToEntry,
+};
+use hickorycross_core::{AttemptId, Incarnation, LinkId, Now, RequestId, UnixMs, Verdict};
+use std::sync::Arc;
+
+/// Start of every test's time.
+pub(crate) const START_MS: u64 = 1_000_000;
+pub(crate) const KEY_HORIZON_MS: u32 = 60_000;
+pub(crate) const MAX_DEADLINE_MS: u32 = 30_000;
+/// A span after which every key of a fresh agent is known.
+pub(crate) const WARM_MS: u64 = 200_000;
+pub(crate) const AGENT: Incarnation = Incarnation(7);
+pub(crate) const ENTRY: Incarnation = Incarnation(100);
+pub(crate) const LINK: LinkId = LinkId(1);
+
+/// A document with three tiers, two teams and three backend servers.
+pub(crate) fn document() -> Document {
+    Document {
+        schema_version: 1,
+        title: "agent tests".to_owned(),
+        failure_domains: Vec::new(),
+        tiers: vec![tier("gold", 0, 0), tier("silver", 1, 100), tier("bronze", 2, 0)],
+        teams: vec![team("hog"), team("mouse")],
+        backend_servers: ["b0", "b1", "b2"].map(backend).to_vec(),
+        model_groups: Vec::new(),
+        routes: vec![route("read", true, &["b0", "b1"]), route("lodge", false, &["b0", "b1"])],
+        balance: Balance {
+            skew_weight: 1.0,
+            rebalance_cost_weight: 1.0,
+            weight_store_bytes_per_s: 1,
+        },
+    }
+}
+
+fn tier(id: &str, rank: u8, floor_permille: u16) -> Tier {
+    Tier { id: id.into(), rank, first_chunk_target_ms: 1_000, floor_permille }
+}
+
+fn team(id: &str) -> Team {
+    let limit = TeamLimit { requests_per_s: 10, burst_requests: 10 };
+    Team { id: id.into(), tier: "gold".into(), key_hashes: Vec::new(), limit }
+}
+
+fn backend(id: &str) -> BackendServer {
+    BackendServer {
+        id: id.into(),
+        failure_domain: "d0".into(),
+        kind: BackendKind::Service,
+        slots: 1,
+        queue_slots: 4,
+        checks_fencing: false,
+    }
+}
+
+pub(crate) fn route(id: &str, idempotent: bool, backends: &[&str]) -> Route {
+    Route {
+        id: id.into(),
+        target: Target::Service {
+            path_prefix: format!("/{id}/"),
+            backend_servers: backends.iter().map(|id| BackendServerId::new(id)).collect(),
+        },
+        idempotent,
+        default_deadline_ms: 10_000,
+        max_deadline_ms: MAX_DEADLINE_MS,
+        key_horizon_ms: KEY_HORIZON_MS,
+        retry_budget_permille: 0,
+    }
+}
+
+/// A plain key whose home on a route is a given backend server.
+pub(crate) fn key_at(document: &Document, route: &str, home: &str) -> KeyDigest {
+    keys_at(document, route, home).next().expect("some key has its home there")
+}
+
+/// Plain keys whose home on a route is a given backend server.
+pub(crate) fn keys_at<'a>(
+    document: &'a Document,
+    route: &'a str,
+    home: &'a str,
+) -> impl Iterator<Item = KeyDigest> + 'a {
+    let keys = (0..10_000).map(|number| KeyDigest::of(&TeamId::new("hog"), &format!("k{number}")));
+    keys.filter(move |key| is_home(document, route, *key, home))
+}
+
+/// A key made at a moment, as a UUID of version 7, whose home on a route is a given server.
+pub(crate) fn stamped_key_at(document: &Document, route: &str, home: &str, made: u64) -> KeyDigest {
+    let keys = (0..1_000).map(|number| {
+        let hex = format!("{made:012x}");
+        let text = format!("{}-{}-7000-8000-{number:012x}", &hex[..8], &hex[8..]);
+        KeyDigest::of(&TeamId::new("hog"), &text)
+    });
+    keys.filter(|key| is_home(document, route, *key, home)).next().expect("some key")
+}
+
+fn is_home(document: &Document, route: &str, key: KeyDigest, home: &str) -> bool {
+    let route = document.route(route).expect("a route of the fixture");
+    key_home(document, route, key).is_some_and(|id| id.as_str() == home)
+}
+
+pub(crate) fn attempt(sequence: u64) -> AttemptId {
+    AttemptId { request: RequestId { entry: ENTRY, sequence }, ordinal: 0 }
+}
+
+/// An idempotent request of team `hog` in tier `gold`, due ten seconds after the start.
+pub(crate) fn submit(sequence: u64) -> Submit {
+    Submit {
+        attempt: attempt(sequence),
+        agent: AGENT,
+        team: TeamId::new("hog"),
+        tier: TierId::new("gold"),
+        route: RouteId::new("read"),
+        idempotent: true,
+        key: None,
+        content: 1,
+        deadline: UnixMs(START_MS + 10_000),
+        head: RequestHead { method: "POST".into(), path: "/read/x".into(), headers: vec![] },
+        body: Bytes::from_static(b"body"),
+    }
+}
+
+/// A non-idempotent request with a key, due ten seconds after `now`.
+pub(crate) fn lodge(sequence: u64, key: KeyDigest, now: Now) -> Submit {
+    let deadline = now.after(10_000);
+    let route = RouteId::new("lodge");
+    Submit { route, idempotent: false, key: Some(key), deadline, ..submit(sequence) }
+}
+
+/// One agent beside `b0` under virtual time.
+pub(crate) struct Rig {
+    pub(crate) core: AgentCore,
+    pub(crate) now: Now,
+    pub(crate) log: Vec<AgentAction>,
+    revision: u64,
+}
+
+impl Rig {
+    /// An agent with the fixture's document and one open link.
+    pub(crate) fn new(mechanisms: Mechanisms) -> Self {
+        Self::with_document(mechanisms, document())
+    }
+
+    pub(crate) fn with_document(mechanisms: Mechanisms, document: Document) -> Self {
+        let identity = AgentIdentity { incarnation: AGENT, backend_server: "b0".into() };
+        let core = AgentCore::with_mechanisms(identity, 1, mechanisms);
+        let mut rig = Self { core, now: Now::at(START_MS), log: Vec::new(), revision: 0 };
+        rig.adopt(document);
+        rig.step(AgentEvent::LinkOpened { link: LINK, entry: ENTRY });
+        rig
+    }
+
+    /// An agent that has lived long enough to know every key.
+    pub(crate) fn warm(mechanisms: Mechanisms) -> Self {
+        let mut rig = Self::new(mechanisms);
+        rig.wait(WARM_MS);
+        rig.tick();
+        rig
+    }
+
+    pub(crate) fn adopt(&mut self, document: Document) -> Vec<AgentAction> {
+        self.revision += 1;
+        let stamp = Stamp { revision: self.revision, digest: Digest(self.revision) };
+        self.step(AgentEvent::Adopted { stamp, document: Arc::new(document) })
+    }
+
+    /// Lets time pass without an event, as a pause of the process does.
+    pub(crate) fn wait(&mut self, span_ms: u64) {
+        self.now = Now { unix_ms: self.now.after(span_ms) };
+    }
+
+    pub(crate) fn step(&mut self, event: AgentEvent) -> Vec<AgentAction> {
+        let mut actions = Vec::new();
+        self.core.handle(self.now, event, &mut actions);
+        self.log.extend(actions.iter().cloned());
+        actions
+    }
+
+    pub(crate) fn tick(&mut self) -> Vec<AgentAction> {
+        self.step(AgentEvent::Tick)
+    }
+
+    pub(crate) fn tell(&mut self, message: ToAgent) -> Vec<AgentAction> {
+        self.tell_on(LINK, message)
+    }
+
+    pub(crate) fn tell_on(&mut self, link: LinkId, message: ToAgent) -> Vec<AgentAction> {
+        self.step(AgentEvent::Message { link, message })
+    }
+
+    pub(crate) fn submit(&mut self, submit: Submit) -> Vec<AgentAction> {
+        self.tell(ToAgent::Submit(Box::new(submit)))
+    }
+
+    pub(crate) fn revoke(&mut self, sequence: u64, deadline: UnixMs) -> Vec<AgentAction> {
+        let attempt = attempt(sequence);
+        self.tell(ToAgent::Revoke { attempt, agent: AGENT, deadline, next_chunk: 0 })
+    }
+
+    pub(crate) fn attach(
+        &mut self,
+        link: LinkId,
+        sequence: u64,
+        next_chunk: u32,
+    ) -> Vec<AgentAction> {
+        let attempt = attempt(sequence);
+        self.tell_on(link, ToAgent::Attach { attempt, agent: AGENT, next_chunk })
+    }
+
+    pub(crate) fn received(&mut self, sequence: u64, next_chunk: u32) -> Vec<AgentAction> {
+        self.tell(ToAgent::Received { attempt: attempt(sequence), next_chunk })
+    }
+
+    pub(crate) fn chunk(&mut self, sequence: u64, bytes: impl Into<Bytes>) -> Vec<AgentAction> {
+        let bytes = bytes.into();
+        self.step(AgentEvent::BackendChunk { attempt: attempt(sequence), bytes })
+    }
+
+    pub(crate) fn end(&mut self, sequence: u64) -> Vec<AgentAction> {
+        self.step(AgentEvent::BackendEnd { attempt: attempt(sequence) })
+    }
+
+    pub(crate) fn fail(&mut self, sequence: u64, verdict: Verdict) -> Vec<AgentAction> {
+        let detail = "test".to_owned();
+        self.step(AgentEvent::BackendFailed { attempt: attempt(sequence), verdict, detail })
+    }
+
+    /// How often an attempt was started.
+    pub(crate) fn starts(&self, sequence: u64) -> usize {
+        started(&self.log).iter().filter(|id| **id == attempt(sequence)).count()
+    }
+}
+
+/// Attempts started by some actions, in order.
+pub(crate) fn started(actions: &[AgentAction]) -> Vec<AttemptId> {
+    let starts = actions.iter().filter_map(|action| match action {
+        AgentAction::Start { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    starts.collect()
+}
+
+/// Messages sent by some actions, in order.
+pub(crate) fn sent(actions: &[AgentAction]) -> Vec<&ToEntry> {
+    let messages = actions.iter().filter_map(|action| match action {
+        AgentAction::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    messages.collect()
+}
+
+pub(crate) fn accepted(actions: &[AgentAction], sequence: u64) -> bool {
+    let wanted = attempt(sequence);
+    let is_it = |message: &&ToEntry| matches!(message, ToEntry::Accepted { attempt, .. } if *attempt == wanted);
+    sent(actions).iter().any(is_it)
+}
+
+/// The reason for which an attempt was refused.
+pub(crate) fn refused(actions: &[AgentAction], sequence: u64) -> Option<RefusalReason> {
+    sent(actions).into_iter().find_map(|message| match message {
+        ToEntry::Refused { attempt: id, reason, .. } if *id == attempt(sequence) => Some(*reason),
+        _ => None,
+    })
+}
+
+pub(crate) fn revoked(actions: &[AgentAction]) -> Option<RevokeOutcome> {
+    sent(actions).into_iter().find_map(|message| match message {
+        ToEntry::Revoked { outcome, .. } => Some(*outcome),
+        _ => None,
+    })
+}
+
+pub(crate) fn failed(actions: &[AgentAction]) -> Option<Verdict> {
+    sent(actions).into_iter().find_map(|message| match message {
+        ToEntry::Failed { verdict, .. } => Some(*verdict),
+        _ => None,
+    })
+}
+
+pub(crate) fn key_used(actions: &[AgentAction]) -> Option<Verdict> {
+    sent(actions).into_iter().find_map(|message| match message {
+        ToEntry::KeyUsed { verdict, .. } => Some(*verdict),
+        _ => None,
+    })
+}
+
+/// Indexes of the chunks sent.
+pub(crate) fn chunks(actions: &[AgentAction]) -> Vec<u32> {
+    let indexes = sent(actions).into_iter().filter_map(|message| match message {
+        ToEntry::Chunk { index, .. } => Some(*index),
+        _ => None,
+    });
+    indexes.collect()
+}
+
+/// Chunks and bytes named by an end marker.
+pub(crate) fn end_counts(actions: &[AgentAction]) -> Option<(u32, u64)> {
+    sent(actions).into_iter().find_map(|message| match message {
+        ToEntry::End { chunk_count, byte_count, .. } => Some((*chunk_count, *byte_count)),
+        _ => None,
+    })
+}
+
+pub(crate) fn aborted(actions: &[AgentAction]) -> bool {
+    actions.iter().any(|action| matches!(action, AgentAction::Abort { .. }))
+}
+
+pub(crate) fn drained(actions: &[AgentAction]) -> usize {
+    actions.iter().filter(|action| matches!(action, AgentAction::Drained)).count()
+}
+
+pub(crate) fn violations(actions: &[AgentAction]) -> usize {
+    let broken = |action: &&AgentAction| match action {
+        AgentAction::Audit(record) => matches!(record.change, Change::InvariantViolated { .. }),
+        _ => false,
+    };
+    actions.iter().filter(broken).count()
+}
