feat(entry): tables and systems of the request path

Attempts are bound to an agent incarnation; silence leads to a fresh link on which they are revoked or attached; answers are put together from numbered pieces and compared with their end marker; a ledger checks the outcome invariants apart from the deciding code.

--- a/crates/core/src/entry/core.rs
+++ b/crates/core/src/entry/core.rs
@@ -1,388 +1,172 @@
-//! The core of an entry.
-
-use crate::entry::border::{Arrival, EntryAction, EntryEvent, Refusal, RefusalCode, Wanted};
+//! The tables of an entry and the order in which its systems run.
+
+use crate::audit::Change;
+use crate::entry::backend::Backend;
+use crate::entry::border::{EntryAction, EntryEvent};
+use crate::entry::counters::EntryCounters;
+use crate::entry::ledger::{Ledger, Violation};
+use crate::entry::mechanisms::Mechanisms;
+use crate::entry::peer::{Link, Peer};
+use crate::entry::request::Request;
 use crate::entry::setup::{EntryIdentity, EntryPolicies};
-use crate::ids::{AttemptId, Incarnation, LinkId, RequestId};
-use crate::instance::{Instance, InstanceState, Role};
-use crate::limits::Admission;
-use crate::message::{KeyDigest, Submit, ToAgent, ToEntry};
-use crate::routing::{Candidate, Choice, Pick};
+use crate::entry::turn::Turn;
+use crate::ids::{InstanceId, LinkId, RequestId};
+use crate::message::TeamDemand;
 use crate::time::{Now, UnixMs};
-use crate::verdict::Verdict;
-use hickorycross_config::{BackendServerId, Document, Route, Stamp, Target};
-use indexmap::IndexMap;
+use hickorycross_config::{BackendServerId, Document, RouteId, Stamp};
+use indexmap::{IndexMap, IndexSet};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use std::sync::Arc;
 
-#[derive(Debug)]
-struct Link {
-    backend_server: BackendServerId,
-    incarnation: Option<Incarnation>,
-}
-
-#[derive(Debug)]
-struct Request {
-    submit: Submit,
-    backends: Vec<BackendServerId>,
-    rank: u8,
-    sent: Option<LinkId>,
-    begun: bool,
-    next_chunk: u32,
-    byte_count: u64,
-}
-
-/// The decisions of one entry.
+/// The decisions of one entry: tables of requests, peers, links and backend servers, and the
+/// systems that run over them at each event.
+///
+/// Every request that arrives gets exactly one final answer: `Finish`, `Refuse`, or none if its
+/// caller goes away first.
 #[derive(Debug)]
 pub struct EntryCore {
-    identity: EntryIdentity,
-    policies: EntryPolicies,
-    document: Option<Arc<Document>>,
-    stamp: Stamp,
-    instances: IndexMap<BackendServerId, Instance>,
-    links: IndexMap<LinkId, Link>,
-    requests: IndexMap<RequestId, Request>,
-    next_link: u64,
-    draining: bool,
-    drained: bool,
+    pub(super) identity: EntryIdentity,
+    pub(super) policies: EntryPolicies,
+    pub(super) mechanisms: Mechanisms,
+    pub(super) stamp: Stamp,
+    pub(super) document: Option<Arc<Document>>,
+    pub(super) backends: IndexMap<BackendServerId, Backend>,
+    pub(super) peers: IndexMap<InstanceId, Peer>,
+    pub(super) links: IndexMap<LinkId, Link>,
+    pub(super) requests: IndexMap<RequestId, Request>,
+    /// Requests without a live attempt.
+    pub(super) waiting: IndexSet<RequestId>,
+    /// Subsets worked out since the last change of what is eligible.
+    pub(super) subsets: IndexMap<RouteId, Vec<BackendServerId>>,
+    /// Demand reports whose agent has no link yet, latest only.
+    pub(super) demands: IndexMap<BackendServerId, Vec<TeamDemand>>,
+    pub(super) ledger: Ledger,
+    pub(super) counters: EntryCounters,
+    pub(super) random: ChaCha8Rng,
+    pub(super) next_link: u64,
+    pub(super) next_nonce: u64,
+    /// When the timers are due next.
+    pub(super) wake: UnixMs,
+    /// Something happened that may let a waiting request go.
+    pub(super) dispatch_due: bool,
+    pub(super) draining: bool,
+    pub(super) drained: bool,
 }
 
 impl EntryCore {
-    /// Makes an entry that has adopted nothing yet; equal seeds give equal choices.
+    /// Makes an entry that has adopted nothing yet; equal seeds and events give equal actions.
     #[must_use]
-    pub fn new(identity: EntryIdentity, policies: EntryPolicies, _seed: u64) -> Self {
+    pub fn new(identity: EntryIdentity, policies: EntryPolicies, seed: u64) -> Self {
         Self {
             identity,
             policies,
-            document: None,
+            mechanisms: Mechanisms::ALL,
             stamp: Stamp::NONE,
-            instances: IndexMap::new(),
+            document: None,
+            backends: IndexMap::new(),
+            peers: IndexMap::new(),
             links: IndexMap::new(),
             requests: IndexMap::new(),
+            waiting: IndexSet::new(),
+            subsets: IndexMap::new(),
+            demands: IndexMap::new(),
+            ledger: Ledger::default(),
+            counters: EntryCounters::default(),
+            random: ChaCha8Rng::seed_from_u64(seed),
             next_link: 0,
+            next_nonce: 0,
+            wake: UnixMs::NEVER,
+            dispatch_due: false,
             draining: false,
             drained: false,
         }
     }
 
+    /// Turns mechanisms off to show which failure each prevents.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_mechanisms(mut self, mechanisms: Mechanisms) -> Self {
+        self.mechanisms = mechanisms;
+        self
+    }
+
     /// What the entry has adopted.
     #[must_use]
     pub fn stamp(&self) -> Stamp {
         self.stamp
     }
 
-    /// Handles one event and appends what is to be done.
-    pub fn handle(&mut self, now: Now, event: EntryEvent, actions: &mut Vec<EntryAction>) {
-        match event {
-            EntryEvent::Tick => {}
-            EntryEvent::Adopted { stamp, document } => {
-                self.policies.limits.adopt(now, &document);
-                self.policies.retries.adopt(&document);
-                self.stamp = stamp;
-                self.document = Some(document);
-            }
-            EntryEvent::Instances(list) => self.learn_instances(now, list),
-            EntryEvent::LinkOpened { link, incarnation, .. } => {
-                if let Some(row) = self.links.get_mut(&link) {
-                    row.incarnation = Some(incarnation);
-                }
-            }
-            EntryEvent::LinkClosed { link } => self.lose_link(link, actions),
-            EntryEvent::Message { message, .. } => self.receive(message, actions),
-            EntryEvent::Arrived(arrival) => self.arrive(now, *arrival, actions),
-            EntryEvent::CallerGone { request } => {
-                if let Some(row) = self.requests.shift_remove(&request)
-                    && let Some(link) = row.sent
-                {
-                    let message = ToAgent::Cancel { attempt: row.submit.attempt };
-                    actions.push(EntryAction::Send { link, message });
-                }
-            }
-            EntryEvent::Drain => self.draining = true,
-        }
-        self.expire(now, actions);
-        self.dispatch(now, actions);
-        if self.draining && !self.drained && self.requests.is_empty() {
-            self.drained = true;
-            actions.push(EntryAction::Drained);
-        }
-    }
-
-    fn learn_instances(&mut self, now: Now, list: Vec<Instance>) {
-        let entries = list.iter().filter(|one| one.role == Role::Entry).count();
-        self.policies.limits.set_entries(now, u32::try_from(entries).unwrap_or(u32::MAX));
-        self.instances = list
-            .into_iter()
-            .filter(|one| one.state == InstanceState::Live)
-            .filter_map(|one| match one.role.clone() {
-                Role::Agent { backend_server } => Some((backend_server, one)),
-                Role::Entry => None,
-            })
-            .collect();
-    }
-
-    fn arrive(&mut self, now: Now, arrival: Arrival, actions: &mut Vec<EntryAction>) {
-        let request = arrival.request;
-        match self.admit(now, arrival) {
-            Ok(row) => {
-                self.requests.insert(request, row);
-            }
-            Err((code, retry_at)) => {
-                let refusal =
-                    Refusal { code, verdict: Verdict::NotRun, retry_at, detail: String::new() };
-                actions.push(EntryAction::Refuse { request, refusal });
-            }
-        }
+    /// Counts since the start of the process.
+    #[must_use]
+    pub fn counters(&self) -> EntryCounters {
+        self.counters
     }
 
-    fn admit(
-        &mut self,
-        now: Now,
-        arrival: Arrival,
-    ) -> Result<Request, (RefusalCode, Option<UnixMs>)> {
-        let document = self.document.clone().filter(|_| !self.draining);
-        let document = document.ok_or((RefusalCode::NotReady, None))?;
-        let team =
-            document.team_by_key(&arrival.key_hash).ok_or((RefusalCode::UnknownKey, None))?;
-        let route = find_route(&document, &arrival.wanted)?;
-        let latest = now.after(route.max_deadline_ms.into());
-        let default = now.after(route.default_deadline_ms.into());
-        let deadline = arrival.deadline.map_or(default, |asked| asked.min(latest));
-        if deadline.is_past(now) {
-            return Err((RefusalCode::DeadlinePassed, None));
-        }
-        if let Admission::Exceeded { retry_at } = self.policies.limits.admit(now, &team.id) {
-            return Err((RefusalCode::TeamLimit, Some(retry_at)));
-        }
-        self.policies.retries.first_try(now, &route.id);
-        let submit = Submit {
-            attempt: AttemptId { request: arrival.request, ordinal: 0 },
-            agent: Incarnation(0),
-            team: team.id.clone(),
-            tier: team.tier.clone(),
-            route: route.id.clone(),
-            idempotent: route.idempotent && !arrival.non_idempotent,
-            key: arrival.idempotency_key.as_deref().map(|key| KeyDigest::of(&team.id, key)),
-            content: xxhash_rust::xxh3::xxh3_64(&arrival.body),
-            deadline,
-            head: arrival.head,
-            body: arrival.body,
-        };
-        Ok(Request {
-            submit,
-            backends: document.backends_of(&route.target).to_vec(),
-            rank: document.tier(team.tier.as_str()).map_or(u8::MAX, |tier| tier.rank),
-            sent: None,
-            begun: false,
-            next_chunk: 0,
-            byte_count: 0,
-        })
+    /// When the next [`EntryEvent::Tick`] does something that is due. A program that ticks then,
+    /// besides several times a second, notices silence sooner.
+    #[must_use]
+    pub fn next_wake(&self) -> UnixMs {
+        self.wake
     }
 
-    fn dispatch(&mut self, now: Now, actions: &mut Vec<EntryAction>) {
-        let waiting: Vec<RequestId> = self
-            .requests
-            .iter()
-            .filter(|(_, row)| row.sent.is_none())
-            .map(|(request, _)| *request)
-            .collect();
-        for request in waiting {
-            self.dispatch_one(now, request, actions);
+    /// Handles one event and appends what is to be done, in order.
+    pub fn handle(&mut self, now: Now, event: EntryEvent, actions: &mut Vec<EntryAction>) {
+        let turn = &mut Turn { now, stamp: self.stamp, actions };
+        let ticked = matches!(event, EntryEvent::Tick);
+        self.apply(turn, event);
+        if ticked {
+            self.run_periodic(turn);
         }
-    }
-
-    fn dispatch_one(&mut self, now: Now, request: RequestId, actions: &mut Vec<EntryAction>) {
-        let Some(document) = self.document.clone() else { return };
-        let backends = self.requests[&request].backends.clone();
-        let ready: Vec<(LinkId, Incarnation, &hickorycross_config::BackendServer)> = self
-            .links
-            .iter()
-            .filter(|(_, link)| backends.contains(&link.backend_server))
-            .filter_map(|(id, link)| {
-                let server = document.backend(link.backend_server.as_str())?;
-                Some((*id, link.incarnation?, server))
-            })
-            .collect();
-        if ready.is_empty() {
-            return self.open_links(&backends, actions);
+        if ticked || self.wake.is_past(now) {
+            self.run_timers(turn);
         }
-        let candidates: Vec<Candidate<'_>> = ready
-            .iter()
-            .map(|(link, _, server)| Candidate {
-                backend_server: &server.id,
-                failure_domain: &server.failure_domain,
-                load: None,
-                load_received: UnixMs(0),
-                outstanding: self.outstanding(*link),
-                sent_since_report: 0,
-                slots: server.slots,
-                share_permille: 1000,
-            })
-            .collect();
-        let row = &self.requests[&request];
-        let choice = Choice {
-            rank: row.rank,
-            deadline: row.submit.deadline,
-            home: &self.identity.failure_domain,
-            prefix: None,
-            candidates: &candidates,
-        };
-        match self.policies.routing.choose(now, &choice) {
-            Pick::Candidate(index) => {
-                let (link, incarnation, _) = ready[index];
-                let row = &mut self.requests[&request];
-                row.submit.agent = incarnation;
-                row.sent = Some(link);
-                let message = ToAgent::Submit(Box::new(row.submit.clone()));
-                actions.push(EntryAction::Send { link, message });
-            }
-            Pick::NoneInTime { retry_at } => {
-                let refusal = refusal(RefusalCode::Overloaded, Verdict::NotRun, Some(retry_at));
-                self.refuse(request, refusal, actions);
-            }
+        if self.dispatch_due {
+            self.dispatch_due = false;
+            self.dispatch(turn);
         }
+        self.end_drain(turn);
     }
 
-    fn outstanding(&self, link: LinkId) -> u32 {
-        let count = self.requests.values().filter(|row| row.sent == Some(link)).count();
-        u32::try_from(count).unwrap_or(u32::MAX)
-    }
-
-    fn open_links(&mut self, backends: &[BackendServerId], actions: &mut Vec<EntryAction>) {
-        for backend_server in backends {
-            let Some(instance) = self.instances.get(backend_server) else { continue };
-            if self.links.values().any(|link| link.backend_server == *backend_server) {
-                continue;
+    fn apply(&mut self, turn: &mut Turn<'_>, event: EntryEvent) {
+        match event {
+            EntryEvent::Tick => {}
+            EntryEvent::Adopted { stamp, document } => self.adopt(turn, stamp, document),
+            EntryEvent::Instances(list) => self.learn_instances(turn, &list),
+            EntryEvent::LinkOpened { link, backend_server, incarnation } => {
+                self.link_opened(turn, link, &backend_server, incarnation);
             }
-            let link = LinkId(self.next_link);
-            self.next_link += 1;
-            let row = Link { backend_server: backend_server.clone(), incarnation: None };
-            self.links.insert(link, row);
-            actions.push(EntryAction::OpenLink {
-                link,
-                instance: instance.id.clone(),
-                address: instance.link_address,
-            });
+            EntryEvent::LinkClosed { link } => self.link_closed(turn, link),
+            EntryEvent::Message { link, message } => self.receive(turn, link, message),
+            EntryEvent::Arrived(arrival) => self.arrive(turn, *arrival),
+            EntryEvent::CallerGone { request } => self.caller_gone(turn, request),
+            EntryEvent::Drain => self.begin_drain(turn),
         }
     }
 
-    fn lose_link(&mut self, link: LinkId, actions: &mut Vec<EntryAction>) {
-        self.links.shift_remove(&link);
-        let lost: Vec<RequestId> = self
-            .requests
-            .iter()
-            .filter(|(_, row)| row.sent == Some(link))
-            .map(|(request, _)| *request)
-            .collect();
-        for request in lost {
-            let refusal = refusal(RefusalCode::Interrupted, Verdict::MayHaveRun, None);
-            self.refuse(request, refusal, actions);
+    fn begin_drain(&mut self, turn: &mut Turn<'_>) {
+        if !self.draining {
+            self.draining = true;
+            turn.audit(Change::DrainBegun);
         }
     }
 
-    fn receive(&mut self, message: ToEntry, actions: &mut Vec<EntryAction>) {
-        match message {
-            ToEntry::Refused { attempt, retry_at, .. } => {
-                let refusal = refusal(RefusalCode::Overloaded, Verdict::NotRun, retry_at);
-                self.refuse(attempt.request, refusal, actions);
-            }
-            ToEntry::Head { attempt, head } => {
-                let request = attempt.request;
-                let Some(row) = self.requests.get_mut(&request) else { return };
-                if !row.begun {
-                    row.begun = true;
-                    actions.push(EntryAction::Begin { request, head });
-                }
-            }
-            ToEntry::Chunk { attempt, index, bytes } => {
-                let request = attempt.request;
-                let Some(row) = self.requests.get_mut(&request) else { return };
-                if row.begun && row.next_chunk == index {
-                    row.next_chunk += 1;
-                    row.byte_count += bytes.len() as u64;
-                    actions.push(EntryAction::Chunk { request, bytes });
-                }
-            }
-            ToEntry::End { attempt, chunk_count, byte_count, .. } => {
-                let request = attempt.request;
-                let Some(row) = self.requests.get(&request) else { return };
-                let whole = (row.next_chunk, row.byte_count) == (chunk_count, byte_count);
-                if !whole || !row.begun {
-                    let refusal = refusal(RefusalCode::BadAnswer, Verdict::Ran, None);
-                    return self.refuse(request, refusal, actions);
-                }
-                self.requests.shift_remove(&request);
-                actions.push(EntryAction::Finish { request });
-            }
-            ToEntry::Failed { attempt, verdict, .. } => {
-                let refusal = refusal(RefusalCode::Interrupted, verdict, None);
-                self.refuse(attempt.request, refusal, actions);
-            }
-            ToEntry::KeyUsed { attempt, verdict, .. } => {
-                let refusal = refusal(RefusalCode::KeyUsed, verdict, None);
-                self.refuse(attempt.request, refusal, actions);
-            }
-            ToEntry::Accepted { .. }
-            | ToEntry::Revoked { .. }
-            | ToEntry::HeartbeatAck { .. }
-            | ToEntry::Totals(_)
-            | ToEntry::Leaving => {}
-        }
-    }
-
-    fn expire(&mut self, now: Now, actions: &mut Vec<EntryAction>) {
-        let expired: Vec<RequestId> = self
-            .requests
-            .iter()
-            .filter(|(_, row)| row.submit.deadline.is_past(now))
-            .map(|(request, _)| *request)
-            .collect();
-        for request in expired {
-            let row = &self.requests[&request];
-            let verdict = row.sent.map_or(Verdict::NotRun, |_| Verdict::MayHaveRun);
-            if let Some(link) = row.sent {
-                let message = ToAgent::Cancel { attempt: row.submit.attempt };
-                actions.push(EntryAction::Send { link, message });
-            }
-            self.refuse(request, refusal(RefusalCode::DeadlinePassed, verdict, None), actions);
+    fn end_drain(&mut self, turn: &mut Turn<'_>) {
+        if self.draining && !self.drained && self.requests.is_empty() {
+            self.drained = true;
+            turn.audit(Change::DrainEnded);
+            turn.push(EntryAction::Drained);
         }
     }
 
-    fn refuse(&mut self, request: RequestId, refusal: Refusal, actions: &mut Vec<EntryAction>) {
-        if self.requests.shift_remove(&request).is_some() {
-            actions.push(EntryAction::Refuse { request, refusal });
-        }
+    /// Makes sure that the timers run at this moment.
+    pub(super) fn wake_by(&mut self, at: UnixMs) {
+        self.wake = self.wake.min(at);
     }
-}
-
-fn refusal(code: RefusalCode, verdict: Verdict, retry_at: Option<UnixMs>) -> Refusal {
-    Refusal { code, verdict, retry_at, detail: String::new() }
-}
 
-fn find_route<'a>(
-    document: &'a Document,
-    wanted: &Wanted,
-) -> Result<&'a Route, (RefusalCode, Option<UnixMs>)> {
-    match wanted {
-        Wanted::Model(model) => document
-            .routes
-            .iter()
-            .find(|route| match &route.target {
-                Target::Model { group } => document
-                    .group(group.as_str())
-                    .is_some_and(|group| group.models.iter().any(|one| one == model)),
-                Target::Service { .. } => false,
-            })
-            .ok_or((RefusalCode::UnknownModel, None)),
-        Wanted::Path(path) => document
-            .routes
-            .iter()
-            .filter_map(|route| match &route.target {
-                Target::Service { path_prefix, .. } if path.starts_with(path_prefix.as_str()) => {
-                    Some((path_prefix.len(), route))
-                }
-                _ => None,
-            })
-            .max_by_key(|(length, _)| *length)
-            .map(|(_, route)| route)
-            .ok_or((RefusalCode::UnknownPath, None)),
+    /// Reports an invariant that did not hold. The caller of this takes the safe way.
+    pub(super) fn violated(&mut self, turn: &mut Turn<'_>, violation: &Violation) {
+        self.counters.violations += 1;
+        turn.audit(Change::InvariantViolated { detail: violation.to_string() });
     }
 }
--- /dev/null
+++ b/crates/core/src/entry/turn.rs
@@ -0,0 +1,30 @@
+//! What the systems need while one event is handled.
+
+use crate::audit::{AuditRecord, Change};
+use crate::entry::border::EntryAction;
+use crate::ids::LinkId;
+use crate::message::ToAgent;
+use crate::time::Now;
+use hickorycross_config::Stamp;
+
+/// One event's moment and the actions that it causes.
+pub(super) struct Turn<'a> {
+    pub(super) now: Now,
+    pub(super) stamp: Stamp,
+    pub(super) actions: &'a mut Vec<EntryAction>,
+}
+
+impl Turn<'_> {
+    pub(super) fn push(&mut self, action: EntryAction) {
+        self.actions.push(action);
+    }
+
+    pub(super) fn send(&mut self, link: LinkId, message: ToAgent) {
+        self.push(EntryAction::Send { link, message });
+    }
+
+    pub(super) fn audit(&mut self, change: Change) {
+        let record = AuditRecord { at: self.now.unix_ms, stamp: self.stamp, change };
+        self.push(EntryAction::Audit(record));
+    }
+}
