--- a/crates/core/src/agent/home_history.rs
+++ b/crates/core/src/agent/home_history.rs
@@ -12,7 +12,7 @@
 //!   the caller says: the proof does not rest on that clock.
 
 use super::constants::{ADOPTION_SPREAD_MS, CLOCK_SKEW_BOUND_MS};
-use super::key_home::home_among;
+use crate::key_home;
 use crate::message::KeyDigest;
 use crate::time::{Now, UnixMs};
 use hickorycross_config::{BackendServerId, Document, Route, RouteId, Target};
@@ -91,7 +91,7 @@
     }
 
     fn was_home(&self, past: &PastHomes, key: KeyDigest) -> bool {
-        let home = past.backends.as_ref().and_then(|backends| home_among(backends, key));
+        let home = past.backends.as_ref().and_then(|backends| key_home(backends, key));
         home == Some(&self.own)
     }
 
--- a/crates/core/src/entry/receive.rs
+++ b/crates/core/src/entry/receive.rs
@@ -235,7 +235,7 @@
 fn refusal_signal(reason: RefusalReason) -> Signal {
     match reason {
         RefusalReason::BackendDown => Signal::BackendDown,
-        _ => Signal::Answered,
+        _ => Signal::Heard,
     }
 }
 
@@ -243,7 +243,9 @@
     let (code, retry) = match reason {
         RefusalReason::QueueFull => (RefusalCode::Overloaded, true),
         RefusalReason::Expired => (RefusalCode::DeadlinePassed, false),
-        RefusalReason::KeyConflict => (RefusalCode::KeyConflict, false),
+        RefusalReason::KeyConflict | RefusalReason::KeyNotYetValid => {
+            (RefusalCode::KeyConflict, false)
+        }
         RefusalReason::Revoked | RefusalReason::WrongIncarnation => {
             (RefusalCode::Interrupted, true)
         }
