--- a/crates/core/src/limits/shared.rs
+++ b/crates/core/src/limits/shared.rs
@@ -14,7 +14,7 @@
 /// Most demands in one report, so that one fits into one datagram.
 const REPORT_DEMANDS: usize = 32;
 
-/// Team limits by measured shares; see the module [`super::share`] for the rules of safety.
+/// Team limits by measured shares; see the module `share` for the rules of safety.
 #[derive(Clone, Debug)]
 pub struct SharedLimits {
     teams: IndexMap<TeamId, TeamRow>,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The hickorycross entry: takes callers' requests and brings back their answers.
 //!
 //! - [`Settings`] is its settings file, [`command_line`] its flags.
+//! - [`demo`] runs a whole fleet in one process.
 //! - [`Entry`] is a running entry: it turns callers, links and the platform into events for
 //!   `hickorycross_core::entry` and carries out its actions.
 
@@ -8,7 +9,7 @@
 mod callers;
 mod catalog;
 mod cli;
-mod demo;
+pub mod demo;
 mod driver;
 mod inbox;
 mod policies;
--- a/crates/runtime/src/logs.rs
+++ b/crates/runtime/src/logs.rs
@@ -4,6 +4,9 @@
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::LogfmtLayout;
 
+/// Targets of libraries that speak of their own business, unless the filter names them.
+const QUIET: &str = "rocket=off,rocket_http=off,quinn=error,hyper=error";
+
 /// Sends every log line to standard error.
 ///
 /// `filter` has the form of `RUST_LOG`: a level, or `target=level` pairs with commas between them.
@@ -12,7 +15,7 @@
 ///
 /// When logs have been set up before, or the filter cannot be read.
 pub fn install(filter: &str) -> Result<(), LogsError> {
-    let filter = RustLogFilterBuilder::try_from_spec(filter)
+    let filter = RustLogFilterBuilder::try_from_spec(format!("{QUIET},{filter}"))
         .map_err(|error| LogsError(error.to_string()))?;
     let layout = LogfmtLayout::default().timezone(jiff::tz::TimeZone::UTC);
     logforth::starter_log::builder()
