feat(standins): relay for UDP, and tests of both relays

Links between processes run over UDP; their faults are loss, copies, reordering, and flows that a middlebox has forgotten while new ones work.

Ruled out: a timer for each datagram. Timers of one moment wake in no set order, so an equal delay would reorder; one queue by due moment does not.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -29,6 +29,6 @@
 pub use group::{GroupClock, GroupOptions, RankOptions};
 pub use head::{ATTEMPT_HEADER, IDEMPOTENCY_HEADER, PRIORITY_HEADER};
 pub use platform::PlatformStandIn;
-pub use relay::TcpRelay;
+pub use relay::{Disturbance, TcpRelay, UdpRelay};
 pub use service::ServiceStandIn;
 pub use worker::{Failure, Knobs};
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -2,5 +2,7 @@
 
 mod flow;
 mod tcp;
+mod udp;
 
 pub use tcp::TcpRelay;
+pub use udp::{Disturbance, UdpCounts, UdpRelay};
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -42,9 +42,12 @@
 }
 
 async fn wait_until(condition: impl Fn() -> bool) {
-    while !condition() {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.unwrap();
 }
 
 #[gtest]
