--- a/crates/core/src/agent/recover.rs
+++ b/crates/core/src/agent/recover.rs
@@ -123,6 +123,8 @@
                 let run = reading.run;
                 self.resend(now, attempt, run, next_chunk, actions);
             }
+            // Its own deadline, and so whether it may have run and been forgotten, is not known.
+            Stage::Closed(Closing::CancelledUnseen) => self.send_unknown(link, attempt, actions),
             Stage::Closed(closing) => {
                 let closing = *closing;
                 self.send_closing(now, link, attempt, deadline, closing, actions);
--- a/crates/core/tests/agent_rig/mod.rs
+++ b/crates/core/tests/agent_rig/mod.rs
@@ -98,12 +98,12 @@
 
 /// A key made at a moment, as a UUID of version 7, whose home on a route is a given server.
 pub(crate) fn stamped_key_at(document: &Document, route: &str, home: &str, made: u64) -> KeyDigest {
-    let keys = (0..1_000).map(|number| {
+    let mut keys = (0..1_000).map(|number| {
         let hex = format!("{made:012x}");
         let text = format!("{}-{}-7000-8000-{number:012x}", &hex[..8], &hex[8..]);
         KeyDigest::of(&TeamId::new("hog"), &text)
     });
-    keys.filter(|key| is_home(document, route, *key, home)).next().expect("some key")
+    keys.find(|key| is_home(document, route, *key, home)).expect("some key")
 }
 
 fn is_home(document: &Document, route: &str, key: KeyDigest, home: &str) -> bool {
