feat(lab): measurement of the entry's policies in virtual time

Cause: policies were in place without figures. Small fakes only: a backend server is a queue with service times and faults, an entry a dispatch loop around the policy objects.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,3 @@
-//! lab
+//! Load and experiment tool.
+
+pub mod policy;
--- /dev/null
+++ b/crates/lab/src/policy/entry.rs
@@ -0,0 +1,374 @@
+//! Minimal dispatch loop of an entry: enough to drive the policies, no more.
+
+use super::arrivals::Request;
+use super::fleet::{BACKENDS, DOMAINS, ROUTE, backend_id, domain_id, domain_of, team_id};
+use super::ledger::{Ledger, Outcome};
+use super::link::{ACK_MS, Link};
+use super::policies::PolicySet;
+use super::queue::Attempt;
+use super::wire::{Effect, ToBackend, ToEntry};
+use hickorycross_config::{BackendServerId, Document, FailureDomainId, RouteId, TeamId};
+use hickorycross_core::health::Signal;
+use hickorycross_core::limits::{Admission, LimitTeams};
+use hickorycross_core::message::{RefusalReason, TeamTotal};
+use hickorycross_core::retry::{BudgetRetries, RetryDecision};
+use hickorycross_core::routing::{Candidate, Choice, ChooseBackend, Pick};
+use hickorycross_core::{Now, UnixMs};
+use indexmap::IndexMap;
+
+/// An attempt that is not over.
+#[derive(Clone, Copy, Debug)]
+struct OpenAttempt {
+    backend: usize,
+    ordinal: u16,
+    sent_ms: u64,
+    ack_by_ms: Option<u64>,
+    began: bool,
+}
+
+/// A request that is not over.
+#[derive(Clone, Debug, Default)]
+struct OpenRequest {
+    tried: Vec<usize>,
+    attempt: Option<OpenAttempt>,
+}
+
+/// What all entries look at.
+pub(crate) struct Shared<'a> {
+    pub(crate) requests: &'a [Request],
+    pub(crate) ledger: &'a mut Ledger,
+}
+
+/// One entry.
+pub(crate) struct Entry {
+    index: usize,
+    home: FailureDomainId,
+    route: RouteId,
+    teams: Vec<TeamId>,
+    routing: Box<dyn ChooseBackend>,
+    limits: Box<dyn LimitTeams>,
+    retry: Box<dyn BudgetRetries>,
+    links: Vec<Link>,
+    open: IndexMap<usize, OpenRequest>,
+    effects: Vec<Effect>,
+}
+
+impl Entry {
+    /// An entry that has just started. `incarnations` are those of the backend servers.
+    pub(crate) fn new(
+        now: Now,
+        index: usize,
+        entries: usize,
+        seed: u64,
+        set: PolicySet,
+        document: &Document,
+        incarnations: &[u64],
+    ) -> Self {
+        let mut limits = set.limits();
+        limits.set_entries(now, entries as u32);
+        limits.adopt(now, document);
+        let mut retry = set.retry(seed);
+        retry.adopt(document);
+        let link = |backend: usize| {
+            let health = set.health(seed ^ (backend as u64) << 32);
+            Link::new(backend, incarnations[backend], health)
+        };
+        Self {
+            index,
+            home: domain_id(index % DOMAINS),
+            route: RouteId::new(ROUTE),
+            teams: (0..document.teams.len()).map(team_id).collect(),
+            routing: set.routing(seed),
+            limits,
+            retry,
+            links: (0..BACKENDS).map(link).collect(),
+            open: IndexMap::new(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Failure domain.
+    pub(crate) const fn domain(&self) -> usize {
+        domain_of(self.index)
+    }
+
+    /// What is to be done since the last call.
+    pub(crate) fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Handles a caller's request.
+    pub(crate) fn arrived(&mut self, now: Now, shared: &mut Shared<'_>, request: usize) {
+        let team = &self.teams[shared.requests[request].team];
+        if self.limits.admit(now, team) != Admission::Within {
+            shared.ledger.ended(request, Outcome::Limited);
+            return;
+        }
+        self.retry.first_try(now, &self.route);
+        self.open.insert(request, OpenRequest::default());
+        self.dispatch(now, shared, request);
+    }
+
+    /// Tries a request again.
+    pub(crate) fn retry(&mut self, now: Now, shared: &mut Shared<'_>, request: usize) {
+        if self.open.contains_key(&request) {
+            self.dispatch(now, shared, request);
+        }
+    }
+
+    /// Handles a message of the agent of a backend server.
+    pub(crate) fn message(
+        &mut self,
+        now: Now,
+        shared: &mut Shared<'_>,
+        backend: usize,
+        incarnation: u64,
+        message: ToEntry,
+    ) {
+        self.links[backend].heard(now, incarnation);
+        match message {
+            ToEntry::Accepted { attempt, load } => {
+                self.links[backend].report(now, load);
+                self.accepted(shared, attempt);
+            }
+            ToEntry::Refused { attempt, reason, load } => {
+                self.links[backend].report(now, load);
+                self.refused(now, shared, attempt, reason);
+            }
+            ToEntry::FirstChunk { attempt } => self.first_chunk(now, shared, backend, attempt),
+            ToEntry::End { attempt, load } => {
+                self.links[backend].report(now, load);
+                self.links[backend].health.signal(now, Signal::Answered);
+                if self.close(attempt).is_some() {
+                    self.open.swap_remove(&attempt.request);
+                }
+            }
+            ToEntry::Failed { attempt, load } => {
+                self.links[backend].report(now, load);
+                self.failed(now, shared, attempt.request, attempt.ordinal);
+            }
+            ToEntry::HeartbeatAck { load } => self.links[backend].report(now, load),
+            ToEntry::Totals(totals) => self.learn(now, backend, &totals),
+            ToEntry::Leaving => self.links[backend].leaving = true,
+        }
+    }
+
+    /// Heartbeats, overdue acknowledgements, demand reports.
+    pub(crate) fn tick(&mut self, now: Now, shared: &mut Shared<'_>) {
+        for backend in 0..self.links.len() {
+            if self.links[backend].tick(now) {
+                let message = ToBackend::Heartbeat;
+                self.effects.push(Effect::SendBackend { backend, message });
+            }
+        }
+        self.give_up_lost(now, shared);
+        for report in self.limits.due_reports(now) {
+            let Some(backend) = self.backend_index(&report.to) else { continue };
+            let message = ToBackend::Demand(report.demands);
+            self.effects.push(Effect::SendBackend { backend, message });
+        }
+    }
+
+    /// The process ends: whatever is open is cut off.
+    pub(crate) fn cut_off(&mut self, shared: &mut Shared<'_>) {
+        for request in self.open.keys() {
+            shared.ledger.ended(*request, Outcome::Failed);
+        }
+        self.open.clear();
+    }
+
+    fn backend_index(&self, id: &BackendServerId) -> Option<usize> {
+        (0..BACKENDS).find(|&backend| backend_id(backend) == *id)
+    }
+
+    fn learn(&mut self, now: Now, backend: usize, totals: &[TeamTotal]) {
+        let from = self.links[backend].id().clone();
+        self.limits.learn(now, &from, totals);
+    }
+
+    fn dispatch(&mut self, now: Now, shared: &mut Shared<'_>, request: usize) {
+        let wanted = &shared.requests[request];
+        let first = self.open[&request].tried.is_empty();
+        if wanted.deadline_ms <= now.unix_ms.0 {
+            self.end(shared, request, Outcome::RefusedLater);
+            return;
+        }
+        let picked = self.probe(now, request).or_else(|| self.choose(now, request, wanted));
+        match picked {
+            Some(backend) => self.send(now, shared, request, backend),
+            None if first => self.end(shared, request, Outcome::RefusedAtOnce),
+            None => self.end(shared, request, Outcome::RefusedLater),
+        }
+    }
+
+    /// Uses a first try as a probe if a circuit is half open.
+    fn probe(&mut self, now: Now, request: usize) -> Option<usize> {
+        if !self.open[&request].tried.is_empty() {
+            return None;
+        }
+        let backend = self.links.iter().position(|link| link.wants_probe(now))?;
+        self.links[backend].health.probe_sent(now);
+        Some(backend)
+    }
+
+    fn choose(&mut self, now: Now, request: usize, wanted: &Request) -> Option<usize> {
+        let tried = &self.open[&request].tried;
+        let (indices, candidates): (Vec<usize>, Vec<Candidate<'_>>) = self
+            .links
+            .iter()
+            .enumerate()
+            .filter(|(backend, _)| !tried.contains(backend))
+            .filter_map(|(backend, link)| Some((backend, link.candidate(now)?)))
+            .unzip();
+        if candidates.is_empty() {
+            return None;
+        }
+        let choice = Choice {
+            rank: wanted.rank,
+            deadline: UnixMs(wanted.deadline_ms),
+            home: &self.home,
+            prefix: None,
+            candidates: &candidates,
+        };
+        match self.routing.choose(now, &choice) {
+            Pick::Candidate(index) => Some(indices[index]),
+            Pick::NoneInTime { .. } => None,
+        }
+    }
+
+    fn send(&mut self, now: Now, shared: &mut Shared<'_>, request: usize, backend: usize) {
+        let wanted = &shared.requests[request];
+        let open = self.open.entry(request).or_default();
+        let ordinal = open.tried.len() as u16;
+        open.tried.push(backend);
+        open.attempt = Some(OpenAttempt {
+            backend,
+            ordinal,
+            sent_ms: now.unix_ms.0,
+            ack_by_ms: Some(now.unix_ms.0 + ACK_MS),
+            began: false,
+        });
+        let attempt = Attempt {
+            request,
+            ordinal,
+            entry: self.index,
+            team: wanted.team,
+            rank: wanted.rank,
+            deadline_ms: wanted.deadline_ms,
+            service_ms: wanted.service_ms,
+        };
+        self.links[backend].sent(now);
+        shared.ledger.tried(request);
+        self.effects.push(Effect::SendBackend { backend, message: ToBackend::Submit(attempt) });
+    }
+
+    fn accepted(&mut self, shared: &mut Shared<'_>, attempt: Attempt) {
+        if let Some(open) = self.live(attempt) {
+            open.ack_by_ms = None;
+            shared.ledger.accepted(attempt.request);
+        }
+    }
+
+    fn refused(
+        &mut self,
+        now: Now,
+        shared: &mut Shared<'_>,
+        attempt: Attempt,
+        reason: RefusalReason,
+    ) {
+        if self.close(attempt).is_none() {
+            return;
+        }
+        if reason == RefusalReason::Expired {
+            self.end(shared, attempt.request, Outcome::Expired);
+            return;
+        }
+        self.try_again(now, shared, attempt.request, Outcome::RefusedLater);
+    }
+
+    fn first_chunk(&mut self, now: Now, shared: &mut Shared<'_>, backend: usize, attempt: Attempt) {
+        let Some(open) = self.live(attempt) else {
+            return;
+        };
+        open.began = true;
+        let took_ms = now.unix_ms.0 - open.sent_ms;
+        self.routing.observe(now, self.links[backend].id(), took_ms);
+        shared.ledger.first_chunk(
+            now.unix_ms.0,
+            attempt.request,
+            &shared.requests[attempt.request],
+        );
+    }
+
+    fn failed(&mut self, now: Now, shared: &mut Shared<'_>, request: usize, ordinal: u16) {
+        let Some(open) = self.close_ordinal(request, ordinal) else {
+            return;
+        };
+        let link = &mut self.links[open.backend];
+        link.health.signal(now, Signal::Failed);
+        self.routing.failed(now, link.id());
+        if open.began {
+            self.end(shared, request, Outcome::Failed);
+            return;
+        }
+        self.try_again(now, shared, request, Outcome::Failed);
+    }
+
+    fn try_again(&mut self, now: Now, shared: &mut Shared<'_>, request: usize, else_: Outcome) {
+        let tries = self.open[&request].tried.len() as u16;
+        let deadline = UnixMs(shared.requests[request].deadline_ms);
+        match self.retry.judge(now, &self.route, tries, deadline) {
+            RetryDecision::RetryAt(at) => {
+                let after_ms = at.since(now.unix_ms);
+                self.effects.push(Effect::RetryIn { request, after_ms });
+            }
+            RetryDecision::GiveUp => self.end(shared, request, else_),
+        }
+    }
+
+    /// An attempt without acknowledgement is taken back; one on a silent link is lost too.
+    fn give_up_lost(&mut self, now: Now, shared: &mut Shared<'_>) {
+        let now_ms = now.unix_ms.0;
+        let mut lost = Vec::new();
+        for (request, open) in &self.open {
+            let Some(attempt) = open.attempt else { continue };
+            let overdue = attempt.ack_by_ms.is_some_and(|ack_by_ms| ack_by_ms <= now_ms);
+            if overdue || self.links[attempt.backend].is_silent(now) {
+                lost.push((*request, attempt, overdue));
+            }
+        }
+        for (request, attempt, overdue) in lost {
+            if overdue {
+                self.links[attempt.backend].health.signal(now, Signal::Missed);
+            }
+            self.close_ordinal(request, attempt.ordinal);
+            if attempt.began {
+                self.end(shared, request, Outcome::Failed);
+            } else {
+                self.try_again(now, shared, request, Outcome::Failed);
+            }
+        }
+    }
+
+    fn live(&mut self, attempt: Attempt) -> Option<&mut OpenAttempt> {
+        let open = self.open.get_mut(&attempt.request)?.attempt.as_mut()?;
+        (open.ordinal == attempt.ordinal).then_some(open)
+    }
+
+    fn close(&mut self, attempt: Attempt) -> Option<OpenAttempt> {
+        self.close_ordinal(attempt.request, attempt.ordinal)
+    }
+
+    fn close_ordinal(&mut self, request: usize, ordinal: u16) -> Option<OpenAttempt> {
+        let open = self.open.get_mut(&request)?;
+        let attempt = open.attempt.filter(|attempt| attempt.ordinal == ordinal)?;
+        open.attempt = None;
+        self.links[attempt.backend].ended();
+        Some(attempt)
+    }
+
+    fn end(&mut self, shared: &mut Shared<'_>, request: usize, outcome: Outcome) {
+        self.open.swap_remove(&request);
+        shared.ledger.ended(request, outcome);
+    }
+}
