feat(core): admission learns from begun and expired work

Border: ChooseBackend gains began(rank) and expired(rank) with empty defaults. Ruled out: the tiers of sent requests as the mix; many of them are refused.

--- a/crates/core/src/limits/team.rs
+++ b/crates/core/src/limits/team.rs
@@ -17,6 +17,12 @@
 /// Below this demand a team counts as gone from this entry.
 const LEAST_DEMAND_PER_S: f64 = 0.02;
 
+/// Standard deviations of its part of a burst that an entry lets through besides.
+const BURST_DEVIATIONS: f64 = 2.0;
+
+/// Least requests that an entry lets through at once, if the limit has as large a burst.
+const LEAST_CAPACITY: f64 = 3.0;
+
 /// Row of one team.
 #[derive(Clone, Debug)]
 pub(super) struct TeamRow {
@@ -110,11 +116,21 @@
 fn flow(limit: TeamLimit, fraction: f64) -> Flow {
     Flow {
         per_s: f64::from(limit.requests_per_s) * fraction,
-        // A share of the burst below one request would never let any through.
-        capacity: (f64::from(limit.burst_requests) * fraction).max(1.0),
+        capacity: capacity(f64::from(limit.burst_requests), fraction),
     }
 }
 
+/// Requests that this entry lets through at once.
+///
+/// More than its plain share of the burst: of few requests that are spread over entries at random,
+/// some entry sees twice its part. With the plain share, a team far below its limit would be
+/// refused whenever two of its requests meet at one of many entries.
+fn capacity(burst: f64, fraction: f64) -> f64 {
+    let part = burst * fraction;
+    let spread = BURST_DEVIATIONS * part.sqrt();
+    (part + spread).max(LEAST_CAPACITY).min(burst.max(1.0))
+}
+
 fn home_rows(now: Now, team: &Team, document: &Document) -> Vec<HomeRow> {
     homes_of(document, &team.id)
         .into_iter()
--- a/crates/core/src/routing/border.rs
+++ b/crates/core/src/routing/border.rs
@@ -61,6 +61,13 @@
     /// Learns how long an attempt took to its first chunk.
     fn observe(&mut self, now: Now, backend_server: &BackendServerId, first_chunk_ms: u64);
 
+    /// Learns that a request of this rank got its first chunk, so that it has begun. Policies that
+    /// do not weigh tiers need not do anything.
+    fn began(&mut self, _now: Now, _rank: u8) {}
+
+    /// Learns that an accepted request of this rank expired in a queue.
+    fn expired(&mut self, _now: Now, _rank: u8) {}
+
     /// Learns that an attempt failed before its first chunk. Policies that ignore failures need
     /// not do anything.
     fn failed(&mut self, _now: Now, _backend_server: &BackendServerId) {}
--- a/crates/core/src/routing/estimate.rs
+++ b/crates/core/src/routing/estimate.rs
@@ -17,6 +17,15 @@
 /// Weight of a sample in the time that is typical of all backend servers.
 const TYPICAL_WEIGHT: f64 = 0.03;
 
+/// Weight of a sample above the unhindered time.
+const UNHINDERED_RAISE: f64 = 0.005;
+
+/// Weight of a sample below the unhindered time.
+const UNHINDERED_LOWER: f64 = 0.05;
+
+/// Most that one backend server is taken to be slower than the others.
+const MOST_SLOWNESS: f64 = 20.0;
+
 /// Weight of one attempt in the share of failed ones.
 const FAILURE_WEIGHT: f64 = 0.3;
 
@@ -33,6 +42,7 @@
 pub(super) struct Estimates {
     rows: IndexMap<BackendServerId, Row>,
     typical_ms: Option<f64>,
+    unhindered_ms: Option<f64>,
 }
 
 impl Estimates {
@@ -41,6 +51,7 @@
         let sample_ms = first_chunk_ms as f64;
         let typical_ms = self.typical_ms.unwrap_or(sample_ms);
         self.typical_ms = Some(typical_ms + TYPICAL_WEIGHT * (sample_ms - typical_ms));
+        self.learn_unhindered(sample_ms);
         let row = self.faded(now, id, typical_ms);
         let slower = sample_ms > row.first_chunk_ms;
         let weight = if slower { SLOWER_WEIGHT } else { FASTER_WEIGHT };
@@ -55,13 +66,22 @@
         row.failed_share += FAILURE_WEIGHT * (1.0 - row.failed_share);
     }
 
-    /// Expected time to the first chunk, without a queue.
+    /// Expected time to the first chunk of a request that does not wait.
+    ///
+    /// Measured times include waits, and waits differ by tier more than backend servers do. So only
+    /// the ratio between backend servers, which see the same tiers, is taken from them.
     pub(super) fn first_chunk_ms(&self, now: Now, id: &BackendServerId) -> f64 {
-        let typical_ms = self.typical_ms();
+        self.unhindered_ms.unwrap_or(1.0) * self.slowness(now, id)
+    }
+
+    /// Time to the first chunk as a multiple of what is usual over all backend servers.
+    pub(super) fn slowness(&self, now: Now, id: &BackendServerId) -> f64 {
         let Some(row) = self.rows.get(id) else {
-            return typical_ms;
+            return 1.0;
         };
-        typical_ms + (row.first_chunk_ms - typical_ms) * memory(now, row)
+        let ratio = row.first_chunk_ms / self.typical_ms();
+        let remembered = 1.0 + (ratio - 1.0) * memory(now, row);
+        remembered.clamp(1.0 / MOST_SLOWNESS, MOST_SLOWNESS)
     }
 
     /// Share of attempts that failed lately, from 0 to 1.
@@ -69,8 +89,15 @@
         self.rows.get(id).map_or(0.0, |row| row.failed_share * memory(now, row))
     }
 
-    /// Time to the first chunk that is usual over all backend servers.
-    pub(super) fn typical_ms(&self) -> f64 {
+    /// Follows a low quantile of all samples: those that did not wait.
+    fn learn_unhindered(&mut self, sample_ms: f64) {
+        let before_ms = self.unhindered_ms.unwrap_or(sample_ms);
+        let lower = sample_ms < before_ms;
+        let weight = if lower { UNHINDERED_LOWER } else { UNHINDERED_RAISE };
+        self.unhindered_ms = Some(before_ms + weight * (sample_ms - before_ms));
+    }
+
+    fn typical_ms(&self) -> f64 {
         self.typical_ms.unwrap_or(1.0).max(1.0)
     }
 
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -5,6 +5,7 @@
 mod border;
 mod estimate;
 mod least_outstanding;
+mod margin;
 mod mix;
 mod projection;
 mod raw_two_choices;
--- a/crates/core/src/routing/projection.rs
+++ b/crates/core/src/routing/projection.rs
@@ -12,16 +12,18 @@
 
 /// Requests that begin before a new one of `rank` at the candidate, running ones included.
 ///
-/// The report decays with its age, because what it counted has been served since; the attempts
-/// that this entry itself has open there are certain and bound the sum from below.
+/// As a report ages, what it counted has been served; what this entry itself has open there takes
+/// its place. While the report is fresh the latter must not count: it includes lower tiers, which
+/// do not begin before the new request.
 pub(super) fn requests_ahead(now: Now, candidate: &Candidate<'_>, rank: u8) -> f64 {
     let own = f64::from(candidate.outstanding);
     let Some(load) = candidate.load else {
         return own;
     };
     let counted = f64::from(load.running + waiting_ahead(load, rank));
-    let reported = counted * report_weight(now, candidate, load);
-    own.max(reported + f64::from(candidate.sent_since_report))
+    let weight = report_weight(now, candidate, load);
+    let reported = counted * weight + own * (1.0 - weight);
+    reported + f64::from(candidate.sent_since_report)
 }
 
 /// Time until a new request of `rank` begins, when `free_permille` of the starts are left to its
--- a/crates/core/src/routing/two_choices.rs
+++ b/crates/core/src/routing/two_choices.rs
@@ -2,6 +2,7 @@
 
 use super::border::{Candidate, Choice, ChooseBackend, Pick};
 use super::estimate::Estimates;
+use super::margin::Margins;
 use super::mix::Mix;
 use super::projection::{requests_ahead, slots, wait_ms};
 use super::sample::{share_weighted, two_of, usable};
@@ -21,10 +22,6 @@
 /// A candidate is preferred only while a smaller share of its attempts failed.
 const SOUND_FAILED_SHARE: f64 = 0.1;
 
-/// Projected waits are multiplied by this before they are held against a deadline: they come from
-/// lagging reports, and work that expires in a queue is worse than a refusal at once.
-const WAIT_MARGIN: f64 = 1.3;
-
 /// Earliest return after a refusal.
 const LEAST_RETURN_MS: f64 = 100.0;
 
@@ -35,6 +32,7 @@
     rng: ChaCha8Rng,
     estimates: Estimates,
     mix: Mix,
+    margins: Margins,
 }
 
 /// One choice with what holds for all of its candidates.
@@ -44,6 +42,7 @@
     choice: &'a Choice<'a>,
     estimates: &'a Estimates,
     free_permille: f64,
+    margin: f64,
 }
 
 impl TwoChoices {
@@ -55,6 +54,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             estimates: Estimates::default(),
             mix: Mix::default(),
+            margins: Margins::default(),
         }
     }
 
@@ -64,6 +64,7 @@
             choice,
             estimates: &self.estimates,
             free_permille: self.mix.free_permille(choice.rank),
+            margin: self.margins.factor(choice.rank),
         };
         let usable = usable(&mut self.rng, choice.candidates);
         if usable.is_empty() {
@@ -116,7 +117,7 @@
         let candidate = self.candidate(index);
         let id = candidate.backend_server;
         let ahead = requests_ahead(self.now, candidate, self.choice.rank);
-        let slowness = self.estimates.first_chunk_ms(self.now, id) / self.estimates.typical_ms();
+        let slowness = self.estimates.slowness(self.now, id);
         ahead + 1.0 <= slots(candidate) * ROOM
             && slowness <= SOUND_SLOWNESS
             && self.estimates.failed_share(self.now, id) <= SOUND_FAILED_SHARE
@@ -142,14 +143,20 @@
         self.choice.deadline.since(self.now.unix_ms) as f64
     }
 
-    fn begins_in_time(&self, index: usize) -> bool {
-        self.wait_ms(index) * WAIT_MARGIN < self.slack_ms()
+    /// Time until the first chunk as it is held against the deadline.
+    fn projected_ms(&self, index: usize) -> f64 {
+        let id = self.candidate(index).backend_server;
+        self.wait_ms(index) * self.margin + self.estimates.first_chunk_ms(self.now, id)
+    }
+
+    fn is_in_time(&self, index: usize) -> bool {
+        self.wait_ms(index) <= 0.0 || self.projected_ms(index) < self.slack_ms()
     }
 
     /// The picked candidate if it begins in time, else the one with the shortest wait if that one
     /// does, else a refusal.
     fn in_time_or_refusal(&self, picked: usize, usable: &[usize]) -> Pick {
-        if self.begins_in_time(picked) {
+        if self.is_in_time(picked) {
             return Pick::Candidate(picked);
         }
         let shortest = usable
@@ -157,7 +164,7 @@
             .copied()
             .min_by(|&one, &other| self.wait_ms(one).total_cmp(&self.wait_ms(other)))
             .unwrap_or(picked);
-        if self.begins_in_time(shortest) {
+        if self.is_in_time(shortest) {
             return Pick::Candidate(shortest);
         }
         self.refusal(shortest)
@@ -166,7 +173,7 @@
     /// Coming back makes sense once enough of the queue has been served for the same slack to
     /// suffice.
     fn refusal(&self, shortest: usize) -> Pick {
-        let excess_ms = self.wait_ms(shortest) * WAIT_MARGIN - self.slack_ms();
+        let excess_ms = self.projected_ms(shortest) - self.slack_ms();
         let return_ms = excess_ms.max(LEAST_RETURN_MS).ceil();
         Pick::NoneInTime { retry_at: self.now.after(return_ms as u64) }
     }
@@ -174,17 +181,22 @@
 
 impl ChooseBackend for TwoChoices {
     fn choose(&mut self, now: Now, choice: &Choice<'_>) -> Pick {
-        let pick = self.pick(now, choice);
-        if let Pick::Candidate(_) = pick {
-            self.mix.sent(now, choice.rank);
-        }
-        pick
+        self.pick(now, choice)
     }
 
     fn observe(&mut self, now: Now, backend_server: &BackendServerId, first_chunk_ms: u64) {
         self.estimates.answered(now, backend_server, first_chunk_ms);
     }
 
+    fn began(&mut self, now: Now, rank: u8) {
+        self.mix.began(now, rank);
+        self.margins.began(rank);
+    }
+
+    fn expired(&mut self, _now: Now, rank: u8) {
+        self.margins.expired(rank);
+    }
+
     fn failed(&mut self, now: Now, backend_server: &BackendServerId) {
         self.estimates.failed(now, backend_server);
     }
--- a/crates/lab/src/policy/entry.rs
+++ b/crates/lab/src/policy/entry.rs
@@ -280,6 +280,7 @@
             return;
         }
         if reason == RefusalReason::Expired {
+            self.routing.expired(now, attempt.rank);
             self.end(shared, attempt.request, Outcome::Expired);
             return;
         }
@@ -293,6 +294,7 @@
         open.began = true;
         let took_ms = now.unix_ms.0 - open.sent_ms;
         self.routing.observe(now, self.links[backend].id(), took_ms);
+        self.routing.began(now, attempt.rank);
         shared.ledger.first_chunk(
             now.unix_ms.0,
             attempt.request,
--- a/crates/lab/src/policy/scenario.rs
+++ b/crates/lab/src/policy/scenario.rs
@@ -1,6 +1,6 @@
 //! What happens in a run: load, surges, faults.
 
-use super::fleet::{DOMAINS, START_MS, TEAMS, domain_of, team_rate_per_s};
+use super::fleet::{DOMAINS, ENTRIES, START_MS, TEAMS, domain_of, team_rate_per_s};
 
 /// A stretch of virtual time, from its first moment to the one after its last.
 #[derive(Clone, Copy, Debug)]
@@ -83,6 +83,8 @@
     pub(crate) name: &'static str,
     /// Offered load before surges, in thousandths of capacity.
     pub(crate) load_permille: u32,
+    /// Entries.
+    pub(crate) entries: usize,
     /// The run.
     pub(crate) run: Stretch,
     /// The part that is counted.
@@ -103,6 +105,9 @@
 /// Limits that do not bind in runs that are not about limits.
 const WIDE: f64 = 12.0;
 
+/// Entries of the runs in which each entry sees little.
+const MANY_ENTRIES: usize = 40;
+
 /// Time that a leaving process has before it goes.
 const LEAVING_MS: u64 = 3000;
 
@@ -199,6 +204,8 @@
         steady("steady-090", 900),
         steady("steady-120", 1200),
         steady("steady-200", 2000),
+        Scenario { entries: MANY_ENTRIES, ..steady("many-entries-090", 900) },
+        Scenario { entries: MANY_ENTRIES, ..steady("many-entries-200", 2000) },
     ];
     scenarios.extend([class_bell(), wild_team()]);
     scenarios.extend([slow_backend(), failing_backend(), lost_domain(), cut_domain()]);
@@ -210,6 +217,7 @@
     Scenario {
         name,
         load_permille,
+        entries: ENTRIES,
         run: Stretch::seconds(0, 50),
         counted: Stretch::seconds(10, 50),
         limit_factors: [WIDE; TEAMS.len()],
--- a/crates/lab/src/policy/world.rs
+++ b/crates/lab/src/policy/world.rs
@@ -3,7 +3,7 @@
 use super::arrivals::Request;
 use super::backend::Backend;
 use super::entry::{Entry, Shared};
-use super::fleet::{BACKENDS, ENTRIES, document, domain_of};
+use super::fleet::{BACKENDS, document, domain_of};
 use super::ledger::{Ledger, Outcome};
 use super::policies::PolicySet;
 use super::queue::Attempt;
@@ -80,13 +80,13 @@
             seed,
             document,
             entries: Vec::new(),
-            entry_lives: vec![Life::Serving; ENTRIES],
+            entry_lives: vec![Life::Serving; scenario.entries],
             backends,
             ledger: Ledger::new(requests.len()),
             order: BinaryHeap::new(),
             events: Vec::new(),
         };
-        for index in 0..ENTRIES {
+        for index in 0..scenario.entries {
             let entry = world.entry(Now::at(scenario.run.from_ms), index);
             world.entries.push(entry);
         }
@@ -98,7 +98,7 @@
         let seed = self.seed.wrapping_mul(1_000_003) ^ now.unix_ms.0 << 8 ^ index as u64;
         let incarnations: Vec<u64> =
             self.backends.iter().map(|backend| backend.incarnation).collect();
-        Entry::new(now, index, ENTRIES, seed, self.set, &self.document, &incarnations)
+        Entry::new(now, index, self.scenario.entries, seed, self.set, &self.document, &incarnations)
     }
 
     fn schedule(&mut self, at_ms: u64, event: Event) {
@@ -138,7 +138,7 @@
 
     fn tick(&mut self, now_ms: u64) {
         for backend in 0..self.backends.len() {
-            let effects = self.backends[backend].tick(now_ms, self.scenario, ENTRIES);
+            let effects = self.backends[backend].tick(now_ms, self.scenario, self.scenario.entries);
             self.of_backend(now_ms, backend, effects);
         }
         for index in 0..self.entries.len() {
@@ -169,8 +169,9 @@
 
     /// The platform's balancer spreads arrivals over the entries that serve.
     fn arrival(&mut self, now_ms: u64, request: usize) {
-        let serving: Vec<usize> =
-            (0..ENTRIES).filter(|&entry| self.entry_lives[entry] == Life::Serving).collect();
+        let serving: Vec<usize> = (0..self.scenario.entries)
+            .filter(|&entry| self.entry_lives[entry] == Life::Serving)
+            .collect();
         if serving.is_empty() {
             self.ledger.ended(request, Outcome::Failed);
             return;
