feat(placement): drift traces, omniscient bound and comparison of policies

Ruled out: a periodic baseline without evening out after packing. It lost to the static map on noise alone, which would have flattered the policy.

--- a/crates/core/src/placement/estimate.rs
+++ b/crates/core/src/placement/estimate.rs
@@ -2,7 +2,7 @@
 //!
 //! Each layer keeps a running mean over up to [`WINDOW_REPORTS`] reports and a short one beside it.
 //! When the two differ by more than noise explains, demand has changed and the window restarts
-//! from the short mean. Slow drift is followed by the window itself.
+//! with the newest report. Slow drift is followed by the window itself.
 
 use crate::placement::layer::LayerPlacement;
 use crate::placement::noise::LayerNoise;
@@ -144,11 +144,18 @@
         smooth(&mut self.mean, &self.sample, self.reports);
         smooth(&mut self.short, &self.sample, self.reports.min(SHORT_REPORTS));
         if self.has_changed() {
-            self.mean.copy_from_slice(&self.short);
-            self.reports = SHORT_REPORTS;
+            self.restart();
         }
     }
 
+    /// Forgets all but the newest report. The short mean still holds reports from before the change,
+    /// and a window that began with them would be wrong until it has outgrown them.
+    fn restart(&mut self) {
+        self.mean.copy_from_slice(&self.sample);
+        self.short.copy_from_slice(&self.sample);
+        self.reports = 1;
+    }
+
     fn has_changed(&self) -> bool {
         if self.reports <= SHORT_REPORTS || !self.noise.is_settled() {
             return false;
--- a/crates/core/src/placement/periodic.rs
+++ b/crates/core/src/placement/periodic.rs
@@ -3,12 +3,15 @@
 use crate::placement::change::change_between;
 use crate::placement::estimate::LoadEstimator;
 use crate::placement::layer::ExpertMap;
-use crate::placement::pack::pack_map;
+use crate::placement::pack::{pack_map, refine_layer};
 use crate::placement::policy::{Change, ChangeOutcome, RebalancePolicy};
 use crate::placement::report::{LoadReport, ReportFault};
 use crate::placement::shape::GroupShape;
 use crate::time::{Now, UnixMs};
 
+/// Edits by which each layer is evened out after packing.
+const MAX_EDITS: u32 = 12;
+
 /// Packs all layers anew, whatever it costs.
 #[derive(Clone, Debug)]
 pub struct PeriodicFull {
@@ -42,7 +45,10 @@
         let shape = self.estimator.shape();
         let loads: Vec<&[f64]> =
             (0..usize::from(shape.layers)).map(|layer| self.estimator.loads(layer)).collect();
-        let target = pack_map(shape, &loads);
+        let mut target = pack_map(shape, &loads);
+        for (placed, loads) in target.layers.iter_mut().zip(&loads) {
+            *placed = refine_layer(shape, placed, loads, MAX_EDITS);
+        }
         change_between(&self.estimator, present, target)
     }
 
--- a/crates/core/src/placement/search.rs
+++ b/crates/core/src/placement/search.rs
@@ -101,16 +101,28 @@
         if self.mean_tokens > 0.0 { self.spread.value() / self.mean_tokens } else { 0.0 }
     }
 
+    /// Skew that sampling noise leaves when all ranks have the mean load.
+    fn even_skew(&self) -> f64 {
+        let ranks = self.rank_loads.len() as f64;
+        2.0 * softness_tokens(self.mean_tokens) * ranks.ln() / self.mean_tokens
+    }
+
     pub(crate) fn placement(self) -> LayerPlacement {
         self.edited
     }
 
-    /// Finds the edit of the highest positive `worth`.
+    /// Finds the edit of the highest positive `worth`, which must grow with the gain.
     pub(crate) fn best(&mut self, worth: impl Fn(&Trial) -> f64) -> Option<Trial> {
         if self.mean_tokens <= 0.0 {
             return None;
         }
         let skew = self.skew();
+        let even = Trial { edit: Edit::default(), gain: skew - self.even_skew(), loads: 0 };
+        // Most layers are even enough most of the time; trying their edits would cost the agent
+        // several times its processor share for nothing.
+        if worth(&even) <= 0.0 {
+            return None;
+        }
         let mut best = None;
         let mut best_worth = 0.0;
         for edit in self.candidates() {
@@ -204,13 +216,25 @@
             edits.push(Edit { added: [taken, None], removed: [Some(displaced), None] });
             edits.push(Edit { added: [taken, None], removed: [Some(given), Some(displaced)] });
         }
-        if !self.edited.holds(given.rank, displaced.expert) {
+        if !self.edited.holds(given.rank, displaced.expert) && self.evens(given, displaced) {
             let returned = Some(Slot { expert: displaced.expert, rank: given.rank });
             let removed = [Some(given), Some(displaced)];
             edits.push(Edit { added: [taken, returned], removed });
         }
     }
 
+    /// Whether an exchange leaves both ranks between their present loads.
+    fn evens(&self, given: Slot, returned: Slot) -> bool {
+        let load = |slot: Slot| self.rank_loads[usize::from(slot.rank)];
+        let moved = self.share(given.expert) - self.share(returned.expert);
+        moved > 0.0 && moved < load(given) - load(returned)
+    }
+
+    fn share(&self, expert: u16) -> f64 {
+        let expert = usize::from(expert);
+        self.loads[expert] / self.ranks_of_expert[expert].len() as f64
+    }
+
     fn skew_after(&mut self, edit: &Edit) -> f64 {
         self.deltas.fill(0.0);
         for slot in edit.slots() {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,3 @@
-//! lab
+//! Load and experiment tool of hickorycross.
+
+pub mod rebalance;
