--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,4 +4,5 @@
 //! - [`rebalance`] compares rebalancing policies on seeded traces of expert load.
 
 pub mod policy;
+
 pub mod rebalance;
--- a/crates/lab/src/rebalance/compare.rs
+++ b/crates/lab/src/rebalance/compare.rs
@@ -4,8 +4,8 @@
 use crate::rebalance::plan::{Experiment, PolicyKind};
 use crate::rebalance::policy_run::PolicyRun;
 use crate::rebalance::step_time::StepTime;
-use crate::rebalance::summary::{SeedRun, StepFigures};
-use crate::rebalance::trace::Trace;
+use crate::rebalance::summary::{RunFigures, SeedRun, StepFigures};
+use crate::rebalance::trace::{Trace, Window};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -36,45 +36,59 @@
 
 /// One policy's run, or the bound's.
 enum Runner {
-    Policy(PolicyRun),
+    Policy(Box<PolicyRun>),
     Bound(Bound, Box<StepFigures>),
 }
 
+impl Runner {
+    fn new(kind: PolicyKind, first: &Bound, experiment: &Experiment) -> Self {
+        let Some(policy) = kind.policy(experiment) else {
+            return Self::Bound(first.clone(), Box::default());
+        };
+        let run = PolicyRun::new(policy, first.map().clone(), experiment);
+        Self::Policy(Box::new(run))
+    }
+
+    /// Runs a window and returns its mean skew in microseconds.
+    fn advance(&mut self, window: &Window, experiment: &Experiment) -> f64 {
+        match self {
+            Self::Policy(run) => {
+                window.ticks.iter().for_each(|tick| run.advance(tick, experiment));
+                run.take_recent_skew_us()
+            }
+            Self::Bound(bound, figures) => {
+                bound.foresee(window);
+                for loads in window.ticks.iter().flat_map(|tick| &tick.steps) {
+                    figures.add(&StepTime::of(bound.map(), loads, false));
+                }
+                figures.take_recent_skew_us()
+            }
+        }
+    }
+
+    fn figures(&self) -> RunFigures {
+        match self {
+            Self::Policy(run) => run.figures(),
+            Self::Bound(_, figures) => figures.figures(0, 0, 0),
+        }
+    }
+}
+
 fn run_seed(experiment: &Experiment, policies: &[PolicyKind], seed: u64) -> Vec<SeedRun> {
     let mut trace = Trace::new(experiment, seed);
     let first = Bound::new(experiment.shape, &trace.expected_loads());
-    let runner = |kind: &PolicyKind| match kind.policy(experiment) {
-        Some(policy) => Runner::Policy(PolicyRun::new(policy, first.map().clone(), experiment)),
-        None => Runner::Bound(first.clone(), Box::default()),
-    };
-    let mut runners: Vec<Runner> = policies.iter().map(runner).collect();
-    let mut courses = vec![Vec::new(); policies.len()];
+    let start = |kind: &PolicyKind| Runner::new(*kind, &first, experiment);
+    let mut runners: Vec<Runner> = policies.iter().map(start).collect();
+    let mut courses_us = vec![Vec::new(); policies.len()];
     while let Some(window) = trace.next_window() {
-        for (runner, course) in runners.iter_mut().zip(&mut courses) {
-            match runner {
-                Runner::Policy(run) => {
-                    window.ticks.iter().for_each(|tick| run.advance(tick, experiment));
-                    course.push(run.take_recent_skew_us());
-                }
-                Runner::Bound(bound, figures) => {
-                    bound.foresee(&window);
-                    for loads in window.ticks.iter().flat_map(|tick| &tick.steps) {
-                        figures.add(&StepTime::of(bound.map(), loads, false));
-                    }
-                    course.push(figures.take_recent_skew_us());
-                }
-            }
+        for (runner, course_us) in runners.iter_mut().zip(&mut courses_us) {
+            course_us.push(runner.advance(&window, experiment));
         }
     }
-    let results = policies.iter().zip(runners).zip(courses);
-    let finish = |((policy, runner), course_us): ((&PolicyKind, Runner), Vec<f64>)| SeedRun {
-        policy: *policy,
-        seed,
-        figures: match runner {
-            Runner::Policy(run) => run.figures(),
-            Runner::Bound(_, figures) => figures.figures(0, 0, 0),
-        },
-        course_us,
+    let finished = policies.iter().zip(runners).zip(courses_us);
+    let finish = |((policy, runner), course_us): ((&PolicyKind, Runner), Vec<f64>)| {
+        let figures = runner.figures();
+        SeedRun { policy: *policy, seed, figures, course_us }
     };
-    results.map(finish).collect()
+    finished.map(finish).collect()
 }
--- a/crates/lab/src/rebalance/policy_run.rs
+++ b/crates/lab/src/rebalance/policy_run.rs
@@ -95,10 +95,4 @@
     pub fn take_recent_skew_us(&mut self) -> f64 {
         self.steps.take_recent_skew_us()
     }
-
-    /// Bytes moved so far.
-    #[must_use]
-    pub fn moved_bytes(&self) -> u64 {
-        self.moved_bytes
-    }
 }
--- a/crates/lab/src/rebalance/summary.rs
+++ b/crates/lab/src/rebalance/summary.rs
@@ -120,7 +120,7 @@
     pub seed: u64,
     /// What was measured.
     pub figures: RunFigures,
-    /// Mean skew in each window, in microseconds, for the first seed only.
+    /// Mean skew in each window, in microseconds.
     pub course_us: Vec<f64>,
 }
 
