test(entry): seeded random run of one entry against scripted agents

Messages are lost, doubled, delayed and reordered, links go silent, agents restart or are cut off, the entry is paused. Seen from outside: one final answer, no second execution of a non-idempotent request, no not-run that ran, no mixed answer.

--- a/crates/core/tests/entry_support/mod.rs
+++ b/crates/core/tests/entry_support/mod.rs
@@ -21,6 +21,7 @@
 use indexmap::{IndexMap, IndexSet};
 use std::sync::Arc;
 
+pub(crate) mod fake_agent;
 pub(crate) mod scenarios;
 
 /// Moment at which every test begins.
@@ -87,7 +88,7 @@
         self.refusals.len() + usize::from(self.finished)
     }
 
-    fn see(&mut self, action: &EntryAction) {
+    pub(crate) fn see(&mut self, action: &EntryAction) {
         if self.finals() > 0 {
             self.after_final += 1;
         }
