--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -10,6 +10,7 @@
 use crate::instance::{Instance, InstanceState, Role};
 use crate::message::ToAgent;
 use hickorycross_config::{BackendServer, BackendServerId, Document, RegionId, Stamp};
+use indexmap::IndexMap;
 use std::sync::Arc;
 
 impl EntryCore {
@@ -70,15 +71,13 @@
     pub(super) fn rebind(&mut self) {
         self.subsets.clear();
         self.dispatch_due = true;
+        let best = best_hosts(&self.peers);
         for (id, backend) in &mut self.backends {
-            let usable = |peer: &Peer| peer.listed_live && !peer.leaving;
             let held = backend.instance.as_ref().and_then(|one| self.peers.get(one));
-            if held.is_some_and(|peer| usable(peer) && peer.failed_opens == 0) {
+            if held.is_some_and(|peer| peer.is_usable() && peer.failed_opens == 0) {
                 continue;
             }
-            let hosts = self.peers.iter().filter(|(_, peer)| peer.backend_server == *id);
-            let best = hosts.filter(|(_, peer)| usable(peer)).min_by_key(|(_, p)| p.failed_opens);
-            backend.instance = best.map(|(instance, _): (&InstanceId, &Peer)| instance.clone());
+            backend.instance = best.get(id).map(|one| (*one).clone());
         }
     }
 
@@ -151,6 +150,18 @@
     }
 }
 
+/// The instance of each backend server that is easiest to reach, among those that take work.
+fn best_hosts(peers: &IndexMap<InstanceId, Peer>) -> IndexMap<&BackendServerId, &InstanceId> {
+    let mut best: IndexMap<&BackendServerId, &InstanceId> = IndexMap::new();
+    for (instance, peer) in peers.iter().filter(|(_, peer)| peer.is_usable()) {
+        let held = best.entry(&peer.backend_server).or_insert(instance);
+        if peer.failed_opens < peers[*held].failed_opens {
+            *held = instance;
+        }
+    }
+    best
+}
+
 fn is_live(instance: &Instance) -> bool {
     instance.state == InstanceState::Live
 }
--- a/crates/core/src/entry/links.rs
+++ b/crates/core/src/entry/links.rs
@@ -230,7 +230,7 @@
         let Some(link) = peer.active.take() else { return };
         peer.round_trip.back_off();
         let older = peer.suspect.replace(link);
-        let wanted = !peer.requests.is_empty() || (peer.listed_live && !peer.leaving);
+        let wanted = !peer.requests.is_empty() || peer.is_usable();
         if let Some(older) = older {
             self.close(turn, older);
         }
--- a/crates/core/src/entry/peer.rs
+++ b/crates/core/src/entry/peer.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Whether it may get new work, as far as list and agent say.
+    pub(super) fn is_usable(&self) -> bool {
+        self.listed_live && !self.leaving
+    }
+
     /// Links that it holds, in whatever state.
     pub(super) fn links(&self) -> impl Iterator<Item = LinkId> {
         [self.active, self.suspect, self.opening].into_iter().flatten()
--- a/crates/core/src/entry/plain.rs
+++ b/crates/core/src/entry/plain.rs
@@ -71,8 +71,8 @@
     fn signal(&mut self, _now: Now, signal: Signal) {
         match signal {
             Signal::BackendDown => self.down = true,
-            Signal::BackendUp | Signal::Answered => self.down = false,
-            Signal::Failed | Signal::Missed | Signal::Restarted => {}
+            Signal::BackendUp => self.down = false,
+            Signal::Answered | Signal::Failed | Signal::Missed | Signal::Restarted => {}
         }
     }
 
--- a/crates/core/src/entry/receive.rs
+++ b/crates/core/src/entry/receive.rs
@@ -129,12 +129,13 @@
         retry_at: Option<UnixMs>,
     ) {
         let Some(request) = self.live_request(turn, link, attempt) else { return };
-        self.signal_of_attempt(turn, request, refusal_signal(reason));
-        if reason == RefusalReason::Leaving
-            && let Some(live) = self.attempt_mut(request)
-        {
-            let instance = live.instance.clone();
-            self.learn_leaving(&instance);
+        let Some(instance) = self.attempt_mut(request).map(|live| live.instance.clone()) else {
+            return;
+        };
+        match reason {
+            RefusalReason::BackendDown => self.learn_backend_down(turn, &instance, true),
+            RefusalReason::Leaving => self.learn_leaving(&instance),
+            _ => self.signal(turn, &instance, Signal::Answered),
         }
         self.end_attempt(turn, request, refusal_ending(reason, retry_at));
     }
@@ -231,14 +232,6 @@
     Ending { code, verdict, retry_at: None, detail: detail.to_owned(), retry: true }
 }
 
-/// What a refusal says about the backend server's health: that its agent answers.
-fn refusal_signal(reason: RefusalReason) -> Signal {
-    match reason {
-        RefusalReason::BackendDown => Signal::BackendDown,
-        _ => Signal::Answered,
-    }
-}
-
 fn refusal_ending(reason: RefusalReason, retry_at: Option<UnixMs>) -> Ending {
     let (code, retry) = match reason {
         RefusalReason::QueueFull => (RefusalCode::Overloaded, true),
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -45,11 +45,21 @@
         peer.load = Some(load);
         peer.load_received = turn.now.unix_ms;
         peer.sent_since_report = unseen;
-        let backend_server = peer.backend_server.clone();
         if state == AgentState::Leaving {
             self.learn_leaving(instance);
         }
-        let down = state == AgentState::BackendDown;
+        self.learn_backend_down(turn, instance, state == AgentState::BackendDown);
+    }
+
+    /// Passes on what an agent says of its backend server, when that changes.
+    pub(super) fn learn_backend_down(
+        &mut self,
+        turn: &mut Turn<'_>,
+        instance: &InstanceId,
+        down: bool,
+    ) {
+        let Some(peer) = self.peers.get(instance) else { return };
+        let backend_server = peer.backend_server.clone();
         let Some(backend) = self.backends.get_mut(&backend_server) else { return };
         let was_down = std::mem::replace(&mut backend.reported_down, down);
         if down && !was_down {
--- a/crates/core/tests/entry_random.rs
+++ b/crates/core/tests/entry_random.rs
@@ -178,7 +178,7 @@
     }
 
     fn post_to_entry(&mut self, link: LinkId, message: ToEntry) {
-        if !self.links.get(&link).is_some_and(|link| !link.silent) || self.chance(LOST) {
+        if self.links.get(&link).is_none_or(|link| link.silent) || self.chance(LOST) {
             return;
         }
         if self.chance(DOUBLED) {
--- a/crates/core/tests/entry_support/mod.rs
+++ b/crates/core/tests/entry_support/mod.rs
@@ -150,6 +150,8 @@
     /// Links that deliver nothing any more, in either direction, without being closed.
     pub(crate) silent: IndexSet<LinkId>,
     pub(crate) links: IndexMap<LinkId, InstanceId>,
+    /// Backend servers of instances that are not named after them.
+    pub(crate) hosts: IndexMap<InstanceId, BackendServerId>,
     next_request: u64,
 }
 
@@ -211,6 +213,7 @@
             lives: IndexMap::new(),
             silent: IndexSet::new(),
             links: IndexMap::new(),
+            hosts: IndexMap::new(),
             next_request: 0,
         }
     }
@@ -251,7 +254,8 @@
                 }
                 let name = instance.0.trim_start_matches("i-");
                 let incarnation = self.lives.get(instance).copied().unwrap_or(FIRST_LIFE);
-                let backend_server = BackendServerId::new(name);
+                let named = BackendServerId::new(name);
+                let backend_server = self.hosts.get(instance).cloned().unwrap_or(named);
                 Some(EntryEvent::LinkOpened { link: *link, backend_server, incarnation })
             }
             EntryAction::Send { link, message: ToAgent::Heartbeat { nonce, stamp } } => {
