--- /dev/null
+++ b/crates/core/src/group/map.rs
@@ -0,0 +1,135 @@
+//! Expert maps: which rank holds which experts, layer by layer.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Sizes that a map must have to fit a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MapShape {
+    /// Ranks of the group.
+    pub ranks: u16,
+    /// Experts of each layer.
+    pub experts: u16,
+    /// Layers with experts.
+    pub layers: u16,
+}
+
+/// The experts that each rank holds in one layer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LayerPlacement {
+    /// Experts by rank; an expert named at several ranks is replicated.
+    pub experts_of_rank: Vec<Vec<u16>>,
+}
+
+/// One version of a group's expert map.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpertMap {
+    /// Counts the maps of the group; the coordinator numbers them.
+    pub version: u64,
+    /// Ranks of the group.
+    pub ranks: u16,
+    /// Experts of each layer.
+    pub experts: u16,
+    /// Placement by layer.
+    pub layers: Vec<LayerPlacement>,
+}
+
+/// Digest (xxh3) of a map's content, its version included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct MapDigest(pub u64);
+
+/// Names a map without carrying it.
+///
+/// Version and digest always go together: two coordinators may number two candidate maps alike
+/// when the first one dies before anybody reports its map.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct MapRef {
+    /// Version of the map.
+    pub version: u64,
+    /// Digest of its content.
+    pub digest: MapDigest,
+}
+
+impl fmt::Display for MapRef {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:016x}", self.version, self.digest.0)
+    }
+}
+
+impl ExpertMap {
+    /// The map that a group starts from: experts dealt out to the ranks in turn, no replicas.
+    #[must_use]
+    pub fn uniform(version: u64, shape: MapShape) -> Self {
+        let layer = LayerPlacement {
+            experts_of_rank: (0..shape.ranks)
+                .map(|rank| (rank..shape.experts).step_by(usize::from(shape.ranks)).collect())
+                .collect(),
+        };
+        Self {
+            version,
+            ranks: shape.ranks,
+            experts: shape.experts,
+            layers: vec![layer; usize::from(shape.layers)],
+        }
+    }
+
+    /// The sizes of this map.
+    #[must_use]
+    pub fn shape(&self) -> MapShape {
+        MapShape {
+            ranks: self.ranks,
+            experts: self.experts,
+            layers: u16::try_from(self.layers.len()).unwrap_or(u16::MAX),
+        }
+    }
+
+    /// The name of this map, computed from its content.
+    #[must_use]
+    pub fn reference(&self) -> MapRef {
+        MapRef { version: self.version, digest: self.digest() }
+    }
+
+    /// Whether the map has the given sizes and every expert of every layer has a rank.
+    #[must_use]
+    pub fn fits(&self, shape: MapShape) -> bool {
+        self.shape() == shape && self.layers.iter().all(|layer| self.is_whole(layer))
+    }
+
+    fn is_whole(&self, layer: &LayerPlacement) -> bool {
+        let mut held = vec![false; usize::from(self.experts)];
+        for &expert in layer.experts_of_rank.iter().flatten() {
+            match held.get_mut(usize::from(expert)) {
+                Some(slot) => *slot = true,
+                None => return false,
+            }
+        }
+        layer.experts_of_rank.len() == usize::from(self.ranks) && held.into_iter().all(|is| is)
+    }
+
+    fn digest(&self) -> MapDigest {
+        let mut hasher = Xxh3::new();
+        hasher.update(&self.version.to_le_bytes());
+        hasher.update(&self.ranks.to_le_bytes());
+        hasher.update(&self.experts.to_le_bytes());
+        hash_length(&mut hasher, self.layers.len());
+        for layer in &self.layers {
+            hash_length(&mut hasher, layer.experts_of_rank.len());
+            layer.experts_of_rank.iter().for_each(|experts| hash_experts(&mut hasher, experts));
+        }
+        MapDigest(hasher.digest())
+    }
+}
+
+fn hash_experts(hasher: &mut Xxh3, experts: &[u16]) {
+    hash_length(hasher, experts.len());
+    for expert in experts {
+        hasher.update(&expert.to_le_bytes());
+    }
+}
+
+/// Lengths are hashed as 64 bits, so that agents of every word size agree.
+fn hash_length(hasher: &mut Xxh3, length: usize) {
+    hasher.update(&(length as u64).to_le_bytes());
+}
--- /dev/null
+++ b/crates/core/src/group/membership.rs
@@ -0,0 +1,115 @@
+//! The members of a group, as one document names them.
+
+use super::map::MapShape;
+use hickorycross_config::{BackendServerId, ModelGroup, ModelGroupId, Stamp};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Position of a backend server in the group's list; the lowest live one normally coordinates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Place(pub u8);
+
+impl Place {
+    /// The place as an index into the membership's table.
+    #[must_use]
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Identifies one membership of a group.
+///
+/// The digest covers the group's own lines of the document only. A document changes more than a
+/// thousand times a day; were the whole document's digest used, each of those changes would stop
+/// every group until all of its members had adopted it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Epoch {
+    /// Revision of the document; between two contents the higher one replaces the lower.
+    pub revision: u64,
+    /// Digest (xxh3) of the group's identifier, members and sizes.
+    pub digest: u64,
+}
+
+impl Epoch {
+    /// Whether both name the same members and sizes, whatever the document's revision.
+    #[must_use]
+    pub const fn is_same_content(self, other: Self) -> bool {
+        self.digest == other.digest
+    }
+}
+
+/// The members of one group in rank order, with the sizes of its maps.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Membership {
+    /// Identifies this membership.
+    pub epoch: Epoch,
+    /// The group.
+    pub group: ModelGroupId,
+    /// Backend servers in rank order; the index is the [`Place`].
+    pub servers: Vec<BackendServerId>,
+    /// Ranks on each backend server.
+    pub ranks_per_server: u16,
+    /// Sizes of the group's maps.
+    pub shape: MapShape,
+}
+
+impl Membership {
+    /// Reads the membership out of the document's group.
+    #[must_use]
+    pub fn of(stamp: Stamp, group: &ModelGroup) -> Self {
+        let servers = group.backend_servers.len();
+        let shape = MapShape {
+            ranks: u16::try_from(servers)
+                .unwrap_or(u16::MAX)
+                .saturating_mul(group.ranks_per_server),
+            experts: group.experts_per_layer,
+            layers: group.layers,
+        };
+        Self {
+            epoch: Epoch { revision: stamp.revision, digest: content_digest(group) },
+            group: group.id.clone(),
+            servers: group.backend_servers.clone(),
+            ranks_per_server: group.ranks_per_server,
+            shape,
+        }
+    }
+
+    /// The place of a backend server, if it is a member.
+    #[must_use]
+    pub fn place_of(&self, server: &BackendServerId) -> Option<Place> {
+        let index = self.servers.iter().position(|member| member == server)?;
+        u8::try_from(index).ok().map(Place)
+    }
+
+    /// The backend server at a place.
+    #[must_use]
+    pub fn server_at(&self, place: Place) -> Option<&BackendServerId> {
+        self.servers.get(place.index())
+    }
+
+    /// All places, lowest first.
+    pub fn places(&self) -> impl Iterator<Item = Place> + use<> {
+        (0..=u8::MAX).take(self.servers.len()).map(Place)
+    }
+}
+
+fn content_digest(group: &ModelGroup) -> u64 {
+    let mut hasher = Xxh3::new();
+    let names = std::iter::once(group.id.as_str());
+    for name in names.chain(group.backend_servers.iter().map(BackendServerId::as_str)) {
+        hasher.update(&(name.len() as u64).to_le_bytes());
+        hasher.update(name.as_bytes());
+    }
+    for size in [group.ranks_per_server, group.layers, group.experts_per_layer] {
+        hasher.update(&size.to_le_bytes());
+    }
+    hasher.digest()
+}
