feat(group): agreement on one expert map, with a randomised run

Cause: in every step all ranks of a group have to use one expert map, while coordinators die, messages arrive late and members are replaced. Ruled out: a consensus group or shared store (the group makes no step without all ranks, so a promise of every member is free); a window of grants counted in steps alone (tens of seconds until a change takes effect in a slow group).

--- a/crates/core/src/group/engine.rs
+++ b/crates/core/src/group/engine.rs
@@ -5,6 +5,11 @@
 //! earlier order of this process. It sends orders only while it holds the loopback port that
 //! excludes a second agent on the same instance. It never sends an order twice by itself: the core
 //! repeats what still matters at each heartbeat.
+//!
+//! Of the engines it is asked that a step is made by all ranks together, each on the map that it is
+//! granted for the step. The next step is the one after the last that any rank has completed, or
+//! the first that all ranks are granted, whichever is later. An engine that joins the ranks of a
+//! group, or comes back to them, starts without grants.
 
 use super::grant::StepGrant;
 use super::map::{ExpertMap, MapRef};
@@ -21,7 +26,8 @@
 pub enum EngineOrder {
     /// Report the present state. An engine that checks fencing refuses lower tokens from now on.
     Inspect,
-    /// Load the weights of a map's local ranks in the background, beside the map in use.
+    /// Load the weights of a map's local ranks in the background, beside the map in use. It takes
+    /// the place of another load that is not finished.
     Stage {
         /// The whole map.
         map: Arc<ExpertMap>,
--- a/crates/core/src/group/grant.rs
+++ b/crates/core/src/group/grant.rs
@@ -7,8 +7,7 @@
 /// Permission to make the steps `from_step..=through_step` on one map.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepGrant {
-    /// The membership whose ranks make these steps together. Engines of two memberships never
-    /// make a step together.
+    /// The membership under which it was given. An engine only keeps and reports it.
     pub epoch: Epoch,
     /// The map to use.
     pub map: MapRef,
--- a/crates/core/src/group/map.rs
+++ b/crates/core/src/group/map.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 /// Sizes that a map must have to fit a group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct MapShape {
     /// Ranks of the group.
     pub ranks: u16,
@@ -50,6 +50,8 @@
     pub version: u64,
     /// Digest of its content.
     pub digest: MapDigest,
+    /// Its sizes, so that a coordinator without the content knows whether the map fits.
+    pub shape: MapShape,
 }
 
 impl fmt::Display for MapRef {
@@ -88,7 +90,7 @@
     /// The name of this map, computed from its content.
     #[must_use]
     pub fn reference(&self) -> MapRef {
-        MapRef { version: self.version, digest: self.digest() }
+        MapRef { version: self.version, digest: self.digest(), shape: self.shape() }
     }
 
     /// Whether the map has the given sizes and every expert of every layer has a rank.
--- a/crates/core/src/group/mod.rs
+++ b/crates/core/src/group/mod.rs
@@ -10,13 +10,22 @@
 
 mod audit;
 mod border;
+mod candidate;
+mod coordinator;
 pub mod engine;
+mod engine_view;
+mod follower;
 mod grant;
 mod map;
 mod mechanisms;
 mod member;
 mod membership;
+mod merge;
 mod message;
+mod pace;
+mod role;
+mod shelf;
+mod term;
 pub mod timing;
 
 pub use audit::{AbandonReason, GroupRecord, ProposalFault, Violation};
--- a/crates/core/src/group/timing.rs
+++ b/crates/core/src/group/timing.rs
@@ -33,11 +33,17 @@
 /// Time for all members to acknowledge the map of a change.
 pub const STAGE_DEADLINE_MS: u64 = 30_000;
 
-/// Steps granted ahead of the latest one reported.
+/// Time that the steps granted ahead last, at the group's present pace.
 ///
-/// At 5 ms a step this is 2.5 s: longer than a lost coordinator takes to be replaced among few
-/// members, so that a takeover costs no step.
-pub const GRANT_WINDOW_STEPS: u64 = 512;
+/// Longer than a lost coordinator takes to be replaced among few members, so that a takeover costs
+/// no step. A change takes effect about this long after its commit.
+pub const GRANT_WINDOW_MS: u64 = 2_500;
+
+/// Fewest steps granted ahead; what a group gets that has just started or stalled.
+pub const MIN_WINDOW_STEPS: u64 = 64;
+
+/// Most steps granted ahead.
+pub const MAX_WINDOW_STEPS: u64 = 4_096;
 
 /// Longest time from the moment at which every member is reachable again, with one-way delays of
 /// up to `delay_ms` and engines that load a map within `stage_ms`, to the next step of the group.
--- /dev/null
+++ b/crates/core/tests/support/group_fleet.rs
@@ -0,0 +1,605 @@
+//! A group's agents and engines in one thread, with virtual time and a seeded network.
+//!
+//! Engines step in lock-step whenever every rank is granted the next step; they do not compare
+//! maps, so that a fault of the agreement shows as a step on two maps.
+
+use hickorycross_config::{BackendServerId, Digest, ModelGroup, ModelGroupId, Stamp};
+use hickorycross_core::group::{
+    EngineOrder, EngineState, ExpertMap, FencedOrder, GroupAction, GroupEvent, GroupMember,
+    GroupMessage, GroupRecord, MapRef, Mechanisms, MemberSettings, Membership, StepReport,
+    Violation, timing,
+};
+use hickorycross_core::{Fencing, Incarnation, Now};
+use indexmap::{IndexMap, IndexSet};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::sync::Arc;
+
+/// How the network and the engines behave.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Weather {
+    pub(crate) delay_min_ms: u64,
+    pub(crate) delay_max_ms: u64,
+    pub(crate) lost_permille: u32,
+    pub(crate) doubled_permille: u32,
+    /// Longest time that an order spends in an engine's receive buffer.
+    pub(crate) order_max_ms: u64,
+    pub(crate) stage_ms: u64,
+    pub(crate) step_ms: u64,
+}
+
+impl Weather {
+    pub(crate) const CALM: Self = Self {
+        delay_min_ms: 1,
+        delay_max_ms: 3,
+        lost_permille: 0,
+        doubled_permille: 0,
+        order_max_ms: 1,
+        stage_ms: 300,
+        step_ms: 5,
+    };
+}
+
+/// What was found wrong.
+#[derive(Clone, Debug)]
+pub(crate) enum Finding {
+    TwoMaps { step: u64, maps: Vec<MapRef> },
+    Alarm(Violation),
+}
+
+#[derive(Debug)]
+struct Agent {
+    member: GroupMember,
+    incarnation: Incarnation,
+    /// Inputs that wait while the process is frozen.
+    frozen: Option<Vec<GroupEvent>>,
+    orders: VecDeque<FencedOrder>,
+    is_order_in_flight: bool,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    life: u64,
+    state: EngineState,
+    maps: IndexMap<MapRef, Arc<ExpertMap>>,
+    seen: Fencing,
+    fails_staging: bool,
+}
+
+#[derive(Debug)]
+struct Server {
+    checks_fencing: bool,
+    agent: Option<Agent>,
+    engine: Engine,
+    known: Membership,
+}
+
+#[derive(Debug)]
+enum Delivery {
+    Message { to: BackendServerId, message: GroupMessage },
+    Order { to: BackendServerId, life: u64, incarnation: Incarnation, order: FencedOrder },
+    Answer { to: BackendServerId, incarnation: Incarnation, events: Vec<GroupEvent> },
+    Staged { to: BackendServerId, life: u64, map: Arc<ExpertMap> },
+    Document { to: BackendServerId, membership: Membership },
+    Tick { to: BackendServerId, incarnation: Incarnation },
+    Step,
+}
+
+pub(crate) type Filter = fn(&GroupMessage) -> bool;
+
+/// The whole group, its network and its engines.
+pub(crate) struct Fleet {
+    pub(crate) now_ms: u64,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) weather: Weather,
+    pub(crate) mechanisms: Mechanisms,
+    pub(crate) findings: Vec<Finding>,
+    pub(crate) records: Vec<(u64, BackendServerId, GroupRecord)>,
+    pub(crate) membership: Membership,
+    pub(crate) last_step: u64,
+    pub(crate) last_step_ms: u64,
+    /// Messages that match are kept back until [`Fleet::release`].
+    pub(crate) keeps_back: Option<Filter>,
+    pub(crate) drops: Option<Filter>,
+    pub(crate) messages: u64,
+    /// Against what is asked of engines; steps stay apart as long as those grants are used up.
+    pub(crate) joining_engines_keep_grants: bool,
+    /// An engine reports every so many steps.
+    pub(crate) report_every: u64,
+    servers: IndexMap<BackendServerId, Server>,
+    cuts: IndexSet<(BackendServerId, BackendServerId)>,
+    kept_back: Vec<(BackendServerId, GroupMessage)>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    deliveries: IndexMap<u64, Delivery>,
+    sequence: u64,
+    processes: u64,
+}
+
+pub(crate) fn server(index: usize) -> BackendServerId {
+    BackendServerId::new(&format!("engine-{index}"))
+}
+
+/// The membership of the given servers, `ranks_per_server` ranks each.
+pub(crate) fn membership(revision: u64, indices: &[usize], ranks_per_server: u16) -> Membership {
+    let group = ModelGroup {
+        id: ModelGroupId::new("drafts"),
+        models: vec!["drafts".to_owned()],
+        weights_version: "1".to_owned(),
+        backend_servers: indices.iter().map(|&index| server(index)).collect(),
+        ranks_per_server,
+        layers: 2,
+        experts_per_layer: 12,
+        expert_bytes: 1,
+        expert_slots_per_rank: 12,
+    };
+    Membership::of(Stamp { revision, digest: Digest(revision) }, &group)
+}
+
+impl Fleet {
+    /// A fleet whose servers all start at once; those with an odd index check fencing.
+    pub(crate) fn new(seed: u64, servers: usize) -> Self {
+        let indices: Vec<usize> = (0..servers).collect();
+        let mut fleet = Self {
+            now_ms: 1_000_000,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            weather: Weather::CALM,
+            mechanisms: Mechanisms::ALL,
+            findings: Vec::new(),
+            records: Vec::new(),
+            membership: membership(1, &indices, 1),
+            last_step: 0,
+            last_step_ms: 0,
+            keeps_back: None,
+            drops: None,
+            messages: 0,
+            joining_engines_keep_grants: false,
+            report_every: 1,
+            servers: IndexMap::new(),
+            cuts: IndexSet::new(),
+            kept_back: Vec::new(),
+            queue: BinaryHeap::new(),
+            deliveries: IndexMap::new(),
+            sequence: 0,
+            processes: 0,
+        };
+        for index in indices {
+            fleet.add_server(index, index % 2 == 1);
+        }
+        fleet.after(1, Delivery::Step);
+        fleet
+    }
+
+    pub(crate) fn with_mechanisms(mut self, mechanisms: Mechanisms) -> Self {
+        self.mechanisms = mechanisms;
+        self
+    }
+
+    /// Starts every agent that does not run.
+    pub(crate) fn start_all(&mut self) {
+        for index in 0..self.servers.len() {
+            self.start(index);
+        }
+    }
+
+    pub(crate) fn add_server(&mut self, index: usize, checks_fencing: bool) {
+        let known = self.membership.clone();
+        let engine = Engine::default();
+        let added = Server { checks_fencing, agent: None, engine, known };
+        self.servers.insert(server(index), added);
+    }
+
+    pub(crate) fn set_checks_fencing(&mut self, index: usize, checks_fencing: bool) {
+        self.servers[&server(index)].checks_fencing = checks_fencing;
+    }
+
+    pub(crate) fn server_count(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Starts an agent process, unless one runs: the loopback port admits only one.
+    pub(crate) fn start(&mut self, index: usize) {
+        let id = server(index);
+        if self.servers[&id].agent.is_some() {
+            return;
+        }
+        self.processes += 1;
+        let incarnation = Incarnation(self.processes);
+        let settings = MemberSettings {
+            server: id.clone(),
+            incarnation,
+            checks_fencing: self.servers[&id].checks_fencing,
+            membership: self.servers[&id].known.clone(),
+            mechanisms: self.mechanisms,
+        };
+        let member = GroupMember::new(Now::at(self.now_ms), settings);
+        let orders = VecDeque::new();
+        self.servers[&id].agent =
+            Some(Agent { member, incarnation, frozen: None, orders, is_order_in_flight: false });
+        self.after(1, Delivery::Tick { to: id, incarnation });
+    }
+
+    /// Kills an agent. An order on its way to the engine still arrives.
+    pub(crate) fn kill(&mut self, index: usize) {
+        self.servers[&server(index)].agent = None;
+    }
+
+    pub(crate) fn freeze(&mut self, index: usize) {
+        if let Some(agent) = &mut self.servers[&server(index)].agent {
+            agent.frozen.get_or_insert_default();
+        }
+    }
+
+    /// Wakes an agent: it first acts on its timers, then on what has arrived meanwhile.
+    pub(crate) fn thaw(&mut self, index: usize) {
+        let id = server(index);
+        let agent = self.servers[&id].agent.as_mut();
+        let Some(events) = agent.and_then(|agent| agent.frozen.take()) else {
+            return;
+        };
+        self.handle(&id, GroupEvent::Tick);
+        for event in events {
+            self.handle(&id, event);
+        }
+    }
+
+    /// Replaces the engine by an empty one.
+    pub(crate) fn replace_engine(&mut self, index: usize) {
+        let engine = &mut self.servers[&server(index)].engine;
+        *engine = Engine { life: engine.life + 1, ..Engine::default() };
+    }
+
+    pub(crate) fn fail_staging(&mut self, index: usize, fails: bool) {
+        self.servers[&server(index)].engine.fails_staging = fails;
+    }
+
+    /// Cuts both directions between two servers.
+    pub(crate) fn cut(&mut self, a: usize, b: usize) {
+        self.cut_way(a, b);
+        self.cut_way(b, a);
+    }
+
+    pub(crate) fn cut_way(&mut self, from: usize, to: usize) {
+        self.cuts.insert((server(from), server(to)));
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Changes the members; each agent reads the new document after up to `spread_ms`.
+    pub(crate) fn change_membership(&mut self, indices: &[usize], ranks: u16, spread_ms: u64) {
+        let revision = self.membership.epoch.revision + 1;
+        let next = membership(revision, indices, ranks);
+        let before = std::mem::replace(&mut self.membership, next);
+        for id in self.membership.servers.iter().filter(|id| !before.servers.contains(id)) {
+            if !self.joining_engines_keep_grants {
+                self.servers[id].engine.state.grants.clear();
+            }
+        }
+        self.spread_membership(spread_ms);
+    }
+
+    pub(crate) fn spread_membership(&mut self, spread_ms: u64) {
+        for index in 0..self.servers.len() {
+            let after_ms = self.rng.random_range(0..=spread_ms);
+            let membership = self.membership.clone();
+            self.after(after_ms, Delivery::Document { to: server(index), membership });
+        }
+    }
+
+    pub(crate) fn coordinator(&self) -> Option<usize> {
+        (0..self.servers.len()).find(|&index| self.is_coordinator(index))
+    }
+
+    pub(crate) fn is_coordinator(&self, index: usize) -> bool {
+        let agent = self.servers[&server(index)].agent.as_ref();
+        agent.is_some_and(|agent| agent.frozen.is_none() && agent.member.is_coordinator())
+    }
+
+    /// Proposes a map that differs from the uniform one by a random rotation of its ranks.
+    pub(crate) fn propose(&mut self) {
+        let Some(index) = self.coordinator() else {
+            return;
+        };
+        let mut map = ExpertMap::uniform(0, self.membership.shape);
+        for layer in &mut map.layers {
+            let turn = self.rng.random_range(0..layer.experts_of_rank.len());
+            layer.experts_of_rank.rotate_left(turn);
+        }
+        self.handle(&server(index), GroupEvent::Propose(map));
+    }
+
+    pub(crate) fn run_for(&mut self, span_ms: u64) {
+        let until_ms = self.now_ms + span_ms;
+        while let Some(&Reverse((at_ms, sequence))) = self.queue.peek() {
+            if at_ms > until_ms {
+                break;
+            }
+            self.queue.pop();
+            self.now_ms = at_ms;
+            if let Some(delivery) = self.deliveries.swap_remove(&sequence) {
+                self.deliver(delivery);
+            }
+        }
+        self.now_ms = until_ms;
+    }
+
+    /// Runs until the condition holds, at most `limit_ms`; gives the time that it took.
+    pub(crate) fn run_until(
+        &mut self,
+        limit_ms: u64,
+        holds: impl Fn(&Self) -> bool,
+    ) -> Option<u64> {
+        let start_ms = self.now_ms;
+        while !holds(self) {
+            if self.now_ms >= start_ms + limit_ms {
+                return None;
+            }
+            self.run_for(1);
+        }
+        Some(self.now_ms - start_ms)
+    }
+
+    /// Whether a record of this kind has been written since the given moment.
+    pub(crate) fn has_record(&self, since_ms: u64, is: impl Fn(&GroupRecord) -> bool) -> bool {
+        self.records.iter().any(|(at_ms, _, record)| *at_ms >= since_ms && is(record))
+    }
+
+    /// Delivers what was kept back, in the order of sending, now.
+    pub(crate) fn release(&mut self) {
+        self.keeps_back = None;
+        for (to, message) in std::mem::take(&mut self.kept_back) {
+            self.after(0, Delivery::Message { to, message });
+        }
+    }
+
+    /// The bound of this fleet's stalls, for the present weather.
+    pub(crate) fn stall_bound_ms(&self) -> u64 {
+        let members = self.membership.servers.len() as u64;
+        let delay_ms = self.weather.delay_max_ms + self.weather.order_max_ms;
+        timing::stall_bound_ms(members, delay_ms, self.weather.stage_ms)
+            + 2 * timing::TICK_MS
+            + self.weather.step_ms
+    }
+
+    fn after(&mut self, span_ms: u64, delivery: Delivery) {
+        self.sequence += 1;
+        self.queue.push(Reverse((self.now_ms + span_ms, self.sequence)));
+        self.deliveries.insert(self.sequence, delivery);
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Message { to, message } => self.handle(&to, GroupEvent::Received(message)),
+            Delivery::Order { to, life, incarnation, order } => {
+                self.carry_out(to, life, incarnation, order);
+            }
+            Delivery::Answer { to, incarnation, events } => self.answer(&to, incarnation, events),
+            Delivery::Staged { to, life, map } => self.staged(&to, life, map),
+            Delivery::Document { to, membership } => {
+                let known = &mut self.servers[&to].known;
+                if known.epoch.revision < membership.epoch.revision {
+                    known.clone_from(&membership);
+                }
+                self.handle(&to, GroupEvent::MembershipRead(membership));
+            }
+            Delivery::Tick { to, incarnation } => self.tick(to, incarnation),
+            Delivery::Step => self.step(),
+        }
+    }
+
+    fn tick(&mut self, to: BackendServerId, incarnation: Incarnation) {
+        let agent = self.servers[&to].agent.as_ref();
+        let Some(agent) = agent.filter(|agent| agent.incarnation == incarnation) else {
+            return;
+        };
+        if agent.frozen.is_none() {
+            self.handle(&to, GroupEvent::Tick);
+        }
+        self.after(timing::TICK_MS, Delivery::Tick { to, incarnation });
+    }
+
+    fn handle(&mut self, to: &BackendServerId, event: GroupEvent) {
+        let Some(agent) = &mut self.servers[to].agent else {
+            return;
+        };
+        if let Some(waiting) = &mut agent.frozen {
+            waiting.push(event);
+            return;
+        }
+        let mut actions = Vec::new();
+        agent.member.handle(Now::at(self.now_ms), event, &mut actions);
+        for action in actions {
+            self.act(to, action);
+        }
+    }
+
+    fn act(&mut self, from: &BackendServerId, action: GroupAction) {
+        match action {
+            GroupAction::Send { to, message } => self.send(from, to, message),
+            GroupAction::Order(order) => {
+                let agent = self.servers[from].agent.as_mut().expect("acts while it runs");
+                agent.orders.push_back(order);
+                self.send_order(from);
+            }
+            GroupAction::Alarm(violation) => self.findings.push(Finding::Alarm(violation)),
+            GroupAction::Audit(record) => {
+                self.records.push((self.now_ms, from.clone(), record));
+            }
+        }
+    }
+
+    fn send(&mut self, from: &BackendServerId, to: BackendServerId, message: GroupMessage) {
+        self.messages += 1;
+        if self.cuts.contains(&(from.clone(), to.clone()))
+            || self.drops.is_some_and(|drops| drops(&message))
+            || self.rng.random_ratio(self.weather.lost_permille, 1000)
+        {
+            return;
+        }
+        if self.keeps_back.is_some_and(|keeps| keeps(&message)) {
+            self.kept_back.push((to, message));
+            return;
+        }
+        if self.rng.random_ratio(self.weather.doubled_permille, 1000) {
+            let after_ms = 20 * self.delay_ms();
+            self.after(after_ms, Delivery::Message { to: to.clone(), message: message.clone() });
+        }
+        let after_ms = self.delay_ms();
+        self.after(after_ms, Delivery::Message { to, message });
+    }
+
+    fn delay_ms(&mut self) -> u64 {
+        self.rng.random_range(self.weather.delay_min_ms..=self.weather.delay_max_ms)
+    }
+
+    fn send_order(&mut self, from: &BackendServerId) {
+        let server = &mut self.servers[from];
+        let life = server.engine.life;
+        let agent = server.agent.as_mut().expect("acts while it runs");
+        if agent.is_order_in_flight {
+            return;
+        }
+        let Some(order) = agent.orders.pop_front() else {
+            return;
+        };
+        agent.is_order_in_flight = true;
+        let incarnation = agent.incarnation;
+        let after_ms = self.rng.random_range(0..=self.weather.order_max_ms);
+        self.after(after_ms, Delivery::Order { to: from.clone(), life, incarnation, order });
+    }
+
+    /// The engine carries out an order, whether or not the agent that sent it still runs.
+    fn carry_out(
+        &mut self,
+        to: BackendServerId,
+        life: u64,
+        incarnation: Incarnation,
+        fenced: FencedOrder,
+    ) {
+        let server = &mut self.servers[&to];
+        let FencedOrder { id, fencing, order } = fenced;
+        let mut events = Vec::new();
+        if server.engine.life == life {
+            let is_old = server.checks_fencing && fencing < server.engine.seen;
+            server.engine.seen = server.engine.seen.max(fencing);
+            if is_old {
+                events.push(GroupEvent::EngineRefused { id, seen: server.engine.seen });
+            } else {
+                let staged = server.engine.apply(order, &mut events);
+                events.push(GroupEvent::EngineAnswered { id, state: server.engine.state.clone() });
+                if let Some(map) = staged {
+                    let stage_ms = self.weather.stage_ms;
+                    self.after(stage_ms, Delivery::Staged { to: to.clone(), life, map });
+                }
+            }
+        }
+        self.after(0, Delivery::Answer { to, incarnation, events });
+    }
+
+    fn answer(&mut self, to: &BackendServerId, incarnation: Incarnation, events: Vec<GroupEvent>) {
+        let agent = self.servers[to].agent.as_mut();
+        let Some(agent) = agent.filter(|agent| agent.incarnation == incarnation) else {
+            return;
+        };
+        agent.is_order_in_flight = false;
+        for event in events {
+            self.handle(to, event);
+        }
+        if self.servers[to].agent.is_some() {
+            self.send_order(to);
+        }
+    }
+
+    fn staged(&mut self, to: &BackendServerId, life: u64, map: Arc<ExpertMap>) {
+        let engine = &mut self.servers[to].engine;
+        let reference = map.reference();
+        if engine.life != life || engine.state.staging != Some(reference) {
+            return;
+        }
+        engine.state.staging = None;
+        if engine.fails_staging {
+            self.handle(to, GroupEvent::EngineStageFailed(reference));
+            return;
+        }
+        engine.state.resident.push(reference);
+        engine.maps.insert(reference, map);
+        self.handle(to, GroupEvent::EngineStaged(reference));
+    }
+
+    /// Makes a step if every rank of the group is granted it.
+    fn step(&mut self) {
+        self.after(self.weather.step_ms, Delivery::Step);
+        let members = self.membership.servers.clone();
+        let states = || members.iter().map(|id| &self.servers[id].engine.state);
+        let completed = states().map(|state| state.completed_step).max().unwrap_or(0);
+        let first = |state: &EngineState| state.grants.first().map(|grant| grant.from_step);
+        let Some(firsts) = states().map(first).collect::<Option<Vec<u64>>>() else {
+            return;
+        };
+        let step = firsts.into_iter().min().unwrap_or(0).max(completed + 1);
+        let map_of = |state: &EngineState| {
+            state.grants.iter().find(|grant| grant.covers(step)).map(|grant| grant.map)
+        };
+        let Some(maps) = states().map(map_of).collect::<Option<Vec<MapRef>>>() else {
+            return;
+        };
+        if maps.iter().any(|map| *map != maps[0]) {
+            self.findings.push(Finding::TwoMaps { step, maps: maps.clone() });
+        }
+        self.last_step = step;
+        self.last_step_ms = self.now_ms;
+        for (rank, (id, map)) in (0..).zip(members.iter().zip(maps)) {
+            self.servers[id].engine.state.completed_step = step;
+            if step.is_multiple_of(self.report_every) {
+                self.handle(id, GroupEvent::EngineReported(StepReport { rank, step, map }));
+            }
+        }
+    }
+}
+
+impl Engine {
+    /// Applies an order; gives the map whose load it starts.
+    fn apply(
+        &mut self,
+        order: EngineOrder,
+        events: &mut Vec<GroupEvent>,
+    ) -> Option<Arc<ExpertMap>> {
+        match order {
+            EngineOrder::Inspect => {}
+            EngineOrder::Grant { grants } => {
+                assert!(grants.len() <= 2, "an engine takes two grants at most");
+                let loaded = |grant: &&_| self.is_loaded(grant);
+                self.state.grants = grants.iter().filter(loaded).copied().collect();
+            }
+            EngineOrder::Stage { map } => {
+                let reference = map.reference();
+                let is_known = self.state.resident.contains(&reference);
+                if !is_known && self.state.staging != Some(reference) {
+                    self.state.staging = Some(reference);
+                    return Some(map);
+                }
+            }
+            EngineOrder::Discard { map } => self.state.resident.retain(|held| *held != map),
+            EngineOrder::ReadMap { map } => {
+                events.extend(self.maps.get(&map).cloned().map(GroupEvent::EngineMapRead));
+            }
+        }
+        None
+    }
+
+    fn is_loaded(&self, grant: &hickorycross_core::group::StepGrant) -> bool {
+        self.state.resident.contains(&grant.map)
+    }
+}
+
+impl Fleet {
+    /// Prints the audit trail of all members.
+    pub(crate) fn print_trail(&self) {
+        for (at_ms, server, record) in &self.records {
+            println!("{at_ms} {server} {record:?}");
+        }
+    }
+}
