--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -1,140 +1,173 @@
-//! A fleet of real processes around stand-ins, for tests.
+//! A fleet of real processes around stand-ins, for tests. Links to agents pass through relays.
 
+mod process;
+
+use hickorycross_config::{Document, hash_api_key};
+use hickorycross_core::InstanceState;
 use hickorycross_entry::demo::{Stage, StageOptions};
+use hickorycross_runtime::operators::Status;
 use hickorycross_standins::Knobs;
+use hickorycross_standins::relay::UdpRelay;
+use indexmap::IndexMap;
+
+#[allow(unused_imports, reason = "each test file uses the parts that it needs")]
+pub(crate) use process::{Process, agent_program, entry_program};
 use serde::Serialize;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-const DOCUMENT: &str = include_str!("../../../../examples/saraswati.json");
-const START_TRIES: u32 = 600;
-const START_PAUSE: Duration = Duration::from_millis(50);
+/// The school spelling example.
+#[allow(dead_code, reason = "each test file uses the parts that it needs")]
+pub(crate) const SCHOOL: &str = include_str!("../../../../examples/saraswati.json");
+const SMALL: &str = include_str!("small.json");
+const TRIES: u32 = 600;
+const PAUSE: Duration = Duration::from_millis(50);
+const RELAY_SEED: u64 = 7;
 
 static NEXT_NETWORK: AtomicU8 = AtomicU8::new(1);
 
-/// Processes that end with the test.
+/// Stand-ins and processes that end with the test.
+#[allow(dead_code, reason = "each test file uses the parts that it needs")]
 pub(crate) struct Fleet {
     pub(crate) stage: Stage,
-    _agents: Vec<Process>,
-    _entries: Vec<Process>,
+    pub(crate) relays: IndexMap<String, UdpRelay>,
+    pub(crate) agents: IndexMap<String, Process>,
+    pub(crate) entries: Vec<Process>,
     pub(crate) client: reqwest::Client,
 }
 
-/// One process and its settings file.
-pub(crate) struct Process {
-    child: Child,
-    settings: PathBuf,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
+/// The small document, with the keys `example-key-<team>`.
+#[allow(dead_code, reason = "each test file uses the parts that it needs")]
+pub(crate) fn small_document() -> String {
+    let hash = |team| {
+        let hash = hash_api_key(&format!("example-key-{team}"));
+        serde_json::to_value(hash).ok().and_then(|hash| hash.as_str().map(str::to_owned))
+    };
+    SMALL
+        .replace("KEY_CLERKS", &hash("clerks").expect("a hash"))
+        .replace("KEY_ARCHIVE", &hash("archive").expect("a hash"))
 }
 
+#[allow(dead_code, reason = "each test file uses the parts that it needs")]
 impl Fleet {
-    /// Starts stand-ins, all agents of the example document and some entries, and waits until the
-    /// entries are ready.
-    pub(crate) async fn start(entries: u8) -> Self {
-        let network = unique_network();
+    /// Starts stand-ins, all agents of a document and some entries, and waits until they are
+    /// ready.
+    pub(crate) async fn start(document: &str, entries: u8, knobs: Knobs) -> Self {
         let options = StageOptions {
-            document: DOCUMENT.to_owned(),
+            document: document.to_owned(),
             entries,
-            network,
-            knobs: Knobs::default(),
-            log_filter: "warn".to_owned(),
+            network: unique_network(),
+            knobs,
+            log_filter: "warn,audit=off,platform=off".to_owned(),
         };
-        let stage = Stage::set_up(&options).await.expect("a stage");
-        let _agents = stage
-            .agents
-            .iter()
-            .map(|settings| {
-                spawn(&agent_program(), settings.instance.0.as_ref(), network, settings)
-            })
-            .collect();
-        let _entries = stage
+        let mut stage = Stage::set_up(&options).await.expect("a stage");
+        let relays = put_relays_between(&mut stage).await;
+        let agents = stage.agents.iter().map(|settings| {
+            let process = Process::spawn(&agent_program(), &settings.instance, settings);
+            (settings.backend_server.as_str().to_owned(), process)
+        });
+        let agents = agents.collect();
+        let entries = stage
             .entries
             .iter()
-            .map(|settings| spawn(entry_program(), settings.instance.0.as_ref(), network, settings))
+            .map(|settings| Process::spawn(entry_program(), &settings.instance, settings))
             .collect();
         let client = reqwest::Client::builder().no_proxy().build().expect("a client");
-        let fleet = Self { stage, _agents, _entries, client };
-        fleet.wait_until_ready().await;
+        let fleet = Self { stage, relays, agents, entries, client };
+        for address in fleet.operator_addresses() {
+            fleet.wait_until_ready(address).await;
+        }
         fleet
     }
 
-    /// Posts JSON to an entry with a team's example key.
-    pub(crate) async fn post<T: Serialize>(
+    /// A request with a team's example key and a body in JSON, to be sent.
+    pub(crate) fn post<T: Serialize>(
         &self,
         entry: usize,
         team: &str,
         path: &str,
         body: &T,
-    ) -> reqwest::Response {
+    ) -> reqwest::RequestBuilder {
         let address = self.stage.entries[entry].caller_address;
         self.client
             .post(format!("http://{address}{path}"))
             .bearer_auth(format!("example-key-{team}"))
             .json(body)
-            .send()
-            .await
-            .expect("an answer")
     }
 
-    async fn wait_until_ready(&self) {
-        let addresses = self
-            .stage
-            .entries
-            .iter()
-            .map(|settings| settings.operator_address)
-            .chain(self.stage.agents.iter().map(|settings| settings.operator_address));
-        for address in addresses {
-            let url = format!("http://{address}/health/ready");
-            let mut tries = 0;
-            loop {
-                let answer = self.client.get(&url).send().await;
-                if answer.is_ok_and(|answer| answer.status().is_success()) {
-                    break;
-                }
-                tries += 1;
-                assert!(tries < START_TRIES, "{url} did not become ready");
-                tokio::time::sleep(START_PAUSE).await;
-            }
-        }
+    /// Operators' addresses of every process, agents first.
+    pub(crate) fn operator_addresses(&self) -> Vec<SocketAddr> {
+        let agents = self.stage.agents.iter().map(|settings| settings.operator_address);
+        agents.chain(self.stage.entries.iter().map(|settings| settings.operator_address)).collect()
+    }
+
+    /// What a process says of itself; none while it does not answer.
+    pub(crate) async fn status(&self, address: SocketAddr) -> Option<Status> {
+        self.client.get(format!("http://{address}/status")).send().await.ok()?.json().await.ok()
+    }
+
+    /// Waits until a process answers its readiness check.
+    pub(crate) async fn wait_until_ready(&self, address: SocketAddr) {
+        let url = format!("http://{address}/health/ready");
+        wait_for(&url, async || {
+            let answer = self.client.get(&url).send().await;
+            answer.is_ok_and(|answer| answer.status().is_success())
+        })
+        .await;
+    }
+
+    /// Waits until a process has adopted a revision.
+    pub(crate) async fn wait_for_revision(&self, address: SocketAddr, revision: u64) {
+        wait_for(&format!("revision {revision} at {address}"), async || {
+            let status = self.status(address).await;
+            status.is_some_and(|status| status.stamp.revision == revision)
+        })
+        .await;
+    }
+
+    /// Marks an agent's instance in the platform's list.
+    pub(crate) fn list_as(&mut self, backend_server: &str, state: InstanceState) {
+        let id = format!("agent-of-{backend_server}");
+        let rows = self.stage.instances.iter_mut();
+        rows.filter(|instance| *instance.id.0 == *id).for_each(|instance| instance.state = state);
+        self.stage.platform.set_instances(self.stage.instances.clone());
     }
 }
 
-/// Two bytes of a loopback network that no other test process uses at the same time.
-fn unique_network() -> [u8; 2] {
-    let [.., third, fourth] = std::process::id().to_be_bytes();
-    let own = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed);
-    [third ^ own.rotate_left(4) | 1, fourth]
+/// Waits until a condition holds; the bound only ends a test that would hang.
+pub(crate) async fn wait_for(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    for _ in 0..TRIES {
+        if holds().await {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("waited in vain: {what}");
 }
 
-fn entry_program() -> &'static Path {
-    Path::new(env!("CARGO_BIN_EXE_hickorycross-entry"))
+async fn put_relays_between(stage: &mut Stage) -> IndexMap<String, UdpRelay> {
+    let mut relays = IndexMap::new();
+    for (agent, instance) in stage.agents.iter().zip(&mut stage.instances) {
+        let relay = UdpRelay::start(agent.link_address, RELAY_SEED).await.expect("a relay");
+        instance.link_address = relay.address();
+        relays.insert(agent.backend_server.as_str().to_owned(), relay);
+    }
+    stage.platform.set_instances(stage.instances.clone());
+    relays
 }
 
-/// Cargo names only a package's own programs to its tests; the agent stands beside the entry.
-fn agent_program() -> PathBuf {
-    entry_program().with_file_name("hickorycross-agent")
+/// A changed document: one field of the small one, so that its revisions differ.
+#[allow(dead_code, reason = "each test file uses the parts that it needs")]
+pub(crate) fn retitled(document: &str, title: &str) -> String {
+    let mut document: Document = serde_json::from_str(document).expect("a document");
+    document.title = title.to_owned();
+    document.canonical_json()
 }
 
-fn spawn<T: Serialize>(program: &Path, name: &str, network: [u8; 2], settings: &T) -> Process {
-    let [second, third] = network;
-    let file = std::env::temp_dir().join(format!("hickorycross-{second}-{third}-{name}.json"));
-    let text = serde_json::to_string_pretty(settings).expect("settings in JSON");
-    std::fs::write(&file, text).expect("a settings file");
-    let child = Command::new(program)
-        .arg("run")
-        .arg("--settings")
-        .arg(&file)
-        .stdout(Stdio::null())
-        .spawn()
-        .unwrap_or_else(|error| panic!("{}: {error}", program.display()));
-    Process { child, settings: file }
+/// Two bytes of a loopback network that no other test process uses at the same time.
+fn unique_network() -> [u8; 2] {
+    let [.., third, fourth] = std::process::id().to_be_bytes();
+    let own = NEXT_NETWORK.fetch_add(1, Ordering::Relaxed);
+    [(third ^ own.rotate_left(4)) | 1, fourth]
 }
