fix(entry): stop Rocket only when every answer is out

Cause: Rocket waits for the whole of its grace while any connection is open, idle ones too, and cuts what is still open after it; with an hour's grace a drained entry hung, with a short one it would cut long answers. Now the entry waits until every answer has been handed to its connection, and then stops Rocket with a second of grace. Shown by planned_stops_cut_nothing.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -74,6 +74,7 @@
     clock: SteadyClock,
     body_limit: ByteUnit,
     open: Arc<Semaphore>,
+    open_requests: u32,
     catalog: Arc<Catalog>,
 }
 
@@ -96,7 +97,7 @@
         driver: UnboundedSender<Inbound>,
         clock: SteadyClock,
         body_limit_bytes: u64,
-        open_requests: usize,
+        open_requests: u32,
         catalog: Arc<Catalog>,
     ) -> Self {
         let shared = Shared {
@@ -105,12 +106,18 @@
             driver,
             clock,
             body_limit: ByteUnit::Byte(body_limit_bytes),
-            open: Arc::new(Semaphore::new(open_requests)),
+            open: Arc::new(Semaphore::new(open_requests as usize)),
+            open_requests,
             catalog,
         };
         Self { shared: Arc::new(shared) }
     }
 
+    /// Waits until no request is open and every answer has been handed to the connections.
+    pub(crate) async fn wait_until_idle(&self) {
+        let _ = self.shared.open.acquire_many(self.shared.open_requests).await;
+    }
+
     /// The routes that catch everything.
     pub(crate) fn routes(&self) -> Vec<Route> {
         METHODS.iter().map(|method| Route::new(*method, "/<path..>", self.clone())).collect()
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -45,7 +45,8 @@
     driver: tokio::task::JoinHandle<()>,
     drain: Option<oneshot::Sender<()>>,
     view: Arc<View>,
-    callers: Running,
+    callers: Callers,
+    server: Running,
     operators: Running,
 }
 
@@ -74,7 +75,7 @@
             catalog.clone(),
         );
         let server = server::build(settings.caller_address).mount("/", callers.routes());
-        let callers = server::start(settings.caller_address, server).await?;
+        let caller_server = server::start(settings.caller_address, server).await?;
         let views = Views { inspect: view.clone(), trail: trail.clone(), exposition };
         let server = operators::mount(server::build(settings.operator_address), views);
         let operators = server::start(settings.operator_address, server).await?;
@@ -99,7 +100,7 @@
         let inputs =
             Inputs { callers: caller_events, links: link_events, platform, drain: drain_asked };
         let driver = tokio::spawn(driver.run(inputs));
-        Ok(Self { driver, drain: Some(drain), view, callers, operators })
+        Ok(Self { driver, drain: Some(drain), view, callers, server: caller_server, operators })
     }
 
     /// Fails the readiness check, waits until the balancer has noticed, finishes open answers, and
@@ -111,7 +112,8 @@
             let _ = drain.send(());
         }
         let _ = self.driver.await;
-        self.callers.stop().await;
+        self.callers.wait_until_idle().await;
+        self.server.stop().await;
         self.operators.stop().await;
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -10,7 +10,7 @@
 /// Longest body that a caller may send, unless the settings say otherwise.
 const DEFAULT_BODY_LIMIT_BYTES: u64 = 8 * 1024 * 1024;
 /// Requests that may be open at once, unless the settings say otherwise.
-const DEFAULT_OPEN_REQUESTS: usize = 8192;
+const DEFAULT_OPEN_REQUESTS: u32 = 8192;
 /// Largest body limit: a body must fit into one frame of a link.
 const LARGEST_BODY_LIMIT_BYTES: u64 = 24 * 1024 * 1024;
 
@@ -35,7 +35,7 @@
     pub body_limit_bytes: u64,
     /// Requests that may be open at once.
     #[serde(default = "default_open_requests")]
-    pub open_requests: usize,
+    pub open_requests: u32,
     /// Log levels, in the form of `RUST_LOG`.
     #[serde(default = "default_log_filter")]
     pub log_filter: String,
@@ -45,7 +45,7 @@
     DEFAULT_BODY_LIMIT_BYTES
 }
 
-fn default_open_requests() -> usize {
+fn default_open_requests() -> u32 {
     DEFAULT_OPEN_REQUESTS
 }
 
--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -5,9 +5,12 @@
 use rocket::{Build, Rocket, Shutdown as ShutdownHandle};
 use std::net::SocketAddr;
 
-/// Seconds that Rocket grants open answers after it was told to stop. It is told only when none
-/// is left, so that its own bounds can cut nothing.
-const GRACE_S: u32 = 3600;
+/// Seconds that Rocket grants connections after it was told to stop, before it cuts them. Whatever
+/// the open answers, it waits for all of them when a connection is open, idle ones too; so it is
+/// told only when every answer is out, and then needs little.
+const GRACE_S: u32 = 1;
+/// Seconds more before Rocket gives up.
+const MERCY_S: u32 = 1;
 
 /// A server that has not been started.
 ///
@@ -19,7 +22,7 @@
         ctrlc: false,
         signals: std::iter::empty().collect(),
         grace: GRACE_S,
-        mercy: 1,
+        mercy: MERCY_S,
         ..Shutdown::default()
     };
     let config = Config {
