fix(core): a piece without its head also shows that an attempt started

A refusal after an early piece counted as not run, because only a head counted as a beginning. The agent contradicts itself there; the safe reading is that it ran. The mutation of the piece order now renumbers pieces instead of switching the whole assembly off, so that it shows what the numbers prevent.

--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -50,6 +50,11 @@
 }
 
 impl Answer {
+    /// Whether anything came that only a started execution can have sent.
+    pub(super) fn has_started(&self) -> bool {
+        self.begun || !self.early.is_empty() || self.end.is_some()
+    }
+
     /// Index of the first piece not delivered.
     pub(super) fn next_chunk(&self) -> u32 {
         self.next_chunk
--- a/crates/core/src/entry/ledger.rs
+++ b/crates/core/src/entry/ledger.rs
@@ -26,8 +26,8 @@
     BegunTwice(AttemptId),
     #[error("piece {index} of attempt {attempt} came out of order or from another attempt")]
     OutOfOrder { attempt: AttemptId, index: u32 },
-    #[error("attempt {0} was reported as not run after its answer began")]
-    RefutedAfterBegin(AttemptId),
+    #[error("attempt {0} was reported as not run after a part of its answer came")]
+    RefutedAfterStart(AttemptId),
     #[error("request {0} finished without an answer or with missing pieces")]
     FinishedIncomplete(RequestId),
 }
@@ -71,14 +71,20 @@
         Ok(())
     }
 
-    /// Notes the fate of an attempt. A refutation after its answer began proves nothing.
-    pub(super) fn settle(&mut self, attempt: AttemptId, verdict: Verdict) -> Result<(), Violation> {
+    /// Notes the fate of an attempt. A refutation after a part of its answer came proves nothing.
+    pub(super) fn settle(
+        &mut self,
+        attempt: AttemptId,
+        verdict: Verdict,
+        started: bool,
+    ) -> Result<(), Violation> {
         let entry = self.entry(attempt.request)?;
-        if entry.answered_by == Some(attempt) && verdict == Verdict::NotRun {
-            entry.attempts.insert(attempt, Some(Verdict::Ran));
-            return Err(Violation::RefutedAfterBegin(attempt));
+        let started = started || entry.answered_by == Some(attempt);
+        let known = if started { Verdict::Ran } else { verdict };
+        entry.attempts.insert(attempt, Some(known));
+        if started && verdict == Verdict::NotRun {
+            return Err(Violation::RefutedAfterStart(attempt));
         }
-        entry.attempts.insert(attempt, Some(verdict));
         Ok(())
     }
 
--- a/crates/core/src/entry/request.rs
+++ b/crates/core/src/entry/request.rs
@@ -113,7 +113,7 @@
 impl Attempt {
     /// What can be said of its execution now.
     pub(super) fn verdict_now(&self) -> Verdict {
-        if self.answer.begun { Verdict::Ran } else { Verdict::MayHaveRun }
+        if self.answer.has_started() { Verdict::Ran } else { Verdict::MayHaveRun }
     }
 
     /// The earliest moment at which something is to be done about it.
--- a/crates/core/src/entry/settle.rs
+++ b/crates/core/src/entry/settle.rs
@@ -37,10 +37,11 @@
     ) {
         let Some(attempt) = self.take_attempt(request) else { return };
         self.counters.attempts_failed += 1;
-        if let Err(violation) = self.ledger.settle(attempt.id, ending.verdict) {
+        let started = attempt.answer.has_started();
+        if let Err(violation) = self.ledger.settle(attempt.id, ending.verdict, started) {
             self.violated(turn, &violation);
         }
-        if attempt.answer.begun {
+        if started {
             ending.verdict = Verdict::Ran;
         }
         let Some(row) = self.requests.get_mut(&request) else { return };
--- a/crates/core/src/entry/stream.rs
+++ b/crates/core/src/entry/stream.rs
@@ -65,10 +65,9 @@
             }
             return;
         };
-        if !self.mechanisms.chunk_order {
-            return turn.push(EntryAction::Chunk { request, bytes });
-        }
+        let numbered = self.mechanisms.chunk_order;
         let Some(live) = self.attempt_mut(request) else { return };
+        let index = if numbered { index } else { live.answer.next_chunk() };
         match live.answer.take_chunk(index, bytes) {
             ChunkTaken::Held => {}
             ChunkTaken::Doubled => self.counters.dropped_doubled += 1,
