fix(core): a used key is never told as not run

Cause: the state of the agent (down, leaving, full) was looked at before the key, so that a caller whose first try may have run was told on its repeat that the request was not run. The key goes first now, also where its home has moved away; the random observer found the latter.

--- a/crates/core/src/agent/key_judgement.rs
+++ b/crates/core/src/agent/key_judgement.rs
@@ -14,8 +14,8 @@
 pub(crate) enum KeyJudgement {
     /// Run it: no earlier run can have happened, or the request is idempotent.
     Run,
-    /// Answer it from an earlier run.
-    Replay { run: AttemptId },
+    /// Answer it from an earlier run; the verdict is what is known of that without its answer.
+    Replay { run: AttemptId, verdict: Verdict },
     /// An earlier run happened or may have, and cannot be repeated.
     Used { earlier: Option<RequestId>, verdict: Verdict },
     /// Refuse it.
@@ -27,12 +27,13 @@
     /// another attempt may have used the key meanwhile, or a document may have moved its home.
     pub(super) fn judge_key(&mut self, now: Now, submit: &Submit) -> KeyJudgement {
         let Some(key) = submit.key else { return KeyJudgement::Run };
-        if let Some(refusal) = self.key_refusal(now, submit, key) {
-            return refusal;
-        }
+        // What is known of the key holds even where its home has moved away meanwhile.
         if let Some(judgement) = self.judge_used(now, submit, key) {
             return judgement;
         }
+        if let Some(refusal) = self.key_refusal(now, submit, key) {
+            return refusal;
+        }
         if !submit.idempotent && self.homes.is_unknown(now, &submit.route, key) {
             self.counters.key_unknown += 1;
             return KeyJudgement::Used { earlier: None, verdict: Verdict::MayHaveRun };
@@ -63,7 +64,12 @@
         key_home(document, route, key) == Some(&self.identity.backend_server)
     }
 
-    fn judge_used(&self, now: Now, submit: &Submit, key: KeyDigest) -> Option<KeyJudgement> {
+    pub(super) fn judge_used(
+        &self,
+        now: Now,
+        submit: &Submit,
+        key: KeyDigest,
+    ) -> Option<KeyJudgement> {
         if !self.mechanisms.key_table {
             return None;
         }
@@ -73,7 +79,7 @@
             return Some(KeyJudgement::Refuse { reason, retry_at: None });
         }
         if self.executions.get(&row.run).is_some_and(Execution::can_repeat) {
-            return Some(KeyJudgement::Replay { run: row.run });
+            return Some(KeyJudgement::Replay { run: row.run, verdict: row.verdict });
         }
         if submit.idempotent {
             return None;
@@ -81,6 +87,30 @@
         Some(KeyJudgement::Used { earlier: Some(row.run.request), verdict: row.verdict })
     }
 
+    /// What to tell instead of a refusal, which says that a request was not run.
+    ///
+    /// A caller that repeats its key asks about the request, not about one attempt. Told that it
+    /// was not run because the agent is leaving, say, it would lodge it again under a new key.
+    pub(super) fn used_instead(
+        &self,
+        submit: &Submit,
+        judgement: KeyJudgement,
+        reason: RefusalReason,
+    ) -> Option<KeyJudgement> {
+        if !self.mechanisms.key_before_refusal {
+            return None;
+        }
+        match judgement {
+            // A held answer needs no backend server.
+            KeyJudgement::Replay { .. } if reason == RefusalReason::BackendDown => Some(judgement),
+            KeyJudgement::Replay { run, verdict } if !submit.idempotent => {
+                Some(KeyJudgement::Used { earlier: Some(run.request), verdict })
+            }
+            KeyJudgement::Used { .. } | KeyJudgement::Refuse { .. } => Some(judgement),
+            KeyJudgement::Run | KeyJudgement::Replay { .. } => None,
+        }
+    }
+
     /// Whether a start would be the second one of a non-idempotent key.
     pub(super) fn key_was_run(&self, now: Now, submit: &Submit) -> bool {
         let used = submit.key.is_some_and(|key| self.keys.get(now, key).is_some());
--- a/crates/core/src/agent/replies.rs
+++ b/crates/core/src/agent/replies.rs
@@ -4,6 +4,7 @@
 use super::border::AgentAction;
 use super::constants::RETRY_SPREAD_PERMILLE;
 use super::core::AgentCore;
+use super::key_judgement::KeyJudgement;
 use crate::audit::{AuditRecord, Change};
 use crate::ids::{AttemptId, LinkId};
 use crate::message::{RefusalReason, ToEntry};
@@ -51,6 +52,11 @@
         reason: RefusalReason,
         actions: &mut Vec<AgentAction>,
     ) {
+        if let Some(KeyJudgement::Used { earlier, verdict }) =
+            self.used_while_queued(now, attempt, reason)
+        {
+            return self.close_used(attempt, earlier, verdict, actions);
+        }
         let waiting = self.queue.remove(&attempt);
         let retry_at = match (reason, waiting) {
             (RefusalReason::QueueFull, Some(waiting)) => self.retry_at(now, waiting.rank),
@@ -64,6 +70,23 @@
         }
     }
 
+    /// Whether the key of a queued attempt was used by another one since it was accepted.
+    fn used_while_queued(
+        &self,
+        now: Now,
+        attempt: AttemptId,
+        reason: RefusalReason,
+    ) -> Option<KeyJudgement> {
+        let Stage::Queued(submit) = &self.attempts.get(&attempt)?.stage else { return None };
+        let used = self.judge_used(now, submit, submit.key?)?;
+        match self.used_instead(submit, used, reason)? {
+            KeyJudgement::Replay { run, verdict } => {
+                Some(KeyJudgement::Used { earlier: Some(run.request), verdict })
+            }
+            judgement => Some(judgement),
+        }
+    }
+
     /// When an attempt of a rank would be started if it came back: the slot time of those that go
     /// first, spread so that refused entries do not all come back at once. None before the first
     /// measurement.
--- a/crates/core/src/agent/start.rs
+++ b/crates/core/src/agent/start.rs
@@ -33,17 +33,9 @@
             self.queue.remove(&attempt);
             return;
         };
-        if self.mechanisms.deadline_recheck && submit.deadline.is_past(now) {
-            self.counters.expired_queued += 1;
-            return self.hand_back(now, attempt, RefusalReason::Expired, actions);
-        }
-        let judgement = match self.mechanisms.key_recheck_at_start {
-            true => self.judge_key(now, &submit),
-            false => KeyJudgement::Run,
-        };
-        match judgement {
+        match self.judge_start(now, &submit) {
             KeyJudgement::Run => self.start(now, &submit, actions),
-            KeyJudgement::Replay { run } => self.read_instead(now, attempt, run, actions),
+            KeyJudgement::Replay { run, .. } => self.read_instead(now, attempt, run, actions),
             KeyJudgement::Used { earlier, verdict } => {
                 self.close_used(attempt, earlier, verdict, actions);
             }
@@ -51,6 +43,20 @@
         }
     }
 
+    fn judge_start(&mut self, now: Now, submit: &Submit) -> KeyJudgement {
+        let judgement = match self.mechanisms.key_recheck_at_start {
+            true => self.judge_key(now, submit),
+            false => KeyJudgement::Run,
+        };
+        if !self.mechanisms.deadline_recheck || !submit.deadline.is_past(now) {
+            return judgement;
+        }
+        self.counters.expired_queued += 1;
+        let reason = RefusalReason::Expired;
+        let refusal = KeyJudgement::Refuse { reason, retry_at: None };
+        self.used_instead(submit, judgement, reason).unwrap_or(refusal)
+    }
+
     /// Takes the submit of a queued attempt; its row counts as refused until its fate is known.
     fn take_queued(&mut self, attempt: AttemptId) -> Option<Box<Submit>> {
         let row = self.attempts.get_mut(&attempt)?;
@@ -160,7 +166,8 @@
         self.begin_reading(now, attempt, run, actions);
     }
 
-    fn close_used(
+    /// Answers a queued attempt whose key turned out to be used.
+    pub(super) fn close_used(
         &mut self,
         attempt: AttemptId,
         earlier: Option<RequestId>,
--- a/crates/core/src/agent/submit.rs
+++ b/crates/core/src/agent/submit.rs
@@ -30,12 +30,9 @@
         if self.answer_known(now, link, &submit, actions) {
             return;
         }
-        if let Some(reason) = self.standing_refusal(now, &submit) {
-            return self.refuse(now, link, &submit, reason, None, actions);
-        }
-        match self.judge_key(now, &submit) {
+        match self.judge_submit(now, &submit) {
             KeyJudgement::Run => self.enqueue(now, link, submit, actions),
-            KeyJudgement::Replay { run } => self.replay(now, link, &submit, run, actions),
+            KeyJudgement::Replay { run, .. } => self.replay(now, link, &submit, run, actions),
             KeyJudgement::Used { earlier, verdict } => {
                 self.refuse_used(link, &submit, earlier, verdict, actions);
             }
@@ -45,6 +42,18 @@
         }
     }
 
+    fn judge_submit(&mut self, now: Now, submit: &Submit) -> KeyJudgement {
+        let standing = self.standing_refusal(now, submit);
+        let judgement = match standing {
+            // Without the route, nothing can be said of the key.
+            Some(RefusalReason::UnknownRoute) => KeyJudgement::Run,
+            _ => self.judge_key(now, submit),
+        };
+        let Some(reason) = standing else { return judgement };
+        let refusal = KeyJudgement::Refuse { reason, retry_at: None };
+        self.used_instead(submit, judgement, reason).unwrap_or(refusal)
+    }
+
     /// Answers a copy of an attempt that is known, or that was known and is forgotten.
     ///
     /// Links may double a message or deliver it late. Without this a copy would run again, or a
@@ -98,15 +107,15 @@
 
     /// What holds for every attempt, whatever its key.
     fn standing_refusal(&self, now: Now, submit: &Submit) -> Option<RefusalReason> {
+        if !self.serves(submit) {
+            return Some(RefusalReason::UnknownRoute);
+        }
         if submit.deadline.is_past(now) {
             return Some(RefusalReason::Expired);
         }
         if self.drain != DrainState::Serving {
             return Some(RefusalReason::Leaving);
         }
-        if !self.serves(submit) {
-            return Some(RefusalReason::UnknownRoute);
-        }
         (!self.healthy).then_some(RefusalReason::BackendDown)
     }
 
--- a/crates/core/tests/agent_life.rs
+++ b/crates/core/tests/agent_life.rs
@@ -256,12 +256,8 @@
         rig.submit(submit(sequence));
     }
     let actions = rig.submit(submit(9));
-    let retry_at = sent(&actions).into_iter().find_map(|message| match message {
-        ToEntry::Refused { retry_at, .. } => *retry_at,
-        _ => None,
-    });
     // Four wait and one more start must follow, 100 ms each, and a quarter of spread at most.
-    let wait_ms = retry_at.expect("measured").since(rig.now.unix_ms);
+    let wait_ms = retry_at(&actions).flatten().expect("measured").since(rig.now.unix_ms);
     assert!((500..=625).contains(&wait_ms), "{wait_ms}");
 }
 
--- a/crates/core/tests/agent_lives.rs
+++ b/crates/core/tests/agent_lives.rs
@@ -2,7 +2,7 @@
 
 mod agent_rig;
 
-use agent_rig::{KEY_HORIZON_MS, document, key_used, lodge, route, started};
+use agent_rig::{KEY_HORIZON_MS, Mechanism, document, key_used, lodge, mechanisms, route, started};
 use hickorycross_config::{BackendServerId, Digest, Document, Stamp, TeamId};
 use hickorycross_core::agent::{
     ADOPTION_SPREAD_MS, AgentAction, AgentCore, AgentEvent, AgentIdentity, Mechanisms, key_home,
@@ -234,25 +234,15 @@
     assert!(starts > 500, "the runs exercise little: {starts} starts");
 }
 
-struct Missing {
-    name: &'static str,
-    off: fn(&mut Mechanisms),
-}
-
-const MISSING: &[Missing] = &[
-    Missing { name: "key_unknown_horizon", off: |m| m.key_unknown_horizon = false },
-    Missing { name: "key_moved_homes", off: |m| m.key_moved_homes = false },
-    Missing { name: "key_home_check", off: |m| m.key_home_check = false },
-    Missing { name: "key_future_check", off: |m| m.key_future_check = false },
-];
+const SEEN: &[Mechanism] =
+    mechanisms!(key_unknown_horizon, key_moved_homes, key_home_check, key_future_check);
 
 #[test]
 fn the_runs_see_each_mechanism_missing() {
-    for Missing { name, off } in MISSING {
-        let mut mechanisms = Mechanisms::default();
-        off(&mut mechanisms);
+    for mechanism in SEEN {
+        let mechanisms = mechanism.without(Mechanisms::default());
         let seen = (0..100).any(|seed| catch_unwind(|| run(seed, mechanisms)).is_err());
-        assert!(seen, "{name} is missing and nothing was seen");
+        assert!(seen, "{} is missing and nothing was seen", mechanism.name);
     }
 }
 
--- a/crates/core/tests/agent_mechanisms.rs
+++ b/crates/core/tests/agent_mechanisms.rs
@@ -14,71 +14,56 @@
 type Seen = Result<(), String>;
 
 struct Case {
-    name: &'static str,
-    /// Takes the mechanism out.
-    off: fn(&mut Mechanisms),
+    mechanism: Mechanism,
     scenario: fn(Mechanisms) -> Seen,
 }
 
-const CASES: &[Case] = &[
-    Case { name: "duplicate_detection", off: |m| m.duplicate_detection = false, scenario: doubled },
-    Case { name: "refusal_records", off: |m| m.refusal_records = false, scenario: late_copy },
-    Case { name: "tombstones", off: |m| m.tombstones = false, scenario: overtaken_submit },
-    Case {
-        name: "forgotten_watermark",
-        off: |m| m.forgotten_watermark = false,
-        scenario: forgotten,
-    },
-    Case { name: "deadline_recheck", off: |m| m.deadline_recheck = false, scenario: paused },
-    Case { name: "expiry_sweep", off: |m| m.expiry_sweep = false, scenario: expired_in_queue },
-    Case { name: "incarnation_check", off: |m| m.incarnation_check = false, scenario: successor },
-    Case { name: "owner_check", off: |m| m.owner_check = false, scenario: stranger },
-    Case { name: "eviction", off: |m| m.eviction = false, scenario: full_of_bronze },
-    Case { name: "team_fairness", off: |m| m.team_fairness = false, scenario: hogging_team },
-    Case { name: "tier_floors", off: |m| m.tier_floors = false, scenario: gold_flood },
-    Case { name: "orphan_abort", off: |m| m.orphan_abort = false, scenario: dead_entry },
-    Case { name: "retention", off: |m| m.retention = false, scenario: reattached },
-    Case { name: "retention_cap", off: |m| m.retention_cap = false, scenario: silent_reader },
-    Case { name: "key_table", off: |m| m.key_table = false, scenario: repeated_key },
-    Case { name: "key_content_check", off: |m| m.key_content_check = false, scenario: reused_key },
-    Case { name: "key_home_check", off: |m| m.key_home_check = false, scenario: foreign_key },
-    Case { name: "key_recheck_at_start", off: |m| m.key_recheck_at_start = false, scenario: twins },
-    Case {
-        name: "key_unknown_horizon",
-        off: |m| m.key_unknown_horizon = false,
-        scenario: restarted,
-    },
-    Case { name: "key_moved_homes", off: |m| m.key_moved_homes = false, scenario: moved_home },
-    Case { name: "key_future_check", off: |m| m.key_future_check = false, scenario: fast_clock },
-    Case { name: "keyed_run_kept", off: |m| m.keyed_run_kept = false, scenario: caller_left },
-    Case {
-        name: "hand_back_on_drain",
-        off: |m| m.hand_back_on_drain = false,
-        scenario: drained_queue,
-    },
-    Case {
-        name: "hand_back_on_backend_down",
-        off: |m| m.hand_back_on_backend_down = false,
-        scenario: backend_died,
-    },
-    Case {
-        name: "drain_waits_for_acknowledgement",
-        off: |m| m.drain_waits_for_acknowledgement = false,
-        scenario: unacknowledged_end,
-    },
-    Case { name: "start_guard", off: |m| m.start_guard = false, scenario: faulty_recheck },
-];
+macro_rules! cases {
+    ($($field:ident => $scenario:ident,)+) => {
+        &[$(Case {
+            mechanism: Mechanism::new(stringify!($field), |mechanisms| mechanisms.$field = false),
+            scenario: $scenario,
+        }),+]
+    };
+}
+
+const CASES: &[Case] = cases!(
+    duplicate_detection => doubled,
+    refusal_records => late_copy,
+    tombstones => overtaken_submit,
+    forgotten_watermark => forgotten,
+    deadline_recheck => paused,
+    expiry_sweep => expired_in_queue,
+    incarnation_check => successor,
+    owner_check => stranger,
+    eviction => full_of_bronze,
+    team_fairness => hogging_team,
+    tier_floors => gold_flood,
+    orphan_abort => dead_entry,
+    retention => reattached,
+    retention_cap => silent_reader,
+    key_table => repeated_key,
+    key_content_check => reused_key,
+    key_home_check => foreign_key,
+    key_recheck_at_start => twins,
+    key_unknown_horizon => restarted,
+    key_moved_homes => moved_home,
+    key_future_check => fast_clock,
+    key_before_refusal => told_not_run,
+    keyed_run_kept => caller_left,
+    hand_back_on_drain => drained_queue,
+    hand_back_on_backend_down => backend_died,
+    drain_waits_for_acknowledgement => unacknowledged_end,
+    start_guard => faulty_recheck,
+);
 
 #[test]
 fn each_mechanism_prevents_its_failure() {
-    for case in CASES {
-        let with = (case.scenario)(Mechanisms::default());
-        assert_eq!(with, Ok(()), "{} is on", case.name);
-        let mut without = Mechanisms::default();
-        (case.off)(&mut without);
-        let seen = (case.scenario)(without);
-        assert!(seen.is_err(), "{} is off and nothing was seen", case.name);
-        println!("{}: {}", case.name, seen.unwrap_err());
+    for Case { mechanism, scenario } in CASES {
+        assert_eq!(scenario(Mechanisms::default()), Ok(()), "{} is on", mechanism.name);
+        let seen = scenario(mechanism.without(Mechanisms::default()));
+        assert!(seen.is_err(), "{} is off and nothing was seen", mechanism.name);
+        println!("{}: {}", mechanism.name, seen.unwrap_err());
     }
 }
 
@@ -373,6 +358,25 @@
     check(refused(&first, 1) == Some(RefusalReason::KeyNotYetValid), "run before its moment")
 }
 
+// Symptom: a caller is told that its request was not run and lodges it again under a new key.
+// Sequence: its first try was cut off and may have run; the backend server is marked as down; it
+// repeats the key. A second caller's repeat waits beside its running first try when the agent
+// drains.
+// Cause: the state of the agent looked at before the key.
+fn told_not_run(mechanisms: Mechanisms) -> Seen {
+    let mut rig = Rig::warm(mechanisms);
+    let mut keys = keys_at(&document(), "lodge", "b0").collect::<Vec<_>>().into_iter();
+    let (cut_off, twin) = (keys.next().ok_or("no key")?, keys.next().ok_or("no key")?);
+    rig.submit(lodge(1, cut_off, rig.now));
+    rig.submit(lodge(2, twin, rig.now));
+    rig.submit(lodge(3, twin, rig.now));
+    rig.fail(1, Verdict::MayHaveRun);
+    let drained = rig.step(AgentEvent::Drain);
+    check(key_used(&drained) == Some(Verdict::MayHaveRun), "the twin was told not run")?;
+    let repeat = rig.submit(lodge(4, cut_off, rig.now));
+    check(key_used(&repeat) == Some(Verdict::MayHaveRun), "told not run")
+}
+
 // Symptom: a case is half lodged, and the repeat of its key cannot tell.
 // Sequence: the caller's connection breaks; its entry cancels; the caller repeats the request.
 // Cause: the run aborted although its key makes its answer reachable.
--- a/crates/core/tests/agent_random.rs
+++ b/crates/core/tests/agent_random.rs
@@ -4,6 +4,7 @@
 mod agent_rig;
 mod agent_world;
 
+use agent_rig::{Mechanism, mechanisms};
 use agent_world::World;
 use hickorycross_core::agent::Mechanisms;
 use std::panic::catch_unwind;
@@ -45,31 +46,27 @@
     }
 }
 
-struct Blind {
-    name: &'static str,
-    off: fn(&mut Mechanisms),
-}
-
-const OFF: &[Blind] = &[
-    Blind { name: "duplicate_detection", off: |m| m.duplicate_detection = false },
-    Blind { name: "refusal_records", off: |m| m.refusal_records = false },
-    Blind { name: "tombstones", off: |m| m.tombstones = false },
-    Blind { name: "forgotten_watermark", off: |m| m.forgotten_watermark = false },
-    Blind { name: "deadline_recheck", off: |m| m.deadline_recheck = false },
-    Blind { name: "key_table", off: |m| m.key_table = false },
-    Blind { name: "key_recheck_at_start", off: |m| m.key_recheck_at_start = false },
-    Blind { name: "key_content_check", off: |m| m.key_content_check = false },
-    Blind { name: "hand_back_on_drain", off: |m| m.hand_back_on_drain = false },
-];
+const SEEN: &[Mechanism] = mechanisms!(
+    duplicate_detection,
+    refusal_records,
+    tombstones,
+    forgotten_watermark,
+    deadline_recheck,
+    key_table,
+    key_recheck_at_start,
+    key_content_check,
+    key_before_refusal,
+    hand_back_on_drain,
+);
 
 // The observer is worth something only if it sees what each mechanism prevents. The agent's own
 // guard is off as well, so that the observer is alone.
 #[test]
 fn the_observer_sees_each_mechanism_missing() {
-    for blind in OFF {
-        let mut mechanisms = Mechanisms { start_guard: false, ..Mechanisms::default() };
-        (blind.off)(&mut mechanisms);
+    for mechanism in SEEN {
+        let unguarded = Mechanisms { start_guard: false, ..Mechanisms::default() };
+        let mechanisms = mechanism.without(unguarded);
         let seen = (0..RUNS).any(|seed| catch_unwind(|| drop(run(seed, mechanisms))).is_err());
-        assert!(seen, "{} is missing and nothing was seen", blind.name);
+        assert!(seen, "{} is missing and nothing was seen", mechanism.name);
     }
 }
--- a/crates/core/tests/agent_rig/mod.rs
+++ b/crates/core/tests/agent_rig/mod.rs
@@ -261,37 +261,43 @@
     messages.collect()
 }
 
-pub(crate) fn accepted(actions: &[AgentAction], sequence: u64) -> bool {
-    let wanted = attempt(sequence);
-    let is_it = |message: &&ToEntry| matches!(message, ToEntry::Accepted { attempt, .. } if *attempt == wanted);
-    sent(actions).iter().any(is_it)
+/// What the first fitting message says.
+fn first<T>(actions: &[AgentAction], pick: impl Fn(&ToEntry) -> Option<T>) -> Option<T> {
+    sent(actions).into_iter().find_map(pick)
 }
 
-/// The reason for which an attempt was refused.
-pub(crate) fn refused(actions: &[AgentAction], sequence: u64) -> Option<RefusalReason> {
-    sent(actions).into_iter().find_map(|message| match message {
-        ToEntry::Refused { attempt: id, reason, .. } if *id == attempt(sequence) => Some(*reason),
-        _ => None,
-    })
+macro_rules! says {
+    ($(#[$doc:meta])* $name:ident -> $what:ty, $message:pat => $value:expr) => {
+        $(#[$doc])*
+        pub(crate) fn $name(actions: &[AgentAction]) -> Option<$what> {
+            first(actions, |message| match message {
+                $message => Some($value),
+                _ => None,
+            })
+        }
+    };
 }
 
-pub(crate) fn revoked(actions: &[AgentAction]) -> Option<RevokeOutcome> {
-    sent(actions).into_iter().find_map(|message| match message {
-        ToEntry::Revoked { outcome, .. } => Some(*outcome),
-        _ => None,
-    })
-}
+says!(revoked -> RevokeOutcome, ToEntry::Revoked { outcome, .. } => *outcome);
+says!(failed -> Verdict, ToEntry::Failed { verdict, .. } => *verdict);
+says!(key_used -> Verdict, ToEntry::KeyUsed { verdict, .. } => *verdict);
+says!(
+    /// Chunks and bytes named by an end marker.
+    end_counts -> (u32, u64),
+    ToEntry::End { chunk_count, byte_count, .. } => (*chunk_count, *byte_count)
+);
+says!(retry_at -> Option<UnixMs>, ToEntry::Refused { retry_at, .. } => *retry_at);
 
-pub(crate) fn failed(actions: &[AgentAction]) -> Option<Verdict> {
-    sent(actions).into_iter().find_map(|message| match message {
-        ToEntry::Failed { verdict, .. } => Some(*verdict),
-        _ => None,
+pub(crate) fn accepted(actions: &[AgentAction], sequence: u64) -> bool {
+    sent(actions).into_iter().any(|message| {
+        matches!(message, ToEntry::Accepted { attempt: id, .. } if *id == attempt(sequence))
     })
 }
 
-pub(crate) fn key_used(actions: &[AgentAction]) -> Option<Verdict> {
-    sent(actions).into_iter().find_map(|message| match message {
-        ToEntry::KeyUsed { verdict, .. } => Some(*verdict),
+/// The reason for which an attempt was refused.
+pub(crate) fn refused(actions: &[AgentAction], sequence: u64) -> Option<RefusalReason> {
+    first(actions, |message| match message {
+        ToEntry::Refused { attempt: id, reason, .. } if *id == attempt(sequence) => Some(*reason),
         _ => None,
     })
 }
@@ -305,14 +311,6 @@
     indexes.collect()
 }
 
-/// Chunks and bytes named by an end marker.
-pub(crate) fn end_counts(actions: &[AgentAction]) -> Option<(u32, u64)> {
-    sent(actions).into_iter().find_map(|message| match message {
-        ToEntry::End { chunk_count, byte_count, .. } => Some((*chunk_count, *byte_count)),
-        _ => None,
-    })
-}
-
 pub(crate) fn aborted(actions: &[AgentAction]) -> bool {
     actions.iter().any(|action| matches!(action, AgentAction::Abort { .. }))
 }
@@ -328,3 +326,34 @@
     };
     actions.iter().filter(broken).count()
 }
+
+/// A mechanism that can be taken out.
+pub(crate) struct Mechanism {
+    pub(crate) name: &'static str,
+    off: fn(&mut Mechanisms),
+}
+
+impl Mechanism {
+    pub(crate) const fn new(name: &'static str, off: fn(&mut Mechanisms)) -> Self {
+        Self { name, off }
+    }
+
+    /// Takes it out.
+    pub(crate) fn without(&self, mut mechanisms: Mechanisms) -> Mechanisms {
+        (self.off)(&mut mechanisms);
+        mechanisms
+    }
+}
+
+#[allow(unused_macros, reason = "each test program uses a part of this file")]
+macro_rules! mechanisms {
+    ($($field:ident),+ $(,)?) => {
+        &[$($crate::agent_rig::Mechanism::new(
+            stringify!($field),
+            |mechanisms| mechanisms.$field = false,
+        )),+]
+    };
+}
+
+#[allow(unused_imports, reason = "each test program uses a part of this file")]
+pub(crate) use mechanisms;
--- a/crates/core/tests/agent_world/observer.rs
+++ b/crates/core/tests/agent_world/observer.rs
@@ -18,7 +18,7 @@
     runs: IndexMap<AttemptId, Run>,
     /// Attempts of which an entry was told that they did not run and will not.
     not_run: IndexSet<AttemptId>,
-    key_uses: IndexMap<KeyDigest, UnixMs>,
+    key_uses: IndexMap<KeyDigest, KeyUse>,
     /// Pieces that an entry holds of an attempt's answer.
     held: IndexMap<AttemptId, IndexMap<u32, Bytes>>,
     /// Attempts whose fate an entry was told.
@@ -27,6 +27,12 @@
     drained: u32,
 }
 
+/// The latest run of a key.
+struct KeyUse {
+    content: u64,
+    free_at: UnixMs,
+}
+
 struct Run {
     pieces: Vec<Bytes>,
     over: bool,
@@ -75,7 +81,7 @@
     pub(crate) fn see(&mut self, now: Now, action: &AgentAction) {
         match action {
             AgentAction::Start { attempt, deadline, .. } => self.start(now, *attempt, *deadline),
-            AgentAction::Send { message, .. } => self.message(message),
+            AgentAction::Send { message, .. } => self.message(now, message),
             AgentAction::Audit(record) => {
                 let violated = matches!(record.change, Change::InvariantViolated { .. });
                 assert!(!violated, "{record:?}");
@@ -103,9 +109,10 @@
         assert!(!self.draining, "{attempt} started while draining");
         assert!(self.accepted.contains(&attempt), "{attempt} was not accepted");
         if let Some(key) = submit.key.filter(|_| !submit.idempotent) {
-            let free_at = self.key_uses.get(&key).copied().unwrap_or_default();
-            assert!(free_at <= now.unix_ms, "the key of {attempt} ran before");
-            self.key_uses.insert(key, UnixMs::NEVER);
+            let running = KeyUse { content: submit.content, free_at: UnixMs::NEVER };
+            let before = self.key_uses.insert(key, running);
+            let free = before.is_none_or(|before| before.free_at <= now.unix_ms);
+            assert!(free, "the key of {attempt} ran before");
         }
         let run = Run { pieces: Vec::new(), over: false };
         assert!(self.runs.insert(attempt, run).is_none(), "{attempt} started twice");
@@ -115,10 +122,10 @@
         self.runs[&attempt].over = true;
         let Some(key) = self.submits[&attempt].key else { return };
         let horizon_ms = if verdict == Verdict::NotRun { 0 } else { KEY_HORIZON_MS };
-        self.key_uses.insert(key, now.after(horizon_ms.into()));
+        self.key_uses[&key].free_at = now.after(horizon_ms.into());
     }
 
-    fn message(&mut self, message: &ToEntry) {
+    fn message(&mut self, now: Now, message: &ToEntry) {
         match message {
             ToEntry::Accepted { attempt, .. } => {
                 self.accepted.insert(*attempt);
@@ -126,7 +133,9 @@
             ToEntry::Refused { attempt, reason, .. } => {
                 let other_life = *reason == RefusalReason::WrongIncarnation;
                 assert!(other_life || !self.runs.contains_key(attempt), "{attempt} did run");
-                self.not_run.insert(*attempt);
+                if self.not_run.insert(*attempt) {
+                    self.check_key_unused(now, *attempt, *reason);
+                }
             }
             ToEntry::Revoked { attempt, outcome: RevokeOutcome::Tombstoned } => {
                 assert!(!self.runs.contains_key(attempt), "{attempt} did run");
@@ -148,6 +157,24 @@
         }
     }
 
+    /// A refusal for the agent's state says that the request was not run, under no attempt.
+    fn check_key_unused(&self, now: Now, attempt: AttemptId, reason: RefusalReason) {
+        let of_state = matches!(
+            reason,
+            RefusalReason::QueueFull | RefusalReason::Leaving | RefusalReason::BackendDown
+        );
+        let Some(submit) = self.submits.get(&attempt).filter(|submit| !submit.idempotent) else {
+            return;
+        };
+        let key_use = submit.key.and_then(|key| self.key_uses.get(&key));
+        let used = key_use
+            .is_some_and(|used| used.content == submit.content && used.free_at > now.unix_ms);
+        assert!(
+            !of_state || !used,
+            "{reason:?}: the request of {attempt} was run under another attempt"
+        );
+    }
+
     /// A piece must be that piece of a run of this very request, and always the same one.
     fn chunk(&mut self, attempt: AttemptId, index: u32, bytes: &Bytes) {
         let known = self.runs_of(attempt).any(|run| run.pieces.get(index as usize) == Some(bytes));
