feat(core): routing compares all candidates while reports are fresh

Own attempts now weigh besides reports; a difference between backend servers counts only when notable.

--- a/crates/core/src/routing/estimate.rs
+++ b/crates/core/src/routing/estimate.rs
@@ -23,6 +23,10 @@
 /// Weight of a sample below the unhindered time.
 const UNHINDERED_LOWER: f64 = 0.05;
 
+/// Below this a difference between backend servers is taken for noise: it would outweigh their
+/// load in each comparison.
+const NOTABLE_SLOWNESS: f64 = 2.0;
+
 /// Most that one backend server is taken to be slower than the others.
 const MOST_SLOWNESS: f64 = 20.0;
 
@@ -81,7 +85,7 @@
         };
         let ratio = row.first_chunk_ms / self.typical_ms();
         let remembered = 1.0 + (ratio - 1.0) * memory(now, row);
-        remembered.clamp(1.0 / MOST_SLOWNESS, MOST_SLOWNESS)
+        if remembered < NOTABLE_SLOWNESS { 1.0 } else { remembered.min(MOST_SLOWNESS) }
     }
 
     /// Share of attempts that failed lately, from 0 to 1.
--- a/crates/core/src/routing/projection.rs
+++ b/crates/core/src/routing/projection.rs
@@ -4,8 +4,25 @@
 use crate::message::Load;
 use crate::time::Now;
 
-/// After this time a report counts for half.
-const REPORT_HALF_LIFE_MS: f64 = 1000.0;
+/// How fast a report loses weight with its age.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Fading {
+    /// For comparing candidates: what this entry has open itself soon tells more than an old report.
+    Ranking,
+    /// For admission: a queue that was long is most likely still long, and work that is accepted
+    /// for want of a fresh report expires in it.
+    Admission,
+}
+
+impl Fading {
+    /// The age at which a report counts for half.
+    const fn half_life_ms(self) -> f64 {
+        match self {
+            Self::Ranking => 500.0,
+            Self::Admission => 8000.0,
+        }
+    }
+}
 
 /// Largest difference between two processes' clocks that is taken for normal.
 const CLOCK_SKEW_MS: u64 = 500;
@@ -15,25 +32,49 @@
 /// As a report ages, what it counted has been served; what this entry itself has open there takes
 /// its place. While the report is fresh the latter must not count: it includes lower tiers, which
 /// do not begin before the new request.
-pub(super) fn requests_ahead(now: Now, candidate: &Candidate<'_>, rank: u8) -> f64 {
+pub(super) fn requests_ahead(now: Now, candidate: &Candidate<'_>, rank: u8, fading: Fading) -> f64 {
     let own = f64::from(candidate.outstanding);
     let Some(load) = candidate.load else {
         return own;
     };
     let counted = f64::from(load.running + waiting_ahead(load, rank));
-    let weight = report_weight(now, candidate, load);
+    let weight = report_weight(now, candidate, fading);
     let reported = counted * weight + own * (1.0 - weight);
     reported + f64::from(candidate.sent_since_report)
 }
 
+/// Age of the latest report of the candidate; none without a report.
+///
+/// A report that sat in the network for long looks fresh by the time of its arrival, and one from
+/// a clock that runs ahead looks fresh by the time of its sampling: the older of both counts.
+fn report_age_ms(now: Now, candidate: &Candidate<'_>) -> Option<u64> {
+    let load = candidate.load?;
+    let since_received = now.unix_ms.since(candidate.load_received);
+    let since_sampled = now.unix_ms.since(load.sampled).saturating_sub(CLOCK_SKEW_MS);
+    Some(since_received.max(since_sampled))
+}
+
+/// Age of the latest report as a part of the time that a request occupies a slot: the part of the
+/// slots that has been filled anew since. None without a report.
+pub(super) fn report_age(now: Now, candidate: &Candidate<'_>) -> Option<f64> {
+    let service_ms = f64::from(candidate.load?.service_ms.max(1));
+    Some(report_age_ms(now, candidate)? as f64 / service_ms)
+}
+
 /// Time until a new request of `rank` begins, when `free_permille` of the starts are left to its
 /// rank by higher ones that are yet to come.
-pub(super) fn wait_ms(now: Now, candidate: &Candidate<'_>, rank: u8, free_permille: f64) -> f64 {
+pub(super) fn wait_ms(
+    now: Now,
+    candidate: &Candidate<'_>,
+    rank: u8,
+    free_permille: f64,
+    fading: Fading,
+) -> f64 {
     let Some(load) = candidate.load else {
         return 0.0;
     };
     let slots = slots(candidate);
-    let queued = requests_ahead(now, candidate, rank) + 1.0 - slots;
+    let queued = requests_ahead(now, candidate, rank, fading) + 1.0 - slots;
     if queued <= 0.0 {
         return 0.0;
     }
@@ -51,11 +92,9 @@
     load.waiting.iter().filter(|tier| tier.rank <= rank).map(|tier| tier.requests).sum()
 }
 
-/// A report that sat in the network for long looks fresh by the time of its arrival, and one from
-/// a clock that runs ahead looks fresh by the time of its sampling: the older of both counts.
-fn report_weight(now: Now, candidate: &Candidate<'_>, load: &Load) -> f64 {
-    let since_received = now.unix_ms.since(candidate.load_received);
-    let since_sampled = now.unix_ms.since(load.sampled).saturating_sub(CLOCK_SKEW_MS);
-    let age_ms = since_received.max(since_sampled) as f64;
-    (-age_ms / REPORT_HALF_LIFE_MS).exp2()
+fn report_weight(now: Now, candidate: &Candidate<'_>, fading: Fading) -> f64 {
+    let Some(age_ms) = report_age_ms(now, candidate) else {
+        return 0.0;
+    };
+    (-(age_ms as f64) / fading.half_life_ms()).exp2()
 }
--- a/crates/core/src/routing/sample.rs
+++ b/crates/core/src/routing/sample.rs
@@ -24,6 +24,17 @@
     indices
 }
 
+/// Distinct entries of `indices`, drawn at random.
+pub(super) fn some_of(rng: &mut ChaCha8Rng, indices: &[usize], count: usize) -> Vec<usize> {
+    let mut drawn = indices.to_vec();
+    for place in 0..count.min(drawn.len()) {
+        let other = rng.random_range(place..drawn.len());
+        drawn.swap(place, other);
+    }
+    drawn.truncate(count);
+    drawn
+}
+
 /// Two distinct entries of `indices`, or the same one twice when there is only one.
 pub(super) fn two_of(rng: &mut ChaCha8Rng, indices: &[usize]) -> Option<(usize, usize)> {
     let count = indices.len();
--- a/crates/core/src/routing/two_choices.rs
+++ b/crates/core/src/routing/two_choices.rs
@@ -4,8 +4,8 @@
 use super::estimate::Estimates;
 use super::margin::Margins;
 use super::mix::Mix;
-use super::projection::{requests_ahead, slots, wait_ms};
-use super::sample::{share_weighted, two_of, usable};
+use super::projection::{Fading, report_age, requests_ahead, slots, wait_ms};
+use super::sample::{share_weighted, some_of, usable};
 use crate::rendezvous;
 use crate::time::Now;
 use hickorycross_config::BackendServerId;
@@ -19,6 +19,24 @@
 /// than this multiple of the usual time.
 const SOUND_SLOWNESS: f64 = 2.0;
 
+/// Weight of this entry's own open attempts when candidates are compared, besides their part in
+/// what is ahead.
+///
+/// Reports tell all entries the same, so all of them run after the same candidates; own attempts
+/// differ from entry to entry. Entries that each spread their own work evenly spread the sum
+/// evenly, however old the reports are.
+const OWN_WEIGHT: f64 = 3.0;
+
+/// Mean age of reports, as a part of the time that a request occupies a slot, up to which all
+/// candidates are compared and not only two of them.
+const FRESH_PART: f64 = 0.5;
+
+/// Candidates that are compared while reports are old.
+const CHOICES: usize = 2;
+
+/// Most candidates that are compared, so that a choice costs the same in a large fleet.
+const MOST_CHOICES: usize = 16;
+
 /// A candidate is preferred only while a smaller share of its attempts failed.
 const SOUND_FAILED_SHARE: f64 = 0.1;
 
@@ -74,12 +92,13 @@
         if let Some(index) = weighing.with_cached_prefix(&usable) {
             return Pick::Candidate(index);
         }
+        let choices = weighing.choices(&usable);
         let near = weighing.near(&usable);
-        let near_best = weighing.better(two_of(&mut self.rng, &near));
+        let near_best = weighing.better(&some_of(&mut self.rng, &near, choices));
         if let Some(index) = near_best.filter(|&index| weighing.has_room(index)) {
             return Pick::Candidate(index);
         }
-        let best = weighing.better(two_of(&mut self.rng, &usable));
+        let best = weighing.better(&some_of(&mut self.rng, &usable, choices));
         weighing.in_time_or_refusal(best.unwrap_or(usable[0]), &usable)
     }
 }
@@ -89,8 +108,8 @@
         &self.choice.candidates[index]
     }
 
-    fn wait_ms(&self, index: usize) -> f64 {
-        wait_ms(self.now, self.candidate(index), self.choice.rank, self.free_permille)
+    fn wait_ms(&self, index: usize, fading: Fading) -> f64 {
+        wait_ms(self.now, self.candidate(index), self.choice.rank, self.free_permille, fading)
     }
 
     /// Expected time to the first chunk, raised by utilisation and by failures.
@@ -100,23 +119,37 @@
     fn cost_ms(&self, index: usize) -> f64 {
         let candidate = self.candidate(index);
         let id = candidate.backend_server;
-        let ahead = requests_ahead(self.now, candidate, self.choice.rank);
-        let utilisation = (ahead + 1.0) / slots(candidate);
+        let ahead = requests_ahead(self.now, candidate, self.choice.rank, Fading::Ranking);
+        let own = OWN_WEIGHT * f64::from(candidate.outstanding);
+        let utilisation = (ahead + own + 1.0) / slots(candidate);
         let first_chunk_ms = self.estimates.first_chunk_ms(self.now, id);
         let answered_share = 1.0 - self.estimates.failed_share(self.now, id);
-        let served_ms = first_chunk_ms * (1.0 + utilisation) + self.wait_ms(index);
+        let served_ms = first_chunk_ms * (1.0 + utilisation) + self.wait_ms(index, Fading::Ranking);
         served_ms / answered_share.powi(4).max(0.001)
     }
 
-    fn better(&self, pair: Option<(usize, usize)>) -> Option<usize> {
-        let (one, other) = pair?;
-        Some(if self.cost_ms(other) < self.cost_ms(one) { other } else { one })
+    /// How many candidates to compare.
+    ///
+    /// While reports are fresh the best of all is best. When they are old, the best of all by them
+    /// is the same for every entry, and all run there together; one would see queues swing from
+    /// empty to full. Two random candidates break that up.
+    fn choices(&self, usable: &[usize]) -> usize {
+        let age = |index: &usize| report_age(self.now, self.candidate(*index));
+        let ages: Vec<f64> = usable.iter().filter_map(age).collect();
+        let sum: f64 = ages.iter().sum();
+        let fresh = ages.len() == usable.len() && sum <= FRESH_PART * ages.len() as f64;
+        if fresh { MOST_CHOICES } else { CHOICES }
+    }
+
+    fn better(&self, drawn: &[usize]) -> Option<usize> {
+        let cost_ms = |index: &usize| self.cost_ms(*index);
+        drawn.iter().copied().min_by(|one, other| cost_ms(one).total_cmp(&cost_ms(other)))
     }
 
     fn has_room(&self, index: usize) -> bool {
         let candidate = self.candidate(index);
         let id = candidate.backend_server;
-        let ahead = requests_ahead(self.now, candidate, self.choice.rank);
+        let ahead = requests_ahead(self.now, candidate, self.choice.rank, Fading::Ranking);
         let slowness = self.estimates.slowness(self.now, id);
         ahead + 1.0 <= slots(candidate) * ROOM
             && slowness <= SOUND_SLOWNESS
@@ -146,11 +179,12 @@
     /// Time until the first chunk as it is held against the deadline.
     fn projected_ms(&self, index: usize) -> f64 {
         let id = self.candidate(index).backend_server;
-        self.wait_ms(index) * self.margin + self.estimates.first_chunk_ms(self.now, id)
+        self.wait_ms(index, Fading::Admission) * self.margin
+            + self.estimates.first_chunk_ms(self.now, id)
     }
 
     fn is_in_time(&self, index: usize) -> bool {
-        self.wait_ms(index) <= 0.0 || self.projected_ms(index) < self.slack_ms()
+        self.wait_ms(index, Fading::Admission) <= 0.0 || self.projected_ms(index) < self.slack_ms()
     }
 
     /// The picked candidate if it begins in time, else the one with the shortest wait if that one
@@ -162,7 +196,7 @@
         let shortest = usable
             .iter()
             .copied()
-            .min_by(|&one, &other| self.wait_ms(one).total_cmp(&self.wait_ms(other)))
+            .min_by(|&one, &other| self.projected_ms(one).total_cmp(&self.projected_ms(other)))
             .unwrap_or(picked);
         if self.is_in_time(shortest) {
             return Pick::Candidate(shortest);
@@ -181,7 +215,11 @@
 
 impl ChooseBackend for TwoChoices {
     fn choose(&mut self, now: Now, choice: &Choice<'_>) -> Pick {
-        self.pick(now, choice)
+        let pick = self.pick(now, choice);
+        if let Pick::Candidate(_) = pick {
+            self.mix.sent(now, choice.rank);
+        }
+        pick
     }
 
     fn observe(&mut self, now: Now, backend_server: &BackendServerId, first_chunk_ms: u64) {
