fix(entry): hold the head of an answer until its first piece

Cause: backend servers send their head at once and work afterwards. The entry passed the head on, which bound the request to that attempt although nothing of the answer existed; when the agent froze before the first piece, the caller got an empty stream that ended in an error event, while two other engines could have answered. Seen by a_frozen_agent_costs_an_idempotent_request_no_answer, red before and green after. Ruled out: retrying after a begun answer, which could mix two answers. The verdict counts the held head as a start, so a non-idempotent request is still never tried again (refusal_after_the_answer_began_proves_nothing went red on a first try that did not).

--- a/crates/core/src/entry/answer.rs
+++ b/crates/core/src/entry/answer.rs
@@ -1,6 +1,7 @@
 //! One attempt's answer, put together from numbered pieces.
 
 use crate::entry::constants::{EARLY_BYTES_MAX, EARLY_CHUNKS_MAX, RECEIVED_EVERY_CHUNKS};
+use crate::message::ResponseHead;
 use bytes::Bytes;
 use indexmap::IndexMap;
 
@@ -38,7 +39,11 @@
 /// The answer so far.
 #[derive(Debug, Default)]
 pub(super) struct Answer {
+    /// The head, until it is given to the caller.
+    head: Option<ResponseHead>,
     /// Whether the head came; pieces are delivered only after it.
+    pub(super) headed: bool,
+    /// Whether the caller has been given the head, so that no other attempt can answer it.
     pub(super) begun: bool,
     next_chunk: u32,
     byte_count: u64,
@@ -52,7 +57,7 @@
 impl Answer {
     /// Whether anything came that only a started execution can have sent.
     pub(super) fn has_started(&self) -> bool {
-        self.begun || !self.early.is_empty() || self.end.is_some()
+        self.headed || !self.early.is_empty() || self.end.is_some()
     }
 
     /// Index of the first piece not delivered.
@@ -60,6 +65,23 @@
         self.next_chunk
     }
 
+    /// Takes the head and holds it; false when it came before.
+    pub(super) fn take_head(&mut self, head: ResponseHead) -> bool {
+        let is_first = !self.headed;
+        if is_first {
+            self.headed = true;
+            self.head = Some(head);
+        }
+        is_first
+    }
+
+    /// Gives the head out, once.
+    pub(super) fn begin(&mut self) -> Option<ResponseHead> {
+        let head = self.head.take()?;
+        self.begun = true;
+        Some(head)
+    }
+
     /// Takes a piece; [`Answer::next_ready`] gives out what can be delivered.
     pub(super) fn take_chunk(&mut self, index: u32, bytes: Bytes) -> ChunkTaken {
         if index < self.next_chunk || self.early.contains_key(&index) {
@@ -78,7 +100,7 @@
 
     /// The next piece in order, once the head has come.
     pub(super) fn next_ready(&mut self) -> Option<(u32, Bytes)> {
-        if !self.begun {
+        if !self.headed {
             return None;
         }
         let index = self.next_chunk;
@@ -107,7 +129,7 @@
         if self.contradicted || beyond || (all && self.byte_count != end.byte_count) {
             return Completeness::Contradiction;
         }
-        if all && self.begun { Completeness::Whole } else { Completeness::Gap }
+        if all && self.headed { Completeness::Whole } else { Completeness::Gap }
     }
 
     /// The acknowledgement that is due, if any.
--- a/crates/core/src/entry/stream.rs
+++ b/crates/core/src/entry/stream.rs
@@ -27,22 +27,13 @@
         let Some(request) = self.live_request(turn, link, attempt) else {
             return turn.send(link, ToAgent::Cancel { attempt });
         };
+        let server_error = head.status >= SERVER_ERROR;
         let Some(live) = self.attempt_mut(request) else { return };
-        if live.answer.begun {
+        if !live.answer.take_head(head) {
             self.counters.dropped_doubled += 1;
             return;
         }
-        let id = live.id;
-        if let Err(violation) = self.ledger.begin(id) {
-            self.violated(turn, &violation);
-            return self.interrupt(turn, request, "another answer had begun");
-        }
-        let server_error = head.status >= SERVER_ERROR;
-        if let Some(live) = self.attempt_mut(request) {
-            live.answer.begun = true;
-            live.server_error = server_error;
-        }
-        turn.push(EntryAction::Begin { request, head });
+        live.server_error = server_error;
         self.progressed(turn, link, request);
         if server_error {
             self.signal_of_attempt(turn, request, Signal::Failed);
@@ -50,6 +41,25 @@
         self.deliver(turn, link, request);
     }
 
+    /// Gives the head to the caller, right before the first piece or the end.
+    ///
+    /// Backend servers send their head at once and work afterwards. Were it passed on at once, the
+    /// request would be bound to this attempt while nothing of the answer exists: one would see
+    /// answers cut off after their head when an agent dies, although another backend server could
+    /// give the whole of them.
+    fn begin(&mut self, turn: &mut Turn<'_>, request: RequestId) -> bool {
+        let Some(live) = self.attempt_mut(request) else { return false };
+        let id = live.id;
+        let Some(head) = live.answer.begin() else { return true };
+        if let Err(violation) = self.ledger.begin(id) {
+            self.violated(turn, &violation);
+            self.interrupt(turn, request, "another answer had begun");
+            return false;
+        }
+        turn.push(EntryAction::Begin { request, head });
+        true
+    }
+
     pub(super) fn chunk(
         &mut self,
         turn: &mut Turn<'_>,
@@ -88,8 +98,11 @@
         let Some(request) = self.live_request(turn, link, attempt) else { return };
         let checked = self.mechanisms.end_marker_check;
         let Some(live) = self.attempt_mut(request) else { return };
-        if !checked && live.answer.begun {
+        if !checked && live.answer.headed {
             let held = live.answer.next_chunk();
+            if !self.begin(turn, request) {
+                return;
+            }
             return self.finish(turn, request, held);
         }
         live.answer.take_end(EndMarker { chunk_count, byte_count });
@@ -101,6 +114,9 @@
     fn deliver(&mut self, turn: &mut Turn<'_>, link: LinkId, request: RequestId) {
         let mut moved = false;
         while let Some((id, index, bytes)) = self.next_piece(request) {
+            if !self.begin(turn, request) {
+                return;
+            }
             if let Err(violation) = self.ledger.chunk(id, index) {
                 self.violated(turn, &violation);
                 return self.interrupt(turn, request, "pieces came out of order");
@@ -138,6 +154,9 @@
             Completeness::Open => {}
             Completeness::Gap => self.hasten_reattach(turn, request),
             Completeness::Whole => {
+                if !self.begin(turn, request) {
+                    return;
+                }
                 turn.send(link, ToAgent::Received { attempt, next_chunk });
                 self.finish(turn, request, next_chunk);
             }
