fix(lab): heartbeats of links begin at different moments

Cause: all heartbeats fell on the same moment, so every report was fresh at once and all of 40 entries acted on the same picture; that measured the harness.

--- a/crates/core/src/routing/margin.rs
+++ b/crates/core/src/routing/margin.rs
@@ -3,16 +3,16 @@
 use indexmap::IndexMap;
 
 /// Factor on projected waits before anything is learnt.
-const FIRST: f64 = 1.2;
+const FIRST: f64 = 1.5;
 
 /// Highest factor.
 const HIGHEST: f64 = 8.0;
 
 /// What one expired request adds to the factor.
-const RAISE: f64 = 0.1;
+const RAISE: f64 = 0.25;
 
 /// Expired requests in thousandths of begun ones at which the factor keeps still.
-const TARGET_PERMILLE: f64 = 4.0;
+const TARGET_PERMILLE: f64 = 3.0;
 
 /// Factors on projected waits, by rank.
 ///
--- a/crates/core/src/routing/two_choices.rs
+++ b/crates/core/src/routing/two_choices.rs
@@ -27,9 +27,9 @@
 /// evenly, however old the reports are.
 const OWN_WEIGHT: f64 = 3.0;
 
-/// Mean age of reports, as a part of the time that a request occupies a slot, up to which all
-/// candidates are compared and not only two of them.
-const FRESH_PART: f64 = 0.5;
+/// Age of the oldest report, as a multiple of the time that a request occupies a slot, up to which
+/// all candidates are compared and not only two of them.
+const FRESH_PART: f64 = 1.75;
 
 /// Candidates that are compared while reports are old.
 const CHOICES: usize = 2;
@@ -135,9 +135,8 @@
     /// empty to full. Two random candidates break that up.
     fn choices(&self, usable: &[usize]) -> usize {
         let age = |index: &usize| report_age(self.now, self.candidate(*index));
-        let ages: Vec<f64> = usable.iter().filter_map(age).collect();
-        let sum: f64 = ages.iter().sum();
-        let fresh = ages.len() == usable.len() && sum <= FRESH_PART * ages.len() as f64;
+        let oldest = usable.iter().map(age).fold(Some(0.0), later);
+        let fresh = oldest.is_some_and(|oldest| oldest <= FRESH_PART);
         if fresh { MOST_CHOICES } else { CHOICES }
     }
 
@@ -213,6 +212,11 @@
     }
 }
 
+/// The later of two ages; none if one of them is unknown.
+fn later(one: Option<f64>, other: Option<f64>) -> Option<f64> {
+    Some(one?.max(other?))
+}
+
 impl ChooseBackend for TwoChoices {
     fn choose(&mut self, now: Now, choice: &Choice<'_>) -> Pick {
         let pick = self.pick(now, choice);
--- a/crates/lab/src/policy/entry.rs
+++ b/crates/lab/src/policy/entry.rs
@@ -71,7 +71,7 @@
         retry.adopt(document);
         let link = |backend: usize| {
             let health = set.health(seed ^ (backend as u64) << 32);
-            Link::new(backend, incarnations[backend], health)
+            Link::new(now, index, backend, incarnations[backend], health)
         };
         Self {
             index,
--- a/crates/lab/src/policy/link.rs
+++ b/crates/lab/src/policy/link.rs
@@ -35,7 +35,15 @@
 
 impl Link {
     /// A link without any report yet.
-    pub(crate) fn new(backend: usize, incarnation: u64, health: Box<dyn HealthOf>) -> Self {
+    ///
+    /// Heartbeats of different links begin at different moments, as they do in a real fleet.
+    pub(crate) fn new(
+        now: Now,
+        entry: usize,
+        backend: usize,
+        incarnation: u64,
+        health: Box<dyn HealthOf>,
+    ) -> Self {
         Self {
             id: backend_id(backend),
             failure_domain: domain_id(domain_of(backend)),
@@ -46,7 +54,7 @@
             load_received: UnixMs(0),
             outstanding: 0,
             sent: Vec::new(),
-            heartbeat_due_ms: 0,
+            heartbeat_due_ms: now.unix_ms.0 + (entry * 389 + backend * 83) as u64 % HEARTBEAT_MS,
             ack_by_ms: None,
             silent_from_ms: u64::MAX,
         }
