--- a/crates/core/src/routing/border.rs
+++ b/crates/core/src/routing/border.rs
@@ -2,7 +2,7 @@
 
 use crate::message::Load;
 use crate::time::{Now, UnixMs};
-use hickorycross_config::{BackendServerId, FailureDomainId};
+use hickorycross_config::{BackendServerId, Document, FailureDomainId};
 
 /// One backend server that could take a request: link up, circuit not open, not tried before.
 #[derive(Clone, Copy, Debug)]
@@ -55,6 +55,9 @@
 
 /// A routing policy.
 pub trait ChooseBackend: Send {
+    /// Follows another document. Policies that do not weigh tiers need not do anything.
+    fn adopt(&mut self, _document: &Document) {}
+
     /// Picks a candidate, or refuses.
     fn choose(&mut self, now: Now, choice: &Choice<'_>) -> Pick;
 
--- a/crates/core/src/routing/projection.rs
+++ b/crates/core/src/routing/projection.rs
@@ -61,13 +61,25 @@
     Some(report_age_ms(now, candidate)? as f64 / service_ms)
 }
 
-/// Time until a new request of `rank` begins, when `free_permille` of the starts are left to its
-/// rank by higher ones that are yet to come.
+/// Which starts of a backend server a tier gets, in thousandths.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Starts {
+    /// What higher tiers leave to it and to the tiers with it.
+    pub(super) free_permille: f64,
+    /// What the document keeps for it alone.
+    pub(super) floor_permille: f64,
+}
+
+/// Time until a new request of `rank` begins: by its turn in the order of tiers, or by the floor of
+/// its tier, whichever comes first.
+///
+/// Without the floor, entries would refuse a low tier all that its floor has room for, and the
+/// starts that the document keeps for it would go to higher tiers.
 pub(super) fn wait_ms(
     now: Now,
     candidate: &Candidate<'_>,
     rank: u8,
-    free_permille: f64,
+    starts: Starts,
     fading: Fading,
 ) -> f64 {
     let Some(load) = candidate.load else {
@@ -79,7 +91,10 @@
         return 0.0;
     }
     let start_every_ms = f64::from(load.service_ms) / slots;
-    queued * start_every_ms * 1000.0 / free_permille.max(1.0)
+    let by_order_ms = queued * start_every_ms * 1000.0 / starts.free_permille.max(1.0);
+    let in_tier = f64::from(waiting_of(load, rank) + candidate.sent_since_report) + 1.0;
+    let by_floor_ms = in_tier * start_every_ms * 1000.0 / starts.floor_permille;
+    by_order_ms.min(by_floor_ms)
 }
 
 /// Requests that the candidate runs at once, at least one.
@@ -92,6 +107,10 @@
     load.waiting.iter().filter(|tier| tier.rank <= rank).map(|tier| tier.requests).sum()
 }
 
+fn waiting_of(load: &Load, rank: u8) -> u32 {
+    load.waiting.iter().filter(|tier| tier.rank == rank).map(|tier| tier.requests).sum()
+}
+
 fn report_weight(now: Now, candidate: &Candidate<'_>, fading: Fading) -> f64 {
     let Some(age_ms) = report_age_ms(now, candidate) else {
         return 0.0;
--- a/crates/core/src/routing/two_choices.rs
+++ b/crates/core/src/routing/two_choices.rs
@@ -4,11 +4,12 @@
 use super::estimate::Estimates;
 use super::margin::Margins;
 use super::mix::Mix;
-use super::projection::{Fading, report_age, requests_ahead, slots, wait_ms};
+use super::projection::{Fading, Starts, report_age, requests_ahead, slots, wait_ms};
 use super::sample::{share_weighted, some_of, usable};
 use crate::rendezvous;
 use crate::time::Now;
-use hickorycross_config::BackendServerId;
+use hickorycross_config::{BackendServerId, Document};
+use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -40,6 +41,12 @@
 /// A candidate is preferred only while a smaller share of its attempts failed.
 const SOUND_FAILED_SHARE: f64 = 0.1;
 
+/// Longest projected wait that is accepted, whatever the deadline.
+///
+/// Expired work teaches the margin only after its whole deadline. For deadlines of ten seconds the
+/// lesson comes so late that far too much has been accepted meanwhile, and then far too little.
+const HORIZON_MS: f64 = 5000.0;
+
 /// Earliest return after a refusal.
 const LEAST_RETURN_MS: f64 = 100.0;
 
@@ -51,6 +58,7 @@
     estimates: Estimates,
     mix: Mix,
     margins: Margins,
+    floors_permille: IndexMap<u8, u16>,
 }
 
 /// One choice with what holds for all of its candidates.
@@ -59,7 +67,7 @@
     now: Now,
     choice: &'a Choice<'a>,
     estimates: &'a Estimates,
-    free_permille: f64,
+    starts: Starts,
     margin: f64,
 }
 
@@ -73,15 +81,21 @@
             estimates: Estimates::default(),
             mix: Mix::default(),
             margins: Margins::default(),
+            floors_permille: IndexMap::new(),
         }
     }
 
+    fn starts(&self, rank: u8) -> Starts {
+        let floor = self.floors_permille.get(&rank).copied().unwrap_or(0);
+        Starts { free_permille: self.mix.free_permille(rank), floor_permille: f64::from(floor) }
+    }
+
     fn pick(&mut self, now: Now, choice: &Choice<'_>) -> Pick {
         let weighing = Weighing {
             now,
             choice,
             estimates: &self.estimates,
-            free_permille: self.mix.free_permille(choice.rank),
+            starts: self.starts(choice.rank),
             margin: self.margins.factor(choice.rank),
         };
         let usable = usable(&mut self.rng, choice.candidates);
@@ -109,7 +123,7 @@
     }
 
     fn wait_ms(&self, index: usize, fading: Fading) -> f64 {
-        wait_ms(self.now, self.candidate(index), self.choice.rank, self.free_permille, fading)
+        wait_ms(self.now, self.candidate(index), self.choice.rank, self.starts, fading)
     }
 
     /// Expected time to the first chunk, raised by utilisation and by failures.
@@ -172,7 +186,8 @@
     }
 
     fn slack_ms(&self) -> f64 {
-        self.choice.deadline.since(self.now.unix_ms) as f64
+        let slack_ms = self.choice.deadline.since(self.now.unix_ms) as f64;
+        slack_ms.min(HORIZON_MS)
     }
 
     /// Time until the first chunk as it is held against the deadline.
@@ -218,6 +233,11 @@
 }
 
 impl ChooseBackend for TwoChoices {
+    fn adopt(&mut self, document: &Document) {
+        let tiers = document.tiers.iter();
+        self.floors_permille = tiers.map(|tier| (tier.rank, tier.floor_permille)).collect();
+    }
+
     fn choose(&mut self, now: Now, choice: &Choice<'_>) -> Pick {
         let pick = self.pick(now, choice);
         if let Pick::Candidate(_) = pick {
--- a/crates/lab/src/policy/entry.rs
+++ b/crates/lab/src/policy/entry.rs
@@ -69,6 +69,8 @@
         limits.adopt(now, document);
         let mut retry = set.retry(seed);
         retry.adopt(document);
+        let mut routing = set.routing(seed);
+        routing.adopt(document);
         let link = |backend: usize| {
             let health = set.health(seed ^ (backend as u64) << 32);
             Link::new(now, index, backend, incarnations[backend], health)
@@ -78,7 +80,7 @@
             home: domain_id(index % DOMAINS),
             route: RouteId::new(ROUTE),
             teams: (0..document.teams.len()).map(team_id).collect(),
-            routing: set.routing(seed),
+            routing,
             limits,
             retry,
             links: (0..BACKENDS).map(link).collect(),
