--- a/crates/core/src/limits/share.rs
+++ b/crates/core/src/limits/share.rs
@@ -26,6 +26,10 @@
 /// are gone.
 pub(super) const TOTALS_HOLD_MS: u64 = 5000;
 
+/// How long a share below the fair one waits after totals have ceased to hold. Home agents forget
+/// an entry ten seconds after its last report; the others ask once a second.
+const FALL_BACK_MS: u64 = 7000;
+
 /// How long the largest number of entries in a total is remembered.
 ///
 /// When entries drop out of the total together, they are most likely on the other side of a cut
@@ -73,6 +77,8 @@
 pub(super) struct Share {
     fraction: f64,
     increase: Option<Increase>,
+    /// Whether the present share comes from hearing nothing.
+    fallen_back: bool,
     homes: [Option<HomeTotal>; HOMES],
     peak_entries: u32,
     peak_until: UnixMs,
@@ -84,6 +90,7 @@
         Self {
             fraction: fair_fraction(entries),
             increase: None,
+            fallen_back: true,
             homes: [None; HOMES],
             peak_entries: 0,
             peak_until: UnixMs::default(),
@@ -93,12 +100,9 @@
     /// The part of the limit that may be used now, from 0 to 1.
     pub(super) fn fraction(&mut self, now: Now, entries: u32) -> f64 {
         if self.is_stale(now) {
-            self.fall_back(entries);
-            return self.fraction;
-        }
-        if let Some(increase) = self.increase.filter(|increase| increase.applies_at.is_past(now)) {
-            self.fraction = increase.fraction;
-            self.increase = None;
+            self.fall_back(now, entries);
+        } else {
+            self.apply_increase(now);
         }
         self.fraction
     }
@@ -106,6 +110,9 @@
     /// Learns a total from one of the two home agents.
     pub(super) fn learn(&mut self, now: Now, entries: u32, home: usize, total: HomeTotal) {
         self.fraction(now, entries);
+        if std::mem::take(&mut self.fallen_back) {
+            self.increase = None;
+        }
         self.homes[home] = Some(total);
         self.remember_peak(now, total.entries);
         let target = self.target(now, entries);
@@ -123,6 +130,12 @@
         self.holding(now).next().is_none()
     }
 
+    /// Demand at the average entry.
+    pub(super) fn mean_per_s(&self, now: Now) -> Option<f64> {
+        let means = self.holding(now).filter(|home| home.entries > 0);
+        means.map(|home| home.total_per_s / f64::from(home.entries)).reduce(f64::max)
+    }
+
     /// Whether the team's demand over all entries is close to `limit_per_s` or unknown.
     pub(super) fn is_tight(&self, now: Now, limit_per_s: f64) -> bool {
         let largest = self.holding(now).map(|home| home.total_per_s).reduce(f64::max);
@@ -136,9 +149,26 @@
     /// An entry that hears nothing keeps to what every entry would have if demand were even.
     /// Keeping the last share would let an entry that had much demand use it for the whole cut,
     /// while the other side splits the same limit among those it still hears of.
-    fn fall_back(&mut self, entries: u32) {
-        self.fraction = fair_fraction(entries);
-        self.increase = None;
+    ///
+    /// A smaller share rises to the fair one only when the home agents, too, have forgotten this
+    /// entry and left its part aside; until then the others use it.
+    fn fall_back(&mut self, now: Now, entries: u32) {
+        let fair = fair_fraction(entries);
+        if !self.fallen_back {
+            self.fallen_back = true;
+            self.increase = Some(Increase { fraction: fair, applies_at: now.after(FALL_BACK_MS) });
+        }
+        if self.fraction > fair {
+            self.fraction = fair;
+        }
+        self.apply_increase(now);
+    }
+
+    fn apply_increase(&mut self, now: Now) {
+        if let Some(increase) = self.increase.filter(|increase| increase.applies_at.is_past(now)) {
+            self.fraction = increase.fraction;
+            self.increase = None;
+        }
     }
 
     fn remember_peak(&mut self, now: Now, entries: u32) {
--- a/crates/core/src/limits/team.rs
+++ b/crates/core/src/limits/team.rs
@@ -96,8 +96,10 @@
 
     /// Demand to report: none once the team is gone and its homes have been told so.
     pub(super) fn demand_per_s(&self, now: Now) -> f64 {
-        let per_s = self.demand.per_s(now);
-        if per_s < LEAST_DEMAND_PER_S { 0.0 } else { per_s }
+        if self.demand.per_s(now) < LEAST_DEMAND_PER_S {
+            return 0.0;
+        }
+        self.demand.steadied_per_s(now, self.share.mean_per_s(now))
     }
 
     /// Time from one report to the next.
--- a/crates/lab/src/policy/demand.rs
+++ b/crates/lab/src/policy/demand.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 /// How long an entry's demand counts.
-const DEMAND_HOLD_MS: u64 = 6000;
+const DEMAND_HOLD_MS: u64 = 10_000;
 
 #[derive(Clone, Copy, Debug)]
 struct Told {
