--- a/crates/core/src/group/border.rs
+++ b/crates/core/src/group/border.rs
@@ -23,6 +23,12 @@
         /// The engine's state after it.
         state: EngineState,
     },
+    /// An order got no answer: the connection failed or its time ran out. The engine may have
+    /// carried it out.
+    EngineFailed {
+        /// The order.
+        id: OrderId,
+    },
     /// The engine has refused an order because of its fencing token.
     EngineRefused {
         /// The order.
--- a/crates/core/src/group/coordinator.rs
+++ b/crates/core/src/group/coordinator.rs
@@ -58,6 +58,7 @@
             incarnation: promise.incarnation,
             state: promise.state,
             sequence: 0,
+            handed_out: None,
             stage_again_at: now.unix_ms,
         }
     }
@@ -172,9 +173,11 @@
         let missing = coordinator.needed_maps().find(|map| !engine.resident.contains(map))?;
         let is_loading = engine.staging == Some(missing);
         let row = coordinator.rows.get_mut(&place)?;
-        if is_loading || !row.stage_again_at.is_past(now) {
+        let is_on_its_way = row.handed_out == Some(missing) && !row.stage_again_at.is_past(now);
+        if is_loading || is_on_its_way {
             return None;
         }
+        row.handed_out = Some(missing);
         row.stage_again_at = now.after(RESTAGE_MS);
         Some(missing)
     }
@@ -223,7 +226,7 @@
     pub(crate) fn take_content(&mut self, now: Now, map: Arc<ExpertMap>) {
         self.shelf.put(map);
         if let Role::Coordinator(coordinator) = &mut self.role {
-            coordinator.rows.values_mut().for_each(|row| row.stage_again_at = now.unix_ms);
+            coordinator.rows.values_mut().for_each(|row| row.handed_out = None);
             self.hand_out_maps(now);
         }
     }
@@ -348,7 +351,6 @@
         let reference = map.reference();
         let abandon_at = now.after(STAGE_DEADLINE_MS);
         coordinator.change = Some(Change { map: Arc::new(map), reference, abandon_at });
-        coordinator.rows.values_mut().for_each(|row| row.stage_again_at = now.unix_ms);
         self.audit(GroupRecord::ChangeStarted { map: reference });
         // Members unload what no heartbeat names, so the heartbeat goes first.
         self.send_heartbeat(now);
--- a/crates/core/src/group/engine.rs
+++ b/crates/core/src/group/engine.rs
@@ -2,14 +2,16 @@
 //!
 //! The program that carries orders out must keep three rules. It sends one order at a time and
 //! awaits its answer or failure before the next, so that the answer to an inspection covers every
-//! earlier order of this process. It sends orders only while it holds the loopback port that
+//! earlier order of this process; it reports either to the core. It sends orders only while it holds the loopback port that
 //! excludes a second agent on the same instance. It never sends an order twice by itself: the core
 //! repeats what still matters at each heartbeat.
 //!
 //! Of the engines it is asked that a step is made by all ranks together, each on the map that it is
-//! granted for the step. The next step is the one after the last that any rank has completed, or
-//! the first that all ranks are granted, whichever is later. An engine that joins the ranks of a
-//! group, or comes back to them, starts without grants.
+//! granted for the step, and only on grants of equal epochs. The next step is the one after the
+//! last that any rank has completed, or the first that all ranks are granted, whichever is later.
+//! Beside engines that ignore epochs, a member list may change only once every agent has read the
+//! one before, and an engine that joins the ranks of a group, or comes back, must start without
+//! grants.
 
 use super::grant::StepGrant;
 use super::map::{ExpertMap, MapRef};
--- a/crates/core/src/group/engine_view.rs
+++ b/crates/core/src/group/engine_view.rs
@@ -17,7 +17,10 @@
     pub(crate) stage_failed: Option<MapRef>,
     last_step: Option<StepReport>,
     last_order: OrderId,
+    /// The latest order answered.
     last_answer: OrderId,
+    /// The latest order answered, refused or failed.
+    last_settled: OrderId,
     /// Grants that the engine has confirmed, used-up ones included.
     confirmed: Vec<StepGrant>,
     /// Grants ordered and not answered for.
@@ -60,8 +63,19 @@
         self.in_flight.drain(..excess);
     }
 
+    /// Whether some order is on its way.
+    pub(crate) fn is_busy(&self) -> bool {
+        self.last_settled < self.last_order
+    }
+
+    /// Notes that an order is no longer on its way.
+    pub(crate) fn settled(&mut self, id: OrderId) {
+        self.last_settled = self.last_settled.max(id);
+    }
+
     /// Takes the engine's answer; a late one is dropped.
     pub(crate) fn answered(&mut self, id: OrderId, state: EngineState) {
+        self.settled(id);
         if id <= self.last_answer {
             return;
         }
@@ -73,9 +87,8 @@
 
     /// Cuts what the engine no longer holds down to the steps that it has made.
     ///
-    /// A grant may have been ordered and lost, with the engine that it was meant for or by a
-    /// refusal. Another map may rightly be granted for its steps then, and a check against the
-    /// lost one would stop a sound group.
+    /// A grant may be lost with the engine that held it, and another map be granted for its steps.
+    /// The lost one must not excuse a step on its map.
     fn confirm(&mut self, state: &EngineState) {
         for grant in &mut self.confirmed {
             if !state.grants.iter().any(|held| is_extension(held, grant)) {
--- a/crates/core/src/group/follower.rs
+++ b/crates/core/src/group/follower.rs
@@ -43,7 +43,8 @@
         }
         self.floor = term.fencing;
         let inspection = Inspection::Done;
-        self.promised = Some(PromisedTerm { term, inspection, heartbeat: None });
+        self.promised =
+            Some(PromisedTerm { term, inspection, heartbeat: None, is_grant_due: false });
         self.campaign_after(now, CAMPAIGN_MS);
         self.audit(GroupRecord::Promised { fencing: term.fencing, candidate: term.candidate });
         if self.mechanisms.inspects_engine {
@@ -71,9 +72,9 @@
         let inspection = self.promised.as_ref().map(|promised| promised.inspection);
         if let Some(Inspection::Pending { id, again_at }) = inspection
             && again_at.is_past(now)
+            && !self.engine.is_busy()
         {
-            // The first number stays: the answer to any order from then on will do, also that of
-            // an engine that takes longer to answer than the repetition.
+            // The inspection has failed. Its number stays: any answer from then on will do.
             self.inspect(now, Some(id));
         }
     }
@@ -97,6 +98,9 @@
 
     /// A restarted agent knows its engine's maps by name only; somebody may need their content.
     fn read_unknown_maps(&mut self) {
+        if self.engine.is_busy() {
+            return;
+        }
         let resident = self.engine.state.resident.iter().copied();
         let unknown: Vec<MapRef> = resident.filter(|&map| self.shelf.get(map).is_none()).collect();
         for map in unknown {
@@ -113,9 +117,16 @@
             promised.inspection = Inspection::Done;
             self.give_promise();
         }
+        self.give_due_grant();
+    }
+
+    pub(crate) fn engine_failed(&mut self, id: OrderId) {
+        self.engine.settled(id);
+        self.give_due_grant();
     }
 
-    pub(crate) fn engine_refused(&mut self, _id: OrderId, seen: Fencing) {
+    pub(crate) fn engine_refused(&mut self, id: OrderId, seen: Fencing) {
+        self.engine.settled(id);
         self.seen = self.seen.max(seen);
         if let Some(term) = self.promised.as_ref().map(|promised| promised.term)
             && seen > term.fencing
@@ -177,12 +188,35 @@
             self.halt(None);
         }
         if !self.is_halted {
-            self.grant(&heartbeat.grants);
-            self.discard_unused(&heartbeat);
+            self.grant_unless_busy(&heartbeat);
         }
         self.report();
     }
 
+    /// Passes on a heartbeat's grants, or notes that they are due.
+    ///
+    /// Orders go to the engine one at a time. Beside an engine that answers more slowly than
+    /// heartbeats come, each heartbeat's orders would wait behind all earlier ones: the queue
+    /// would grow without end, and the inspection that a new term waits for would stand at its
+    /// end. So a heartbeat gives orders only when none is on its way; the latest one counts.
+    fn grant_unless_busy(&mut self, heartbeat: &Heartbeat) {
+        let is_busy = self.engine.is_busy();
+        if let Some(promised) = &mut self.promised {
+            promised.is_grant_due = is_busy;
+        }
+        if !is_busy {
+            self.grant(&heartbeat.grants);
+            self.discard_unused(heartbeat);
+        }
+    }
+
+    fn give_due_grant(&mut self) {
+        let is_due = self.promised.as_ref().is_some_and(|promised| promised.is_grant_due);
+        if is_due && !self.engine.is_busy() {
+            self.use_heartbeat();
+        }
+    }
+
     /// Passes on the grants whose maps are loaded; a rank without its map waits.
     fn grant(&mut self, granted: &[StepGrant]) {
         let loaded = |grant: &&StepGrant| self.engine.is_resident(grant.map);
--- a/crates/core/src/group/grant.rs
+++ b/crates/core/src/group/grant.rs
@@ -7,7 +7,8 @@
 /// Permission to make the steps `from_step..=through_step` on one map.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepGrant {
-    /// The membership under which it was given. An engine only keeps and reports it.
+    /// The membership under which its first step was granted. Engines make a step together only
+    /// on grants of equal epochs: under this name ranks find one another when members change.
     pub epoch: Epoch,
     /// The map to use.
     pub map: MapRef,
--- a/crates/core/src/group/member.rs
+++ b/crates/core/src/group/member.rs
@@ -114,6 +114,7 @@
             GroupEvent::Tick => self.tick(now),
             GroupEvent::Received(message) => self.receive(now, message),
             GroupEvent::EngineAnswered { id, state } => self.engine_answered(id, state),
+            GroupEvent::EngineFailed { id } => self.engine_failed(id),
             GroupEvent::EngineRefused { id, seen } => self.engine_refused(id, seen),
             GroupEvent::EngineReported(report) => self.engine_reported(report),
             GroupEvent::EngineStaged(map) => self.engine_staged(map),
--- a/crates/core/src/group/role.rs
+++ b/crates/core/src/group/role.rs
@@ -36,6 +36,8 @@
     pub(crate) term: Term,
     pub(crate) inspection: Inspection,
     pub(crate) heartbeat: Option<Heartbeat>,
+    /// The heartbeat waits until the engine has answered the orders before.
+    pub(crate) is_grant_due: bool,
 }
 
 /// The state of the engine's inspection that precedes the promise.
@@ -87,7 +89,9 @@
     pub(crate) state: MemberState,
     /// Heartbeat that the state answers.
     pub(crate) sequence: u64,
-    /// When a map may be handed out to it again.
+    /// The map handed out to it last.
+    pub(crate) handed_out: Option<MapRef>,
+    /// When that map may be handed out to it again.
     pub(crate) stage_again_at: UnixMs,
 }
 
