feat(group): cost of a change and of a takeover, map in use

Cause: the decision needs the map it starts from, also at a coordinator whose agent has restarted; and the stall of a change was claimed, not measured.

--- a/crates/core/src/group/coordinator.rs
+++ b/crates/core/src/group/coordinator.rs
@@ -119,6 +119,33 @@
         {
             self.send_heartbeat(now);
             self.hand_out_maps(now);
+            self.fetch_unknown_map(now);
+        }
+    }
+
+    /// The map that proposals start from: the one in use, at a coordinator that would take up a
+    /// proposal now and knows the map's content.
+    #[must_use]
+    pub fn map_in_use(&self) -> Option<&ExpertMap> {
+        let Role::Coordinator(coordinator) = &self.role else {
+            return None;
+        };
+        if self.is_halted || coordinator.change.is_some() || coordinator.is_cutting_over() {
+            return None;
+        }
+        let map = coordinator.grants.last()?.map;
+        self.shelf.get(map).map(Arc::as_ref)
+    }
+
+    /// A coordinator whose agent has restarted may know the granted map by name only; it can
+    /// propose no other one then, nor hand it to a replaced rank.
+    fn fetch_unknown_map(&mut self, now: Now) {
+        let Role::Coordinator(coordinator) = &self.role else {
+            return;
+        };
+        let granted = coordinator.grants.last().map(|grant| grant.map);
+        if let Some(map) = granted.filter(|&map| self.shelf.get(map).is_none()) {
+            self.fetch(now, map);
         }
     }
 
--- a/crates/core/src/group/follower.rs
+++ b/crates/core/src/group/follower.rs
@@ -283,6 +283,8 @@
         if let Some(content) = self.shelf.get(map).cloned() {
             let body = GroupBody::MapContent(content);
             self.send(term.candidate, Some(term.incarnation), term.fencing, body);
+        } else {
+            self.read_unknown_maps();
         }
     }
 
--- a/crates/core/src/group/shelf.rs
+++ b/crates/core/src/group/shelf.rs
@@ -4,7 +4,7 @@
 use indexmap::IndexMap;
 use std::sync::Arc;
 
-/// Contents by name. A map of 60 layers and 256 experts takes some 60 KB.
+/// Contents by name. A map of 60 layers and 256 experts takes some 75 KB.
 #[derive(Debug, Default)]
 pub(crate) struct MapShelf {
     maps: IndexMap<MapRef, Arc<ExpertMap>>,
--- a/crates/core/tests/group_faults.rs
+++ b/crates/core/tests/group_faults.rs
@@ -167,6 +167,8 @@
             (0..MEMBERS).filter(hit).for_each(|index| fleet.kill(index));
             fleet.run_for(50);
             recover(&mut fleet, &format!("{point:?}, agent {restarted}"));
+            let known = fleet.run_until(5_000, Fleet::is_map_known);
+            assert!(known.is_some(), "{point:?}, agent {restarted}: no map to start from");
         }
     }
 }
--- a/crates/core/tests/support/group_fleet.rs
+++ b/crates/core/tests/support/group_fleet.rs
@@ -112,6 +112,9 @@
     /// Longest time between two steps so far.
     pub(crate) longest_gap_ms: u64,
     pub(crate) messages: u64,
+    /// Size of all messages sent, in postcard's encoding; counted where asked for.
+    pub(crate) bytes: u64,
+    pub(crate) counts_bytes: bool,
     /// Whether engines make a step only together with grants of the same epoch.
     pub(crate) engines_match_epochs: bool,
     /// Against what is asked of engines that ignore epochs.
@@ -169,6 +172,8 @@
             copies: None,
             longest_gap_ms: 0,
             messages: 0,
+            bytes: 0,
+            counts_bytes: false,
             engines_match_epochs: true,
             joining_engines_keep_grants: false,
             report_every: 1,
@@ -334,6 +339,12 @@
         agent.is_some_and(|agent| agent.frozen.is_none() && agent.member.is_coordinator())
     }
 
+    /// Whether some coordinator knows the content of the map in use.
+    pub(crate) fn is_map_known(&self) -> bool {
+        let agents = self.servers.values().filter_map(|server| server.agent.as_ref());
+        agents.filter_map(|agent| agent.member.map_in_use()).next().is_some()
+    }
+
     /// Proposes a map that differs from the uniform one by a random rotation of its ranks.
     pub(crate) fn propose(&mut self) {
         let Some(index) = self.coordinator() else {
@@ -479,6 +490,10 @@
 
     fn send(&mut self, from: &BackendServerId, to: BackendServerId, message: GroupMessage) {
         self.messages += 1;
+        if self.counts_bytes {
+            let encoded = postcard::to_stdvec(&message).expect("messages are plain data");
+            self.bytes += encoded.len() as u64;
+        }
         if self.copies.is_some_and(|copies| copies(&message)) {
             self.kept_back.push((to.clone(), message.clone()));
         }
