feat(agent): model groups: links between members, orders, load and decisions

Wires core::group and core::placement to the program: peers on links of their own, one order at a time to the engine, load of each member's ranks to the coordinator, which proposes a map when the weighted policy finds that it pays.

--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -1,9 +1,11 @@
 //! Turns what happens around the process into events for the core and carries out its actions.
 
 use crate::backend::{Backend, Run};
+use crate::group::{EngineEvent, Group};
+use hickorycross_config::BackendServerId;
 use hickorycross_core::adoption::{Exchange, ExchangeAction, Probe, StartGate, is_watcher};
 use hickorycross_core::agent::{AgentAction, AgentCore, AgentEvent};
-use hickorycross_core::audit::AuditRecord;
+use hickorycross_core::audit::{AuditRecord, Change};
 use hickorycross_core::message::ToAgent;
 use hickorycross_core::{AttemptId, Instance, InstanceId, LinkId};
 use hickorycross_protocol::{ConfigOffer, Frame, Hello, PeerRole};
@@ -29,12 +31,14 @@
 pub(crate) struct Inputs {
     pub(crate) links: UnboundedReceiver<LinkEvent>,
     pub(crate) platform: UnboundedReceiver<PlatformEvent>,
+    pub(crate) engine: UnboundedReceiver<EngineEvent>,
     pub(crate) drain: oneshot::Receiver<()>,
 }
 
 /// What the driver acts on.
 pub(crate) struct Parts {
     pub(crate) core: AgentCore,
+    pub(crate) group: Group,
     pub(crate) gate: StartGate,
     pub(crate) own: InstanceId,
     pub(crate) links: Links,
@@ -51,6 +55,8 @@
     exchange: Exchange,
     backend_events: UnboundedSender<AgentEvent>,
     runs: IndexMap<AttemptId, AbortHandle>,
+    /// Links by the backend server at their other end, for agents.
+    agents: IndexMap<LinkId, BackendServerId>,
     drained: bool,
 }
 
@@ -62,6 +68,7 @@
             exchange: Exchange::default(),
             backend_events,
             runs: IndexMap::new(),
+            agents: IndexMap::new(),
             drained: false,
         };
         (driver, receiver)
@@ -88,6 +95,7 @@
                 _ = ticks.tick() => self.tick(),
                 Some(event) = inputs.links.recv() => self.on_link(event),
                 Some(event) = backend.recv() => self.on_backend(event),
+                Some(event) = inputs.engine.recv() => self.on_engine(event),
                 Some(event) = inputs.platform.recv() => self.on_platform(event),
             }
         }
@@ -96,6 +104,8 @@
 
     fn tick(&mut self) {
         self.handle(AgentEvent::Tick);
+        let now = self.parts.clock.now();
+        self.with_group(|group, audit| group.tick(now, audit));
         let ready = self.exchange.in_force().is_some();
         self.parts.view.update(|status| status.ready = ready);
     }
@@ -135,6 +145,22 @@
         }
     }
 
+    /// Lets the group do something and writes down what changed.
+    fn with_group(&mut self, job: impl FnOnce(&mut Group, &mut Vec<Change>)) {
+        let mut changes = Vec::new();
+        job(&mut self.parts.group, &mut changes);
+        let at = self.parts.clock.now().unix_ms;
+        let stamp = self.exchange.stamp();
+        for change in changes {
+            self.parts.trail.write(AuditRecord { at, stamp, change });
+        }
+    }
+
+    fn on_engine(&mut self, event: EngineEvent) {
+        let now = self.parts.clock.now();
+        self.with_group(|group, audit| group.on_engine(now, event, audit));
+    }
+
     fn on_backend(&mut self, event: AgentEvent) {
         if let AgentEvent::BackendEnd { attempt } | AgentEvent::BackendFailed { attempt, .. } =
             &event
@@ -151,6 +177,8 @@
             LinkEvent::Closed { link, reason } => {
                 log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
                 self.parts.gate.settled(link);
+                self.parts.group.closed(link);
+                self.agents.swap_remove(&link);
                 self.handle(AgentEvent::LinkClosed { link });
             }
         }
@@ -158,8 +186,16 @@
 
     fn on_opened(&mut self, link: LinkId, hello: &Hello) {
         let now = self.parts.clock.now();
-        if hello.role == PeerRole::Entry {
-            self.handle(AgentEvent::LinkOpened { link, entry: hello.incarnation });
+        match &hello.role {
+            PeerRole::Entry => {
+                self.handle(AgentEvent::LinkOpened { link, entry: hello.incarnation });
+            }
+            PeerRole::Agent { backend_server } => {
+                self.agents.insert(link, backend_server.clone());
+                if self.parts.group.owns(link) {
+                    self.parts.group.opened(link);
+                }
+            }
         }
         let actions = self.exchange.heard(now, link, hello.stamp);
         let asks = actions.iter().any(|action| matches!(action, ExchangeAction::Request { .. }));
@@ -172,7 +208,14 @@
 
     fn on_frame(&mut self, link: LinkId, frame: Frame) {
         let now = self.parts.clock.now();
+        if let Some(backend_server) = self.agents.get(&link) {
+            self.parts.group.heard(backend_server);
+        }
         match frame {
+            Frame::Group(message) => {
+                self.with_group(|group, audit| group.received(now, *message, audit));
+            }
+            Frame::RankLoad(load) => self.parts.group.load(now, *load),
             Frame::ToAgent(message) => {
                 if let ToAgent::Heartbeat { stamp, .. } = &message {
                     let actions = self.exchange.heard(now, link, *stamp);
@@ -223,6 +266,7 @@
         let follow =
             if is_watcher(&self.parts.own, instances) { Follow::Watch } else { Follow::Poll };
         self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
+        self.parts.group.listed(instances);
         for Probe { link, address, .. } in self.parts.gate.listed(self.parts.clock.now(), instances)
         {
             self.parts.links.open(link, address);
@@ -234,6 +278,8 @@
             match action {
                 ExchangeAction::Adopted { stamp, document } => {
                     self.parts.view.update(|status| status.stamp = stamp);
+                    let now = self.parts.clock.now();
+                    self.with_group(|group, audit| group.adopt(now, stamp, &document, audit));
                     self.handle(AgentEvent::Adopted { stamp, document });
                 }
                 ExchangeAction::Announce { link, stamp } => {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,6 +7,7 @@
 mod backend;
 mod cli;
 mod driver;
+mod group;
 mod program;
 mod settings;
 
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::Backend;
 use crate::driver::{Driver, Inputs, Parts};
+use crate::group::{Ground, Group};
 use crate::settings::Settings;
 use hickorycross_core::adoption::StartGate;
 use hickorycross_core::agent::{AgentCore, AgentIdentity};
@@ -89,7 +90,15 @@
         let backend = Backend::new(&settings.backend_url, &settings.health_path, clock)?;
         let identity =
             AgentIdentity { incarnation, backend_server: settings.backend_server.clone() };
+        let (engine_events, engine) = unbounded_channel();
+        let ground = Ground {
+            own: settings.backend_server.clone(),
+            incarnation,
+            backend_url: settings.backend_url.clone(),
+            events: engine_events,
+        };
         let (driver, backend_events) = Driver::new(Parts {
+            group: Group::new(ground, links.clone()),
             core: AgentCore::new(identity, rand::random()),
             gate: StartGate::new(settings.instance.clone(), LinkId(0)),
             own: settings.instance.clone(),
@@ -101,7 +110,7 @@
             follow,
         });
         let (drain, drain_asked) = oneshot::channel();
-        let inputs = Inputs { links: link_events, platform, drain: drain_asked };
+        let inputs = Inputs { links: link_events, platform, engine, drain: drain_asked };
         let driver = tokio::spawn(async move {
             driver.run(inputs, backend_events).await;
             listener.close();
--- a/crates/core/src/group/engine.rs
+++ b/crates/core/src/group/engine.rs
@@ -24,7 +24,8 @@
 pub struct OrderId(pub u64);
 
 /// An order to the engine. Each is idempotent and answered with the engine's [`EngineState`].
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
 pub enum EngineOrder {
     /// Report the present state. An engine that checks fencing refuses lower tokens from now on.
     Inspect,
--- a/crates/core/src/group/map.rs
+++ b/crates/core/src/group/map.rs
@@ -1,5 +1,6 @@
 //! Expert maps: which rank holds which experts, layer by layer.
 
+pub use crate::placement::LayerPlacement;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use xxhash_rust::xxh3::Xxh3;
@@ -15,13 +16,6 @@
     pub layers: u16,
 }
 
-/// The experts that each rank holds in one layer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LayerPlacement {
-    /// Experts by rank; an expert named at several ranks is replicated.
-    pub experts_of_rank: Vec<Vec<u16>>,
-}
-
 /// One version of a group's expert map.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ExpertMap {
--- a/crates/core/src/group/member.rs
+++ b/crates/core/src/group/member.rs
@@ -103,6 +103,13 @@
         matches!(self.role, Role::Coordinator(_))
     }
 
+    /// The backend server whose agent this member has promised to follow.
+    #[must_use]
+    pub fn coordinator(&self) -> Option<&BackendServerId> {
+        let promised = self.promised.as_ref()?;
+        self.membership.server_at(promised.term.candidate)
+    }
+
     /// Whether this member has stopped after a violation.
     #[must_use]
     pub fn is_halted(&self) -> bool {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -6,6 +6,7 @@
 //! this module.
 
 mod change;
+mod collect;
 mod cooldown;
 mod cost;
 mod estimate;
@@ -23,6 +24,7 @@
 mod threshold;
 mod weighted;
 
+pub use collect::{LoadCollector, RankLoad};
 pub use cost::{CostModel, HORIZON_MS, STALL_STEPS_PER_CHANGE};
 pub use estimate::LoadEstimator;
 pub use layer::{ExpertLoad, ExpertMap, LayerPlacement, MapFault};
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -182,7 +182,7 @@
                 self.act_on_exchange(actions);
             }
             Frame::ConfigOffer(offer) => self.on_offer(link, &offer),
-            Frame::Hello(_) | Frame::ToAgent(_) => {
+            Frame::Hello(_) | Frame::ToAgent(_) | Frame::Group(_) | Frame::RankLoad(_) => {
                 log::warn!(target: "link", link = link.0; "unexpected frame");
             }
         }
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -2,7 +2,9 @@
 
 use crate::version::VersionRange;
 use hickorycross_config::{BackendServerId, Stamp};
+use hickorycross_core::group::GroupMessage;
 use hickorycross_core::message::{ToAgent, ToEntry};
+use hickorycross_core::placement::RankLoad;
 use hickorycross_core::{AttemptId, Incarnation, InstanceId};
 use serde::{Deserialize, Serialize};
 
@@ -59,6 +61,10 @@
     ConfigRequest,
     /// The document that the sender holds.
     ConfigOffer(ConfigOffer),
+    /// Between the agents of one model group.
+    Group(Box<GroupMessage>),
+    /// From an agent of a model group to the one that coordinates it.
+    RankLoad(Box<RankLoad>),
 }
 
 impl Frame {
