--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -5,7 +5,7 @@
 use super::constants::{CLOCK_SKEW_BOUND_MS, ORPHAN_MS};
 use super::counters::AgentCounters;
 use super::demand::DemandTable;
-use super::execution::Execution;
+use super::execution::{DueRun, Execution};
 use super::guard::StartGuard;
 use super::home_history::HomeHistory;
 use super::identity::AgentIdentity;
@@ -21,7 +21,8 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
-use std::collections::VecDeque;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
 use std::sync::Arc;
 
 /// The decisions of one agent.
@@ -42,6 +43,9 @@
     pub(super) forgotten_through: UnixMs,
     pub(super) queue: FairQueue,
     pub(super) executions: IndexMap<AttemptId, Execution>,
+    /// Ended runs by the moment at which nothing of them is held any more; earlier moments of runs
+    /// whose retention was extended may stand here too.
+    pub(super) due_runs: BinaryHeap<Reverse<DueRun>>,
     pub(super) running: IndexSet<AttemptId>,
     pub(super) retained_bytes: u64,
     /// Ended runs whose answers are held for repeats of their key, oldest first.
@@ -84,6 +88,7 @@
             forgotten_through: UnixMs::default(),
             queue: FairQueue::new(rules),
             executions: IndexMap::new(),
+            due_runs: BinaryHeap::new(),
             running: IndexSet::new(),
             retained_bytes: 0,
             replayable: VecDeque::new(),
--- a/crates/core/src/agent/execution.rs
+++ b/crates/core/src/agent/execution.rs
@@ -40,6 +40,14 @@
     pub(crate) retain_until: UnixMs,
 }
 
+/// When an ended run is to be looked at by the sweep. Thousands may be held for repeats of their
+/// keys, so the sweep goes by this order and touches only what is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct DueRun {
+    pub(crate) retain_until: UnixMs,
+    pub(crate) run: AttemptId,
+}
+
 /// How a run ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Outcome {
--- a/crates/core/src/agent/retention.rs
+++ b/crates/core/src/agent/retention.rs
@@ -3,7 +3,10 @@
 use super::attempt::Stage;
 use super::constants::{RETAINED_BYTES_PER_ANSWER, RETAINED_BYTES_TOTAL};
 use super::core::AgentCore;
+use super::execution::DueRun;
 use crate::ids::AttemptId;
+use crate::time::UnixMs;
+use std::cmp::Reverse;
 
 impl AgentCore {
     /// Drops the chunks that every reader has acknowledged, unless repeats of the key need them.
@@ -60,12 +63,21 @@
     }
 
     fn stop_replays(&mut self, run: AttemptId) {
-        if let Some(execution) = self.executions.get_mut(&run) {
-            execution.replayable = false;
+        let Some(execution) = self.executions.get_mut(&run) else { return };
+        execution.replayable = false;
+        if execution.outcome.is_some() {
+            self.retain_until(run, self.executions[&run].settle_by);
         }
         self.prune(run);
     }
 
+    /// Sets until when an ended run is held.
+    pub(super) fn retain_until(&mut self, run: AttemptId, retain_until: UnixMs) {
+        let Some(execution) = self.executions.get_mut(&run) else { return };
+        execution.retain_until = retain_until;
+        self.due_runs.push(Reverse(DueRun { retain_until, run }));
+    }
+
     fn give_up_chunks(&mut self, run: AttemptId) {
         self.counters.answers_not_retained += 1;
         self.drop_chunks(run, u32::MAX);
--- a/crates/core/src/agent/run_events.rs
+++ b/crates/core/src/agent/run_events.rs
@@ -97,16 +97,24 @@
         let occupied_ms = now.unix_ms.since(execution.started);
         self.queue.settle(execution.rank, &execution.team, execution.charged_ms, occupied_ms);
         execution.settle_by = settle_by;
-        execution.retain_until = now.after(ANSWER_RETENTION_MS);
-        let Some(key) = execution.key else { return };
+        let replayable = execution.replayable;
+        let forget_at = self.forget_key_at(now, run);
+        let retain_until = now.after(ANSWER_RETENTION_MS);
+        let for_repeats = forget_at.filter(|_| replayable).unwrap_or_default();
+        self.retain_until(run, retain_until.max(for_repeats));
+        let key = self.executions.get(&run).and_then(|execution| execution.key);
+        let (Some(key), Some(forget_at)) = (key, forget_at) else { return };
+        self.keys.end(key, run, verdict, forget_at);
+    }
+
+    /// The end of a key's horizon, should its run end now.
+    fn forget_key_at(&self, now: Now, run: AttemptId) -> Option<UnixMs> {
+        let execution = self.executions.get(&run)?;
+        execution.key?;
         let document = self.document.as_ref();
         let route = document.and_then(|document| document.route(execution.route.as_str()));
         let horizon_ms = route.map_or(FALLBACK_KEY_HORIZON_MS, |route| route.key_horizon_ms.into());
-        let forget_at = now.after(horizon_ms);
-        if execution.replayable {
-            execution.retain_until = execution.retain_until.max(forget_at);
-        }
-        self.keys.end(key, run, verdict, forget_at);
+        Some(now.after(horizon_ms))
     }
 
     fn tell_readers(
@@ -141,7 +149,8 @@
         if execution.outcome.is_some() {
             let settle_by = now.after(ANSWER_RETENTION_MS);
             execution.settle_by = execution.settle_by.max(settle_by);
-            execution.retain_until = execution.retain_until.max(settle_by);
+            let retain_until = execution.retain_until.max(settle_by);
+            self.retain_until(run, retain_until);
         }
         let answer = &self.executions[&run].answer;
         if let Some(head) = answer.head.clone() {
--- a/crates/core/src/agent/sweep.rs
+++ b/crates/core/src/agent/sweep.rs
@@ -10,6 +10,7 @@
 use crate::time::Now;
 use crate::verdict::Verdict;
 use indexmap::IndexMap;
+use std::cmp::Reverse;
 
 impl AgentCore {
     pub(super) fn sweep(&mut self, now: Now, actions: &mut Vec<AgentAction>) {
@@ -82,21 +83,13 @@
     }
 
     fn drop_executions(&mut self, now: Now) {
-        let past = |execution: &Execution| execution.retain_until.is_past(now);
-        let dropped: IndexMap<AttemptId, Verdict> = self
-            .executions
-            .iter()
-            .filter(|(_, execution)| past(execution))
-            .map(|(run, execution)| (*run, execution.verdict()))
-            .collect();
+        let dropped = self.take_due_runs(now);
         if dropped.is_empty() {
             return;
         }
-        for run in dropped.keys() {
-            self.drop_chunks(*run, u32::MAX);
+        while self.replayable.front().is_some_and(|run| !self.executions.contains_key(run)) {
+            self.replayable.pop_front();
         }
-        self.executions.retain(|run, _| !dropped.contains_key(run));
-        self.replayable.retain(|run| !dropped.contains_key(run));
         for row in self.attempts.values_mut() {
             let Stage::Reading(reading) = &row.stage else { continue };
             if let Some(verdict) = dropped.get(&reading.run) {
@@ -105,6 +98,24 @@
         }
     }
 
+    /// Removes the runs of which nothing is to be held any more.
+    fn take_due_runs(&mut self, now: Now) -> IndexMap<AttemptId, Verdict> {
+        let mut dropped = IndexMap::new();
+        while let Some(Reverse(due)) = self.due_runs.peek().copied() {
+            if !due.retain_until.is_past(now) {
+                break;
+            }
+            self.due_runs.pop();
+            let held = self.executions.get(&due.run);
+            if held.is_some_and(|execution| execution.retain_until.is_past(now)) {
+                self.drop_chunks(due.run, u32::MAX);
+                let execution = self.executions.swap_remove(&due.run);
+                dropped.extend(execution.map(|execution| (due.run, execution.verdict())));
+            }
+        }
+        dropped
+    }
+
     /// Forgets attempts whose deadline has safely passed and whose answer nobody can want.
     fn forget_attempts(&mut self, now: Now) {
         let due = self.attempts.iter().filter(|(_, row)| row.forget_at.is_past(now));
