--- a/crates/core/tests/group_faults.rs
+++ b/crates/core/tests/group_faults.rs
@@ -412,6 +412,10 @@
     fleet.start(0);
     fleet.run_for(10_000);
     assert_eq!(fleet.last_step, stopped_at);
+    fleet.replace_engine(2);
+    (0..MEMBERS).for_each(|index| fleet.kill(index));
+    fleet.findings.clear();
+    recover(&mut fleet, "all agents restarted");
 }
 
 /// A guard and where its absence shows.
--- a/crates/core/tests/group_measure.rs
+++ b/crates/core/tests/group_measure.rs
@@ -18,7 +18,8 @@
     delay_ms: u64,
 }
 
-const COSTS: [Cost; 6] = [
+const COSTS: [Cost; 7] = [
+    Cost { members: 1, step_ms: 5, delay_ms: 2 },
     Cost { members: 4, step_ms: 5, delay_ms: 2 },
     Cost { members: 4, step_ms: 50, delay_ms: 2 },
     Cost { members: 4, step_ms: 5, delay_ms: 100 },
