feat(group): one number for an inspection

Cause: the number of the first inspection was kept for its repetitions, so that a slow engine's answer counted. Since orders go out only when none is on its way, no test fails without it. Ruled out: keeping it as a second guard (nothing can show that it works). Conclusion: simpler, same behaviour.

--- a/crates/core/src/group/follower.rs
+++ b/crates/core/src/group/follower.rs
@@ -48,7 +48,7 @@
         self.campaign_after(now, CAMPAIGN_MS);
         self.audit(GroupRecord::Promised { fencing: term.fencing, candidate: term.candidate });
         if self.mechanisms.inspects_engine {
-            self.inspect(now, None);
+            self.inspect(now);
         } else {
             self.give_promise();
         }
@@ -59,9 +59,8 @@
     /// The agent's memory would not do: a restarted agent has none, a replaced engine has lost
     /// what it was granted, and an engine that checks fencing refuses late orders of an earlier
     /// term only after it has seen the new token.
-    fn inspect(&mut self, now: Now, first: Option<OrderId>) {
-        let repeated = self.order(EngineOrder::Inspect);
-        let id = first.unwrap_or(repeated);
+    fn inspect(&mut self, now: Now) {
+        let id = self.order(EngineOrder::Inspect);
         let again_at = now.after(INSPECT_MS);
         if let Some(promised) = &mut self.promised {
             promised.inspection = Inspection::Pending { id, again_at };
@@ -70,12 +69,11 @@
 
     pub(crate) fn repeat_inspection(&mut self, now: Now) {
         let inspection = self.promised.as_ref().map(|promised| promised.inspection);
-        if let Some(Inspection::Pending { id, again_at }) = inspection
+        if let Some(Inspection::Pending { again_at, .. }) = inspection
             && again_at.is_past(now)
             && !self.engine.is_busy()
         {
-            // The inspection has failed. Its number stays: any answer from then on will do.
-            self.inspect(now, Some(id));
+            self.inspect(now);
         }
     }
 
--- a/crates/core/src/group/timing.rs
+++ b/crates/core/src/group/timing.rs
@@ -24,7 +24,7 @@
 /// tokens: an order of its predecessor may still sit in the engine's receive buffer.
 pub const ORDER_SETTLE_MS: u64 = 500;
 
-/// Time after which an unanswered inspection is repeated.
+/// Time after which a failed inspection is repeated.
 pub const INSPECT_MS: u64 = 200;
 
 /// Time after which an unacknowledged map is handed out again.
--- a/crates/core/tests/group_faults.rs
+++ b/crates/core/tests/group_faults.rs
@@ -390,7 +390,7 @@
 fn engines_slower_than_the_repetition_of_an_inspection() {
     // Symptom: beside a slow engine no member ever becomes coordinator.
     // Sequence: each order takes longer than the agent waits before it repeats its inspection.
-    // Cause: the answer to the first inspection is not taken for the repeated one.
+    // Cause: heartbeats and repeated inspections queue orders without end.
     let mut fleet = Fleet::new(16, MEMBERS);
     fleet.weather.order_min_ms = 350;
     fleet.weather.order_max_ms = 350;
