--- a/crates/agent/src/group/peers.rs
+++ b/crates/agent/src/group/peers.rs
@@ -32,13 +32,22 @@
     links: Links,
     own: BackendServerId,
     members: Vec<BackendServerId>,
+    /// The latest instance list: it may come before the document that names the members.
+    instances: Vec<Instance>,
     table: IndexMap<BackendServerId, Peer>,
     next_link: u64,
 }
 
 impl Peers {
     pub(crate) fn new(links: Links, own: BackendServerId) -> Self {
-        Self { links, own, members: Vec::new(), table: IndexMap::new(), next_link: FIRST_LINK }
+        Self {
+            links,
+            own,
+            members: Vec::new(),
+            instances: Vec::new(),
+            table: IndexMap::new(),
+            next_link: FIRST_LINK,
+        }
     }
 
     /// Follows the members that the document names.
@@ -46,10 +55,17 @@
         self.members = members.to_vec();
         let members = &self.members;
         self.table.retain(|server, _| members.contains(server));
+        self.find_addresses();
     }
 
     /// Follows the instance list.
     pub(crate) fn set_instances(&mut self, instances: &[Instance]) {
+        self.instances = instances.to_vec();
+        self.find_addresses();
+    }
+
+    fn find_addresses(&mut self) {
+        let instances = std::mem::take(&mut self.instances);
         for instance in instances.iter().filter(|one| one.state == InstanceState::Live) {
             let Role::Agent { backend_server } = &instance.role else { continue };
             let is_peer = *backend_server != self.own && self.members.contains(backend_server);
@@ -57,6 +73,7 @@
                 self.set_address(backend_server, instance.link_address);
             }
         }
+        self.instances = instances;
     }
 
     fn set_address(&mut self, server: &BackendServerId, address: SocketAddr) {
--- a/crates/entry/src/demo/mod.rs
+++ b/crates/entry/src/demo/mod.rs
@@ -12,7 +12,7 @@
 use miette::IntoDiagnostic;
 use std::path::PathBuf;
 
-pub use stage::{BackendStandIn, Stage, StageError, StageOptions};
+pub use stage::{BackendStandIn, LockStep, Stage, StageError, StageOptions};
 
 /// The document that the demo shows unless told otherwise.
 const DOCUMENT: &str = include_str!("../../../../examples/saraswati.json");
@@ -24,6 +24,10 @@
 const FIRST_PIECE_MS: u64 = 60;
 const BETWEEN_PIECES_MS: u64 = 20;
 
+/// Steps of the demo's groups: slow enough for a laptop.
+const LOCK_STEP: LockStep =
+    LockStep { even_step_us: 40_000, window_steps: 25, expert_load_us: 1_000 };
+
 /// The command.
 pub(crate) fn command() -> Command {
     Command::new("demo")
@@ -61,7 +65,14 @@
         between_pieces_ms: BETWEEN_PIECES_MS,
         ..Knobs::default()
     };
-    let options = StageOptions { document, entries: ENTRIES, network: NETWORK, knobs, log_filter };
+    let options = StageOptions {
+        document,
+        entries: ENTRIES,
+        network: NETWORK,
+        knobs,
+        lock_step: Some(LOCK_STEP),
+        log_filter,
+    };
     let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
     runtime.block_on(serve(&options))
 }
--- a/crates/entry/src/demo/stage.rs
+++ b/crates/entry/src/demo/stage.rs
@@ -5,10 +5,13 @@
 
 use crate::settings::Settings as EntrySettings;
 use hickorycross_agent::Settings as AgentSettings;
-use hickorycross_config::{BackendKind, BackendServer, Document, FailureDomainId};
+use hickorycross_config::{BackendKind, BackendServer, Document, FailureDomainId, ModelGroup};
 use hickorycross_core::{Instance, InstanceId, InstanceState, Role};
 use hickorycross_runtime::security::LinkSecurity;
-use hickorycross_standins::{EngineOptions, EngineStandIn, Knobs, PlatformStandIn, ServiceStandIn};
+use hickorycross_standins::{
+    EngineOptions, EngineStandIn, GroupClock, GroupOptions, Knobs, PlatformStandIn, RankOptions,
+    ServiceStandIn,
+};
 use indexmap::IndexMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
@@ -54,15 +57,30 @@
     pub network: [u8; 2],
     /// Knobs of every stand-in at the start; slots follow the document.
     pub knobs: Knobs,
+    /// How engines step; without it they answer without waiting for one another.
+    pub lock_step: Option<LockStep>,
     /// Log levels of the processes.
     pub log_filter: String,
 }
 
+/// How the groups of a stage step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LockStep {
+    /// Time of a step in which every rank has the same work.
+    pub even_step_us: u64,
+    /// Steps over which load is reported.
+    pub window_steps: u64,
+    /// Time to load one expert of one layer.
+    pub expert_load_us: u64,
+}
+
 /// Stand-ins that run, and settings of the processes that belong to them.
 #[derive(Debug)]
 pub struct Stage {
     /// The platform.
     pub platform: PlatformStandIn,
+    /// Clocks of the model groups, by name; empty without lock-step.
+    pub groups: IndexMap<String, GroupClock>,
     /// Stand-ins by the name of their backend server.
     pub backends: IndexMap<String, BackendStandIn>,
     /// Settings of the agents, in document order.
@@ -94,10 +112,11 @@
         let document = parse(&options.document)?;
         let platform = PlatformStandIn::start().await?;
         let platform_url = format!("http://{}", platform.address());
+        let groups = start_groups(&document, options.lock_step);
         let mut backends = IndexMap::new();
         let mut agents = Vec::new();
         for (number, server) in (1..).zip(&document.backend_servers) {
-            let stand_in = start_backend(&document, server, options.knobs).await?;
+            let stand_in = start_backend(&document, server, options, &groups).await?;
             let place = Place { network: options.network, number };
             agents.push(agent_settings(server, &stand_in, &platform_url, place, options));
             backends.insert(server.id.as_str().to_owned(), stand_in);
@@ -110,7 +129,7 @@
             .publish(&options.document)
             .map_err(|error| StageError::Document(error.to_string()))?;
         platform.set_instances(instances.clone());
-        Ok(Self { platform, backends, agents, entries, instances })
+        Ok(Self { platform, groups, backends, agents, entries, instances })
     }
 }
 
@@ -121,25 +140,59 @@
     })
 }
 
+fn start_groups(document: &Document, lock_step: Option<LockStep>) -> IndexMap<String, GroupClock> {
+    let Some(lock_step) = lock_step else {
+        return IndexMap::new();
+    };
+    let start = |group: &ModelGroup| {
+        let clock = GroupClock::start(GroupOptions {
+            ranks: ranks(group, group.backend_servers.len()),
+            layers: group.layers,
+            experts: group.experts_per_layer,
+            even_step_us: lock_step.even_step_us,
+            window_steps: lock_step.window_steps,
+            ..GroupOptions::default()
+        });
+        (group.id.as_str().to_owned(), clock)
+    };
+    document.model_groups.iter().map(start).collect()
+}
+
+/// Ranks on the first so many backend servers of a group.
+fn ranks(group: &ModelGroup, servers: usize) -> u16 {
+    u16::try_from(servers).unwrap_or(u16::MAX).saturating_mul(group.ranks_per_server)
+}
+
 async fn start_backend(
     document: &Document,
     server: &BackendServer,
-    knobs: Knobs,
+    options: &StageOptions,
+    groups: &IndexMap<String, GroupClock>,
 ) -> std::io::Result<BackendStandIn> {
-    let knobs = Knobs { slots: server.slots, ..knobs };
-    match server.kind {
-        BackendKind::Service => ServiceStandIn::start(knobs).await.map(BackendStandIn::Service),
-        BackendKind::Engine => {
-            let models = document
-                .model_groups
-                .iter()
-                .filter(|group| group.backend_servers.contains(&server.id))
-                .flat_map(|group| group.models.clone())
-                .collect();
-            let options = EngineOptions { models, knobs, ..EngineOptions::default() };
-            EngineStandIn::start(options).await.map(BackendStandIn::Engine)
-        }
+    let knobs = Knobs { slots: server.slots, ..options.knobs };
+    if server.kind == BackendKind::Service {
+        return ServiceStandIn::start(knobs).await.map(BackendStandIn::Service);
     }
+    let group = document.model_groups.iter().find(|one| one.backend_servers.contains(&server.id));
+    let models = group.map(|group| group.models.clone()).unwrap_or_default();
+    let ranks = group.and_then(|group| rank_options(group, server, options.lock_step, groups));
+    EngineStandIn::start(EngineOptions { models, knobs, ranks }).await.map(BackendStandIn::Engine)
+}
+
+fn rank_options(
+    group: &ModelGroup,
+    server: &BackendServer,
+    lock_step: Option<LockStep>,
+    groups: &IndexMap<String, GroupClock>,
+) -> Option<RankOptions> {
+    let place = group.backend_servers.iter().position(|id| *id == server.id)?;
+    Some(RankOptions {
+        group: groups.get(group.id.as_str())?.clone(),
+        first_rank: ranks(group, place),
+        rank_count: group.ranks_per_server,
+        checks_fencing: server.checks_fencing,
+        expert_load_us: lock_step?.expert_load_us,
+    })
 }
 
 /// Where an instance stands on the loopback network.
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -4,7 +4,7 @@
 
 use hickorycross_config::{Document, hash_api_key};
 use hickorycross_core::InstanceState;
-use hickorycross_entry::demo::{Stage, StageOptions};
+use hickorycross_entry::demo::{LockStep, Stage, StageOptions};
 use hickorycross_runtime::operators::Status;
 use hickorycross_standins::Knobs;
 use hickorycross_standins::relay::UdpRelay;
@@ -54,11 +54,22 @@
     /// Starts stand-ins, all agents of a document and some entries, and waits until they are
     /// ready.
     pub(crate) async fn start(document: &str, entries: u8, knobs: Knobs) -> Self {
+        Self::start_in_step(document, entries, knobs, None).await
+    }
+
+    /// The same with engines that step together.
+    pub(crate) async fn start_in_step(
+        document: &str,
+        entries: u8,
+        knobs: Knobs,
+        lock_step: Option<LockStep>,
+    ) -> Self {
         let options = StageOptions {
             document: document.to_owned(),
             entries,
             network: unique_network(),
             knobs,
+            lock_step,
             log_filter: "warn,audit=off,platform=off".to_owned(),
         };
         let mut stage = Stage::set_up(&options).await.expect("a stage");
