feat(config): a route leads to several groups of one model

Cause: a model could stand in one group only, and a group in lock-step lives in one failure domain, so the loss of a domain took its models with it whatever was left. Ruled out: groups that span failure domains, whose every step would wait for the latency between them and for the loss of any; several routes for one model, which could not be told apart. A route now names its groups, all with the same models; 2 more refusals and a document with two groups in the tests.

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -234,10 +234,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Target {
-    /// The model API, for the models of one group.
+    /// The model API, for the models that the groups serve.
     Model {
-        /// The group that serves it.
-        group: ModelGroupId,
+        /// The groups that serve them, all with the same models. Groups in several failure
+        /// domains keep a model served when one domain is lost.
+        #[schemars(length(min = 1, max = limits::MAX_MODEL_GROUPS))]
+        groups: Vec<ModelGroupId>,
     },
     /// A plain service behind a path prefix.
     Service {
@@ -284,15 +286,30 @@
 
     /// The backend servers that a target leads to, in document order.
     #[must_use]
-    pub fn backends_of<'a>(&'a self, target: &'a Target) -> &'a [BackendServerId] {
+    pub fn backends_of<'a>(&'a self, target: &'a Target) -> Vec<&'a BackendServerId> {
         match target {
-            Target::Model { group } => {
-                self.group(group.as_str()).map_or(&[], |group| &group.backend_servers)
+            Target::Model { groups } => {
+                self.groups_of(groups).flat_map(|group| &group.backend_servers).collect()
             }
-            Target::Service { backend_servers, .. } => backend_servers,
+            Target::Service { backend_servers, .. } => backend_servers.iter().collect(),
         }
     }
 
+    /// The models that callers reach through a target; none for a service.
+    #[must_use]
+    pub fn models_of<'a>(&'a self, target: &'a Target) -> &'a [String] {
+        match target {
+            Target::Model { groups } => {
+                self.groups_of(groups).next().map_or(&[], |group| &group.models)
+            }
+            Target::Service { .. } => &[],
+        }
+    }
+
+    fn groups_of<'a>(&'a self, ids: &'a [ModelGroupId]) -> impl Iterator<Item = &'a ModelGroup> {
+        ids.iter().filter_map(|id| self.group(id.as_str()))
+    }
+
     /// Finds a model group by name.
     #[must_use]
     pub fn group(&self, id: &str) -> Option<&ModelGroup> {
--- a/crates/config/src/validate/duplicates.rs
+++ b/crates/config/src/validate/duplicates.rs
@@ -2,10 +2,10 @@
 
 use super::Rule;
 use super::found::found_text;
-use crate::document::{Document, KeyHash, Target};
+use crate::document::{Document, KeyHash, ModelGroup, Target};
 use crate::fault::Fault;
-use indexmap::IndexMap;
 use indexmap::map::Entry;
+use indexmap::{IndexMap, IndexSet};
 use std::hash::Hash;
 
 /// Names and other identities occur once.
@@ -85,16 +85,29 @@
     format!("{}…", hash.short())
 }
 
+/// A model belongs to the groups of one route: the others would never get its requests.
 fn check_models(document: &Document, faults: &mut Vec<Fault>) {
     let mut seen = Seen::new(faults);
     for (index, group) in document.model_groups.iter().enumerate() {
+        let mut own = IndexSet::new();
         for (position, model) in group.models.iter().enumerate() {
-            let path = format!("model_groups[{index}].models[{position}]");
-            seen.meet(model.as_str(), path, found_text(model));
+            let is_repeated = !own.insert(model.as_str());
+            if is_repeated || !follows_another(document, group) {
+                let path = format!("model_groups[{index}].models[{position}]");
+                seen.meet(model.as_str(), path, found_text(model));
+            }
         }
     }
 }
 
+/// Whether a route names the group after another one, whose models it then shares.
+fn follows_another(document: &Document, group: &ModelGroup) -> bool {
+    document.routes.iter().any(|route| match &route.target {
+        Target::Model { groups } => groups.iter().skip(1).any(|id| *id == group.id),
+        Target::Service { .. } => false,
+    })
+}
+
 /// A backend server holds ranks of one group at most, and each only once; a route names a backend
 /// server once.
 fn check_members(document: &Document, faults: &mut Vec<Fault>) {
@@ -129,8 +142,10 @@
 fn check_group_routes(document: &Document, faults: &mut Vec<Fault>) {
     let mut seen = Seen::new(faults);
     for (index, route) in document.routes.iter().enumerate() {
-        let Target::Model { group } = &route.target else { continue };
-        let path = format!("routes[{index}].target.model.group");
-        seen.meet(group.as_str(), path, found_text(group.as_str()));
+        let Target::Model { groups } = &route.target else { continue };
+        for (position, group) in groups.iter().enumerate() {
+            let path = format!("routes[{index}].target.model.groups[{position}]");
+            seen.meet(group.as_str(), path, found_text(group.as_str()));
+        }
     }
 }
--- a/crates/config/src/validate/references.rs
+++ b/crates/config/src/validate/references.rs
@@ -63,9 +63,11 @@
     let groups: IndexSet<&str> = ids.collect();
     for (index, route) in document.routes.iter().enumerate() {
         match &route.target {
-            Target::Model { group } => {
-                let path = format!("routes[{index}].target.model.group");
-                check_known(&groups, group.as_str(), path, "an id of model_groups", faults);
+            Target::Model { groups: named } => {
+                for (position, group) in named.iter().enumerate() {
+                    let path = format!("routes[{index}].target.model.groups[{position}]");
+                    check_known(&groups, group.as_str(), path, "an id of model_groups", faults);
+                }
             }
             Target::Service { backend_servers, .. } => {
                 let path = format!("routes[{index}].target.service.backend_servers");
--- a/crates/config/src/validate/routes.rs
+++ b/crates/config/src/validate/routes.rs
@@ -1,9 +1,10 @@
-//! Deadlines and paths of a route.
+//! Deadlines, paths and groups of a route.
 
 use super::Rule;
 use super::found::found_text;
 use crate::document::{Document, Route, Target};
 use crate::fault::Fault;
+use crate::ids::ModelGroupId;
 
 /// Prefix of the model API's paths.
 const MODEL_API_PREFIX: &str = "/v1/";
@@ -16,6 +17,7 @@
         for (index, route) in document.routes.iter().enumerate() {
             check_deadlines(index, route, faults);
             check_path_prefix(index, route, faults);
+            check_same_models(document, index, route, faults);
         }
     }
 }
@@ -28,6 +30,26 @@
     }
 }
 
+/// A request for a model may go to any group of its route.
+fn check_same_models(document: &Document, index: usize, route: &Route, faults: &mut Vec<Fault>) {
+    let Target::Model { groups } = &route.target else { return };
+    let models = |id: &ModelGroupId| {
+        let group = document.group(id.as_str())?;
+        let mut models = group.models.clone();
+        models.sort_unstable();
+        Some(models)
+    };
+    let Some(first) = groups.first() else { return };
+    let Some(expected) = models(first) else { return };
+    for (position, group) in groups.iter().enumerate().skip(1) {
+        if models(group).is_some_and(|models| models != expected) {
+            let path = format!("routes[{index}].target.model.groups[{position}]");
+            let allowed = format!("a group with the same models as {first}");
+            faults.push(Fault::new(&path, found_text(group.as_str()), allowed));
+        }
+    }
+}
+
 fn check_path_prefix(index: usize, route: &Route, faults: &mut Vec<Fault>) {
     let Target::Service { path_prefix, .. } = &route.target else { return };
     if path_prefix.starts_with(MODEL_API_PREFIX) {
--- a/crates/config/tests/changes.rs
+++ b/crates/config/tests/changes.rs
@@ -114,7 +114,7 @@
         changes: &["route cases: idempotent true -> false"], warnings: &[] },
     Case { name: "a route leads elsewhere",
         change: |d| d["routes"][2]["target"] = json!({"service": {"path_prefix": "/status/", "backend_servers": ["case-service-krakow"]}}),
-        changes: &["route case-status: target.model.group case-status -> nothing",
+        changes: &["route case-status: target.model.groups [\"case-status\"] -> nothing",
             "route case-status: target.service.backend_servers nothing -> [\"case-service-krakow\"]",
             "route case-status: target.service.path_prefix nothing -> /status/"],
         warnings: &[] },
--- a/crates/config/tests/documents.rs
+++ b/crates/config/tests/documents.rs
@@ -180,7 +180,7 @@
         }
         let mut route = route.clone();
         route.id = group.id.as_str().into();
-        route.target = hickorycross_config::Target::Model { group: group.id.clone() };
+        route.target = hickorycross_config::Target::Model { groups: vec![group.id.clone()] };
         document.routes.push(route);
         document.model_groups.push(group);
     }
@@ -192,3 +192,16 @@
     }
     document
 }
+
+#[gtest]
+fn a_model_may_be_served_by_groups_of_several_failure_domains() {
+    let mut document = example("examples/wodoprzylacze.json");
+    document.routes.retain(|route| route.id.as_str() != "drafting");
+    document.model_groups[1].models = document.model_groups[0].models.clone();
+    let groups = vec![document.model_groups[0].id.clone(), document.model_groups[1].id.clone()];
+    document.routes[0].target = hickorycross_config::Target::Model { groups };
+    expect_that!(hickorycross_config::validate(&document), is_empty());
+    let backends = document.backends_of(&document.routes[0].target);
+    expect_that!(backends.len(), eq(8));
+    expect_that!(backends[4].as_str(), eq("runner-katowice-1"));
+}
--- a/crates/config/tests/refusals.rs
+++ b/crates/config/tests/refusals.rs
@@ -33,6 +33,10 @@
     object.as_object_mut().expect("an object").remove(key);
 }
 
+fn remove_route(document: &mut Value, index: usize) {
+    document["routes"].as_array_mut().unwrap().remove(index);
+}
+
 fn repeat(value: &Value, times: usize) -> Value {
     Value::Array(vec![value.clone(); times])
 }
@@ -168,8 +172,13 @@
     Case { name: "a path of two routes", change: |d| d["routes"][4]["target"]["service"]["path_prefix"] = json!("/cases/"),
         path: "routes[4].target.service.path_prefix", found: "\"/cases/\"",
         allowed: "a value other than that of routes[3].target.service.path_prefix" },
-    Case { name: "a group of two routes", change: |d| d["routes"][1]["target"]["model"]["group"] = json!("site-plans"),
-        path: "routes[1].target.model.group", found: "\"site-plans\"", allowed: "a value other than that of routes[0].target.model.group" },
+    Case { name: "a group of two routes", change: |d| d["routes"][1]["target"]["model"]["groups"][0] = json!("site-plans"),
+        path: "routes[1].target.model.groups[0]", found: "\"site-plans\"", allowed: "a value other than that of routes[0].target.model.groups[0]" },
+    Case { name: "groups of one route with distinct models",
+        change: |d| { remove_route(d, 1); d["routes"][0]["target"]["model"]["groups"] = json!(["site-plans", "drafting"]); },
+        path: "routes[0].target.model.groups[1]", found: "\"drafting\"", allowed: "a group with the same models as site-plans" },
+    Case { name: "no groups", change: |d| d["routes"][0]["target"]["model"]["groups"] = json!([]),
+        path: "routes[0].target.model.groups", found: "0 entries", allowed: "a list from 1 to 512 entries" },
     Case { name: "no such tier", change: |d| d["teams"][2]["tier"] = json!("gold"),
         path: "teams[2].tier", found: "\"gold\"", allowed: "an id of tiers" },
     Case { name: "no such failure domain", change: |d| d["backend_servers"][2]["failure_domain"] = json!("lublin"),
@@ -180,8 +189,8 @@
         path: "model_groups[0].backend_servers[3]", found: "\"case-service-krakow\"", allowed: ENGINE },
     Case { name: "a runner as a service", change: |d| d["routes"][4]["target"]["service"]["backend_servers"][0] = json!("runner-krakow-1"),
         path: "routes[4].target.service.backend_servers[0]", found: "\"runner-krakow-1\"", allowed: SERVICE },
-    Case { name: "no such group", change: |d| d["routes"][0]["target"]["model"]["group"] = json!("plans"),
-        path: "routes[0].target.model.group", found: "\"plans\"", allowed: "an id of model_groups" },
+    Case { name: "no such group", change: |d| d["routes"][0]["target"]["model"]["groups"][0] = json!("plans"),
+        path: "routes[0].target.model.groups[0]", found: "\"plans\"", allowed: "an id of model_groups" },
     Case { name: "floors that share out all", change: |d| d["tiers"][0]["floor_permille"] = json!(800),
         path: "tiers", found: "a sum of floor_permille of 1000", allowed: "a sum below 1000" },
     Case { name: "too many ranks", change: |d| d["model_groups"][0]["ranks_per_server"] = json!(9),
--- a/crates/core/src/agent/home_history.rs
+++ b/crates/core/src/agent/home_history.rs
@@ -57,7 +57,7 @@
                 let moved = before.backends_of(&old.target) != after.backends_of(&route.target);
                 // Once matching changes, a request may reach a route by another way than before.
                 if matching_changed || (same_route && moved) {
-                    let backends = before.backends_of(&old.target).to_vec();
+                    let backends = before.backends_of(&old.target).into_iter().cloned().collect();
                     self.note(now, route, Some(backends), longest_memory_ms(old, route));
                 }
             }
@@ -91,7 +91,10 @@
     }
 
     fn was_home(&self, past: &PastHomes, key: KeyDigest) -> bool {
-        let home = past.backends.as_ref().and_then(|backends| key_home(backends, key));
+        let home = past.backends.as_ref().and_then(|backends| {
+            let backends: Vec<_> = backends.iter().collect();
+            key_home(&backends, key)
+        });
         home == Some(&self.own)
     }
 
@@ -156,11 +159,8 @@
 
 fn same_match(before: &Document, old: &Target, after: &Document, new: &Target) -> bool {
     match (old, new) {
-        (Target::Model { group: old }, Target::Model { group: new }) => {
-            let models = |document: &Document, group: &str| {
-                document.group(group).map(|group| group.models.clone())
-            };
-            models(before, old.as_str()) == models(after, new.as_str())
+        (Target::Model { .. }, Target::Model { .. }) => {
+            before.models_of(old) == after.models_of(new)
         }
         (Target::Service { path_prefix: old, .. }, Target::Service { path_prefix: new, .. }) => {
             old == new
--- a/crates/core/src/agent/key_home.rs
+++ b/crates/core/src/agent/key_home.rs
@@ -13,5 +13,5 @@
     route: &'a Route,
     key: KeyDigest,
 ) -> Option<&'a BackendServerId> {
-    crate::key_home(document.backends_of(&route.target), key)
+    crate::key_home(&document.backends_of(&route.target), key)
 }
--- a/crates/core/src/agent/submit.rs
+++ b/crates/core/src/agent/submit.rs
@@ -123,7 +123,7 @@
         let Some(document) = &self.document else { return false };
         let Some(route) = document.route(submit.route.as_str()) else { return false };
         let backends = document.backends_of(&route.target);
-        backends.contains(&self.identity.backend_server)
+        backends.contains(&&self.identity.backend_server)
             && self.backend().is_some()
             && document.tier(submit.tier.as_str()).is_some()
     }
--- a/crates/core/src/entry/catalog.rs
+++ b/crates/core/src/entry/catalog.rs
@@ -21,14 +21,10 @@
 }
 
 fn model_route<'a>(document: &'a Document, model: &str) -> Option<&'a Route> {
-    document.routes.iter().find(|route| match &route.target {
-        Target::Model { group } => serves(document, group.as_str(), model),
-        Target::Service { .. } => false,
-    })
-}
-
-fn serves(document: &Document, group: &str, model: &str) -> bool {
-    document.group(group).is_some_and(|group| group.models.iter().any(|one| one == model))
+    document
+        .routes
+        .iter()
+        .find(|route| document.models_of(&route.target).iter().any(|one| one == model))
 }
 
 /// The service route with the longest prefix of the path.
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -74,19 +74,20 @@
         if let Some(key) = row.key
             && self.mechanisms.key_home_only
         {
-            return key_home(named, key).cloned().into_iter().collect();
+            return key_home(&named, key).cloned().into_iter().collect();
         }
         if let Some(known) = self.subsets.get(&route.id) {
             return known.clone();
         }
-        let members = self.work_out_subset(now, named);
+        let members = self.work_out_subset(now, &named);
         self.subsets.insert(route.id.clone(), members.clone());
         members
     }
 
-    fn work_out_subset(&self, now: Now, named: &[BackendServerId]) -> Vec<BackendServerId> {
+    fn work_out_subset(&self, now: Now, named: &[&BackendServerId]) -> Vec<BackendServerId> {
         let eligible: Vec<Eligible<'_>> = named
             .iter()
+            .copied()
             .filter(|one| self.takes_work(now, one))
             .filter_map(|one| {
                 let backend = self.backends.get(one)?;
--- a/crates/core/src/key_home.rs
+++ b/crates/core/src/key_home.rs
@@ -11,9 +11,13 @@
 /// The home of a key: rendezvous hash over the backend servers that the document names for the
 /// route. Processes on one revision agree, whatever their instance lists say.
 #[must_use]
-pub fn key_home(backends: &[BackendServerId], key: KeyDigest) -> Option<&BackendServerId> {
+pub fn key_home<'a>(
+    backends: &[&'a BackendServerId],
+    key: KeyDigest,
+) -> Option<&'a BackendServerId> {
     backends
         .iter()
+        .copied()
         .max_by_key(|backend_server| (score(backend_server, key), Reverse(*backend_server)))
 }
 
--- a/crates/core/tests/entry_support/mod.rs
+++ b/crates/core/tests/entry_support/mod.rs
@@ -66,7 +66,7 @@
                           "expert_slots_per_rank": 1}],
         "routes": [route("lodge", service("/lodge/"), false), route("read", service("/read/"), true),
                    route("review", service("/read/review/"), false),
-                   route("model", serde_json::json!({"model": {"group": "group"}}), true)],
+                   route("model", serde_json::json!({"model": {"groups": ["group"]}}), true)],
         "balance": {"skew_weight": 1.0, "rebalance_cost_weight": 1.0,
                     "weight_store_bytes_per_s": 1}
     }))
--- a/crates/core/tests/entry_support/scenarios.rs
+++ b/crates/core/tests/entry_support/scenarios.rs
@@ -314,7 +314,7 @@
     for key in ["k-1", "k-2", "k-3", "k-4", "k-5", "k-6"] {
         let mut rig = Rig::new(on);
         let backends = ["s-1", "s-2", "s-3"].map(BackendServerId::new);
-        let home = key_home(&backends, KeyDigest::of(&"clerks".into(), key));
+        let home = key_home(&backends.each_ref(), KeyDigest::of(&"clerks".into(), key));
         let home = instance_of(home.map_or("", BackendServerId::as_str));
         let (request, link, attempt) = submitted(&mut rig, Ask { key: Some(key), ..READ })?;
         check(rig.links[&link] == home, &"first try elsewhere")?;
--- a/crates/entry/src/catalog.rs
+++ b/crates/entry/src/catalog.rs
@@ -1,6 +1,6 @@
 //! The model list that callers may ask for.
 
-use hickorycross_config::{Document, KeyHash, Target};
+use hickorycross_config::{Document, KeyHash};
 use serde::Serialize;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -31,12 +31,10 @@
     pub(crate) fn list(&self, key: &KeyHash) -> Option<String> {
         let document = self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()?;
         document.team_by_key(key)?;
-        let routed = document.routes.iter().filter_map(|route| match &route.target {
-            Target::Model { group } => document.group(group.as_str()),
-            Target::Service { .. } => None,
-        });
-        let data = routed
-            .flat_map(|group| &group.models)
+        let data = document
+            .routes
+            .iter()
+            .flat_map(|route| document.models_of(&route.target))
             .map(|id| Model { id, object: "model", owned_by: "hickorycross" })
             .collect();
         serde_json::to_string(&List { object: "list", data }).ok()
