--- a/crates/core/src/health/backoff.rs
+++ b/crates/core/src/health/backoff.rs
@@ -4,11 +4,20 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Time before the first probe.
-const FIRST_MS: u64 = 500;
+/// Times before the first and between later probes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Spans {
+    first_ms: u64,
+    longest_ms: u64,
+}
+
+/// After failures: the probe is the only way to learn of the end of them.
+pub(super) const AFTER_FAILURES: Spans = Spans { first_ms: 500, longest_ms: 3000 };
 
-/// Longest time between probes: recovery waits for this at most.
-const LONGEST_MS: u64 = 3000;
+/// After silence: heartbeats and fresh links tell of the end of it earlier and cost no caller's
+/// time. Each probe that is lost costs a retry; more of them would use up the retry budget while a
+/// failure domain is gone.
+pub(super) const AFTER_SILENCE: Spans = Spans { first_ms: 1000, longest_ms: 5000 };
 
 /// Most doublings that can matter.
 const MOST_DOUBLINGS: u32 = 8;
@@ -30,8 +39,8 @@
     ///
     /// Jitter of a quarter either way: entries see a fault at the same moment, and without jitter
     /// they would probe at the same moment too.
-    pub(super) fn next(&mut self, now: Now) -> UnixMs {
-        let span_ms = (FIRST_MS << self.failures.min(MOST_DOUBLINGS)).min(LONGEST_MS);
+    pub(super) fn next(&mut self, now: Now, spans: Spans) -> UnixMs {
+        let span_ms = (spans.first_ms << self.failures.min(MOST_DOUBLINGS)).min(spans.longest_ms);
         self.failures += 1;
         let quarter_ms = span_ms / 4;
         now.after(span_ms - quarter_ms + self.rng.random_range(0..=2 * quarter_ms))
--- a/crates/core/src/health/graded.rs
+++ b/crates/core/src/health/graded.rs
@@ -1,6 +1,6 @@
 //! The health policy in use.
 
-use super::backoff::Backoff;
+use super::backoff::{AFTER_FAILURES, AFTER_SILENCE, Backoff};
 use super::border::{HealthOf, Signal, Standing};
 use super::counts::Counts;
 use super::ramp::Ramp;
@@ -150,7 +150,8 @@
     fn open(&mut self, now: Now, cause: Cause) {
         let probe_at = match cause {
             Cause::Down => now.after(DOWN_MS),
-            Cause::Silence | Cause::Failures => self.backoff.next(now),
+            Cause::Silence => self.backoff.next(now, AFTER_SILENCE),
+            Cause::Failures => self.backoff.next(now, AFTER_FAILURES),
         };
         self.circuit = Circuit::Open { cause, probe_at };
     }
--- a/crates/core/src/retry/token_budget.rs
+++ b/crates/core/src/retry/token_budget.rs
@@ -9,13 +9,13 @@
 
 /// Tokens with which a route begins and up to which time alone refills it: a route with little
 /// traffic would never earn a whole token.
-const FLOOR_TOKENS: f64 = 3.0;
+const FLOOR_TOKENS: f64 = 5.0;
 
 /// Time in which time alone earns one token, while below the floor.
 const FLOOR_TOKEN_MS: f64 = 10_000.0;
 
 /// Most tokens that first tries can earn ahead of need.
-const MOST_TOKENS: f64 = 10.0;
+const MOST_TOKENS: f64 = 20.0;
 
 /// Most tries of one request, the first one included.
 const MOST_TRIES: u16 = 4;
--- a/crates/lab/src/policy/measure.rs
+++ b/crates/lab/src/policy/measure.rs
@@ -40,6 +40,7 @@
     /// Worst over the seeds; none where no repair belongs to the scenario.
     pub(crate) recovery: Option<Recovery>,
     pub(crate) tiers: Vec<TierRow>,
+    /// Only where a limit binds.
     pub(crate) teams: Vec<TeamRow>,
 }
 
@@ -114,7 +115,8 @@
 fn run_row(scenario: &Scenario, set: PolicySet, tally: &Tally, seeds: u64) -> RunRow {
     let goodput = &tally.goodput_permille;
     let tiers = TIERS.iter().zip(&tally.tiers).map(|(plan, tier)| tier_row(plan.name, tier));
-    let teams = (0..TEAMS.len()).map(|team| team_row(scenario, team, &tally.teams[team], seeds));
+    let teams = if scenario.has_narrow_limits() { 0..TEAMS.len() } else { 0..0 };
+    let teams = teams.map(|team| team_row(scenario, team, &tally.teams[team], seeds));
     RunRow {
         scenario: scenario.name,
         policy: set.name(),
@@ -190,6 +192,7 @@
         cut_peak_permille: highest(|through| through.cut_peak_permille),
         cut_mean_permille: mean(|through| through.cut_mean_permille),
         cut_overshoot_fair_shares: highest(|through| through.cut_overshoot_fair_shares),
+        cut_peak_overshoot_fair_shares: highest(|through| through.cut_peak_overshoot_fair_shares),
         report_bytes_per_s: highest(|through| through.report_bytes_per_s),
     };
     OvershootRow { case, worst }
--- a/crates/lab/src/policy/mod.rs
+++ b/crates/lab/src/policy/mod.rs
@@ -6,6 +6,7 @@
 
 mod arrivals;
 mod backend;
+mod chart;
 mod demand;
 mod entry;
 mod fleet;
--- a/crates/lab/src/policy/overshoot.rs
+++ b/crates/lab/src/policy/overshoot.rs
@@ -77,7 +77,7 @@
     pub(crate) cut: Cut,
 }
 
-/// What got through. All values in thousandths of the limit but for the last two.
+/// What got through. In thousandths of the limit unless the name says otherwise.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub(crate) struct Through {
     /// Mean of the steady part.
@@ -90,6 +90,8 @@
     pub(crate) cut_mean_permille: f64,
     /// Mean overshoot of the settled part of the cut in fair shares of one entry.
     pub(crate) cut_overshoot_fair_shares: f64,
+    /// Highest overshoot of a window from the beginning of the cut to its end, in fair shares.
+    pub(crate) cut_peak_overshoot_fair_shares: f64,
     /// Estimated bytes a second of reports and answers at the busiest entry.
     pub(crate) report_bytes_per_s: f64,
 }
@@ -221,14 +223,16 @@
     fn through(&self) -> Through {
         let steady_to_ms = if self.case.cut == Cut::None { RUN_MS } else { CUT_MS.0 };
         let cut_mean = self.mean(CUT_MS.0 + CUT_SETTLED_MS, CUT_MS.1);
+        let cut_peak = self.peak(CUT_MS.0, CUT_MS.1);
         let overshoot = (cut_mean - 1.0).max(0.0);
         let bytes = self.bytes.iter().copied().max().unwrap_or(0);
         Through {
             steady_mean_permille: 1000.0 * self.mean(SETTLED_MS, steady_to_ms),
             steady_peak_permille: 1000.0 * self.peak(SETTLED_MS, steady_to_ms),
-            cut_peak_permille: 1000.0 * self.peak(CUT_MS.0, CUT_MS.1),
+            cut_peak_permille: 1000.0 * cut_peak,
             cut_mean_permille: 1000.0 * cut_mean,
             cut_overshoot_fair_shares: overshoot * self.case.entries as f64,
+            cut_peak_overshoot_fair_shares: (cut_peak - 1.0).max(0.0) * self.case.entries as f64,
             report_bytes_per_s: bytes as f64 * 1000.0 / RUN_MS as f64,
         }
     }
--- a/crates/lab/src/policy/policies.rs
+++ b/crates/lab/src/policy/policies.rs
@@ -19,6 +19,10 @@
     LeastOutstanding,
     /// Ours with two choices by the raw lagging report as routing.
     RawTwoChoices,
+    /// Ours without suspicion.
+    AlwaysUp,
+    /// Ours with a fixed number of tries for each request.
+    FixedTries,
     /// Ours with a first-come queue without tiers.
     Fcfs,
     /// Round robin, no limits, no suspicion, a fixed number of tries, a first-come queue.
@@ -27,11 +31,13 @@
 
 impl PolicySet {
     /// All sets, ours first.
-    pub(crate) const ALL: [Self; 6] = [
+    pub(crate) const ALL: [Self; 8] = [
         Self::Ours,
         Self::RoundRobin,
         Self::LeastOutstanding,
         Self::RawTwoChoices,
+        Self::AlwaysUp,
+        Self::FixedTries,
         Self::Fcfs,
         Self::Plain,
     ];
@@ -43,6 +49,8 @@
             Self::RoundRobin => "round-robin",
             Self::LeastOutstanding => "least-outstanding",
             Self::RawTwoChoices => "raw-two-choices",
+            Self::AlwaysUp => "always-up",
+            Self::FixedTries => "fixed-tries",
             Self::Fcfs => "fcfs",
             Self::Plain => "plain",
         }
@@ -59,10 +67,12 @@
     /// Routing of one entry.
     pub(crate) fn routing(self, seed: u64) -> Box<dyn ChooseBackend> {
         match self {
-            Self::Ours | Self::Fcfs => Box::new(TwoChoices::new(seed)),
             Self::RoundRobin | Self::Plain => Box::new(RoundRobin::default()),
             Self::LeastOutstanding => Box::new(LeastOutstanding::default()),
             Self::RawTwoChoices => Box::new(RawTwoChoices::new(seed)),
+            Self::Ours | Self::AlwaysUp | Self::FixedTries | Self::Fcfs => {
+                Box::new(TwoChoices::new(seed))
+            }
         }
     }
 
@@ -77,7 +87,7 @@
     /// Health of one backend server as one entry sees it.
     pub(crate) fn health(self, seed: u64) -> Box<dyn HealthOf> {
         match self {
-            Self::Plain => Box::new(AlwaysUp),
+            Self::Plain | Self::AlwaysUp => Box::new(AlwaysUp),
             _ => Box::new(Graded::new(seed)),
         }
     }
@@ -85,7 +95,7 @@
     /// Retries of one entry.
     pub(crate) fn retry(self, seed: u64) -> Box<dyn BudgetRetries> {
         match self {
-            Self::Plain => Box::new(FixedBudget::default()),
+            Self::Plain | Self::FixedTries => Box::new(FixedBudget::default()),
             _ => Box::new(TokenBudget::new(seed)),
         }
     }
--- a/crates/lab/src/policy/scenario.rs
+++ b/crates/lab/src/policy/scenario.rs
@@ -157,6 +157,11 @@
         self.life(domain_of(entry), entry, half_step_before)
     }
 
+    /// Whether some team's limit binds.
+    pub(crate) fn has_narrow_limits(&self) -> bool {
+        self.limit_factors.iter().any(|factor| *factor < WIDE)
+    }
+
     /// Requests that a team's limit allows in the counted part, its burst included.
     pub(crate) fn limit_requests(&self, team: usize) -> f64 {
         let per_s = (team_rate_per_s(team) * self.limit_factors[team]).round().max(1.0);
