--- a/crates/core/src/limits/share.rs
+++ b/crates/core/src/limits/share.rs
@@ -99,6 +99,7 @@
 
     /// The part of the limit that may be used now, from 0 to 1.
     pub(super) fn fraction(&mut self, now: Now, entries: u32) -> f64 {
+        let entries = self.entries_or_peak(entries);
         if self.is_stale(now) {
             self.fall_back(now, entries);
         } else {
@@ -115,6 +116,7 @@
         }
         self.homes[home] = Some(total);
         self.remember_peak(now, total.entries);
+        let entries = self.entries_or_peak(entries);
         let target = self.target(now, entries);
         self.approach(now, target);
     }
@@ -142,6 +144,14 @@
         largest.is_none_or(|total_per_s| total_per_s > limit_per_s * TIGHT_PART)
     }
 
+    /// The number of entries by the instance list, or while that is unknown by the totals.
+    ///
+    /// Without the latter, entries that start while the platform's list cannot be read would each
+    /// take themselves for the only one.
+    fn entries_or_peak(&self, entries: u32) -> u32 {
+        if entries == 0 { self.peak_entries } else { entries }
+    }
+
     fn holding(&self, now: Now) -> impl Iterator<Item = &HomeTotal> {
         self.homes.iter().flatten().filter(move |home| !home.holds_until.is_past(now))
     }
--- a/crates/core/src/limits/shared.rs
+++ b/crates/core/src/limits/shared.rs
@@ -18,13 +18,14 @@
 #[derive(Clone, Debug)]
 pub struct SharedLimits {
     teams: IndexMap<TeamId, TeamRow>,
+    /// Live entries by the instance list; zero while it is unknown.
     entries: u32,
     budget: ByteBudget,
 }
 
 impl Default for SharedLimits {
     fn default() -> Self {
-        Self { teams: IndexMap::new(), entries: 1, budget: ByteBudget::default() }
+        Self { teams: IndexMap::new(), entries: 0, budget: ByteBudget::default() }
     }
 }
 
@@ -37,7 +38,7 @@
 }
 
 impl SharedLimits {
-    /// Begins without teams, as the only entry.
+    /// Begins without teams and without knowledge of other entries.
     #[must_use]
     pub fn new() -> Self {
         Self::default()
@@ -100,7 +101,7 @@
     }
 
     fn set_entries(&mut self, _now: Now, entries: u32) {
-        self.entries = entries.max(1);
+        self.entries = entries;
     }
 
     fn admit(&mut self, now: Now, team: &TeamId) -> Admission {
--- a/crates/core/tests/policy_limits.rs
+++ b/crates/core/tests/policy_limits.rs
@@ -280,6 +280,24 @@
     }
 }
 
+// Symptom: after a start of all entries, each lets the whole limit through.
+// Sequence: the platform's instance list cannot be read; no entry knows that there are others.
+// Cause: an unknown number of entries was taken for one, although totals name them.
+#[googletest::test]
+fn without_an_instance_list_the_totals_tell_of_other_entries() {
+    for entries in [2, 8] {
+        let mut rig = Rig::new(entries, even, always);
+        rig.entries.iter_mut().for_each(|limits| limits.set_entries(Now::at(START_MS), 0));
+        rig.run(0, 10_000);
+        expect_that!(rig.run(10_000, 20_000).iter().sum::<f64>(), le(1.05));
+    }
+    let mut rig = Rig::new(8, even, |_, _, _, moment_ms| moment_ms < CUT_MS);
+    rig.entries.iter_mut().for_each(|limits| limits.set_entries(Now::at(START_MS), 0));
+    rig.run(0, CUT_MS + 20_000);
+    let admitted: f64 = rig.run(CUT_MS + 20_000, CUT_MS + 25_000).iter().sum();
+    expect_that!(admitted, le(1.05), "also once the totals are gone");
+}
+
 // Symptom: a team far below its limit is refused now and then.
 // Sequence: its few requests are spread over many entries; two of them meet at one entry.
 // Cause: each entry's part of the burst was less than two requests.
--- a/crates/lab/examples/policy.rs
+++ b/crates/lab/examples/policy.rs
@@ -11,7 +11,8 @@
     let matches = command().get_matches();
     let seeds = matches.get_one::<u64>("seeds").copied().unwrap_or(3);
     let only = matches.get_one::<String>("only").cloned().unwrap_or_default();
-    let measurement = measure(&Effort { seeds, only });
+    let policy = matches.get_one::<String>("policy").cloned().unwrap_or_default();
+    let measurement = measure(&Effort { seeds, only, policy });
     print!("{}", print(&measurement));
     if let Some(out) = matches.get_one::<PathBuf>("out") {
         hickorycross_lab::policy::write(&measurement, out).into_diagnostic()?;
@@ -34,6 +35,11 @@
                 .long("only")
                 .help("Only scenarios whose name contains this text; `overshoot` for the limits"),
         )
+        .arg(
+            Arg::new("policy")
+                .long("policy")
+                .help("Only sets of policies whose name contains this text"),
+        )
         .arg(
             Arg::new("out")
                 .long("out")
--- a/crates/lab/src/policy/entry.rs
+++ b/crates/lab/src/policy/entry.rs
@@ -3,35 +3,18 @@
 use super::arrivals::Request;
 use super::fleet::{BACKENDS, DOMAINS, ROUTE, backend_id, domain_id, domain_of, team_id};
 use super::ledger::{Ledger, Outcome};
-use super::link::{ACK_MS, Link};
+use super::link::Link;
+use super::open::OpenTable;
 use super::policies::PolicySet;
 use super::queue::Attempt;
 use super::wire::{Effect, ToBackend, ToEntry};
 use hickorycross_config::{BackendServerId, Document, FailureDomainId, RouteId, TeamId};
 use hickorycross_core::health::Signal;
 use hickorycross_core::limits::{Admission, LimitTeams};
-use hickorycross_core::message::{RefusalReason, TeamTotal};
-use hickorycross_core::retry::{BudgetRetries, RetryDecision};
+use hickorycross_core::message::TeamTotal;
+use hickorycross_core::retry::BudgetRetries;
 use hickorycross_core::routing::{Candidate, Choice, ChooseBackend, Pick};
 use hickorycross_core::{Now, UnixMs};
-use indexmap::IndexMap;
-
-/// An attempt that is not over.
-#[derive(Clone, Copy, Debug)]
-struct OpenAttempt {
-    backend: usize,
-    ordinal: u16,
-    sent_ms: u64,
-    ack_by_ms: Option<u64>,
-    began: bool,
-}
-
-/// A request that is not over.
-#[derive(Clone, Debug, Default)]
-struct OpenRequest {
-    tried: Vec<usize>,
-    attempt: Option<OpenAttempt>,
-}
 
 /// What all entries look at.
 pub(crate) struct Shared<'a> {
@@ -41,16 +24,16 @@
 
 /// One entry.
 pub(crate) struct Entry {
-    index: usize,
-    home: FailureDomainId,
-    route: RouteId,
-    teams: Vec<TeamId>,
-    routing: Box<dyn ChooseBackend>,
-    limits: Box<dyn LimitTeams>,
-    retry: Box<dyn BudgetRetries>,
-    links: Vec<Link>,
-    open: IndexMap<usize, OpenRequest>,
-    effects: Vec<Effect>,
+    pub(super) index: usize,
+    pub(super) home: FailureDomainId,
+    pub(super) route: RouteId,
+    pub(super) teams: Vec<TeamId>,
+    pub(super) routing: Box<dyn ChooseBackend>,
+    pub(super) limits: Box<dyn LimitTeams>,
+    pub(super) retry: Box<dyn BudgetRetries>,
+    pub(super) links: Vec<Link>,
+    pub(super) open: OpenTable,
+    pub(super) effects: Vec<Effect>,
 }
 
 impl Entry {
@@ -84,7 +67,7 @@
             limits,
             retry,
             links: (0..BACKENDS).map(link).collect(),
-            open: IndexMap::new(),
+            open: OpenTable::default(),
             effects: Vec::new(),
         }
     }
@@ -107,13 +90,13 @@
             return;
         }
         self.retry.first_try(now, &self.route);
-        self.open.insert(request, OpenRequest::default());
+        self.open.add(request);
         self.dispatch(now, shared, request);
     }
 
     /// Tries a request again.
     pub(crate) fn retry(&mut self, now: Now, shared: &mut Shared<'_>, request: usize) {
-        if self.open.contains_key(&request) {
+        if self.open.has(request) {
             self.dispatch(now, shared, request);
         }
     }
@@ -141,8 +124,8 @@
             ToEntry::End { attempt, load } => {
                 self.links[backend].report(now, load);
                 self.links[backend].health.signal(now, Signal::Answered);
-                if self.close(attempt).is_some() {
-                    self.open.swap_remove(&attempt.request);
+                if self.close(attempt.request, attempt.ordinal).is_some() {
+                    self.open.remove(attempt.request);
                 }
             }
             ToEntry::Failed { attempt, load } => {
@@ -173,10 +156,9 @@
 
     /// The process ends: whatever is open is cut off.
     pub(crate) fn cut_off(&mut self, shared: &mut Shared<'_>) {
-        for request in self.open.keys() {
-            shared.ledger.ended(*request, Outcome::Failed);
+        for request in self.open.take_all() {
+            shared.ledger.ended(request, Outcome::Failed);
         }
-        self.open.clear();
     }
 
     fn backend_index(&self, id: &BackendServerId) -> Option<usize> {
@@ -190,7 +172,7 @@
 
     fn dispatch(&mut self, now: Now, shared: &mut Shared<'_>, request: usize) {
         let wanted = &shared.requests[request];
-        let first = self.open[&request].tried.is_empty();
+        let first = self.open.tried(request).is_empty();
         if wanted.deadline_ms <= now.unix_ms.0 {
             self.end(shared, request, Outcome::RefusedLater);
             return;
@@ -205,7 +187,7 @@
 
     /// Uses a first try as a probe if a circuit is half open.
     fn probe(&mut self, now: Now, request: usize) -> Option<usize> {
-        if !self.open[&request].tried.is_empty() {
+        if !self.open.tried(request).is_empty() {
             return None;
         }
         let backend = self.links.iter().position(|link| link.wants_probe(now))?;
@@ -214,7 +196,7 @@
     }
 
     fn choose(&mut self, now: Now, request: usize, wanted: &Request) -> Option<usize> {
-        let tried = &self.open[&request].tried;
+        let tried = self.open.tried(request);
         let (indices, candidates): (Vec<usize>, Vec<Candidate<'_>>) = self
             .links
             .iter()
@@ -240,16 +222,7 @@
 
     fn send(&mut self, now: Now, shared: &mut Shared<'_>, request: usize, backend: usize) {
         let wanted = &shared.requests[request];
-        let open = self.open.entry(request).or_default();
-        let ordinal = open.tried.len() as u16;
-        open.tried.push(backend);
-        open.attempt = Some(OpenAttempt {
-            backend,
-            ordinal,
-            sent_ms: now.unix_ms.0,
-            ack_by_ms: Some(now.unix_ms.0 + ACK_MS),
-            began: false,
-        });
+        let ordinal = self.open.sent(now, request, backend);
         let attempt = Attempt {
             request,
             ordinal,
@@ -263,116 +236,4 @@
         shared.ledger.tried(request);
         self.effects.push(Effect::SendBackend { backend, message: ToBackend::Submit(attempt) });
     }
-
-    fn accepted(&mut self, shared: &mut Shared<'_>, attempt: Attempt) {
-        if let Some(open) = self.live(attempt) {
-            open.ack_by_ms = None;
-            shared.ledger.accepted(attempt.request);
-        }
-    }
-
-    fn refused(
-        &mut self,
-        now: Now,
-        shared: &mut Shared<'_>,
-        attempt: Attempt,
-        reason: RefusalReason,
-    ) {
-        if self.close(attempt).is_none() {
-            return;
-        }
-        if reason == RefusalReason::Expired {
-            self.routing.expired(now, attempt.rank);
-            self.end(shared, attempt.request, Outcome::Expired);
-            return;
-        }
-        self.try_again(now, shared, attempt.request, Outcome::RefusedLater);
-    }
-
-    fn first_chunk(&mut self, now: Now, shared: &mut Shared<'_>, backend: usize, attempt: Attempt) {
-        let Some(open) = self.live(attempt) else {
-            return;
-        };
-        open.began = true;
-        let took_ms = now.unix_ms.0 - open.sent_ms;
-        self.routing.observe(now, self.links[backend].id(), took_ms);
-        self.routing.began(now, attempt.rank);
-        shared.ledger.first_chunk(
-            now.unix_ms.0,
-            attempt.request,
-            &shared.requests[attempt.request],
-        );
-    }
-
-    fn failed(&mut self, now: Now, shared: &mut Shared<'_>, request: usize, ordinal: u16) {
-        let Some(open) = self.close_ordinal(request, ordinal) else {
-            return;
-        };
-        let link = &mut self.links[open.backend];
-        link.health.signal(now, Signal::Failed);
-        self.routing.failed(now, link.id());
-        if open.began {
-            self.end(shared, request, Outcome::Failed);
-            return;
-        }
-        self.try_again(now, shared, request, Outcome::Failed);
-    }
-
-    fn try_again(&mut self, now: Now, shared: &mut Shared<'_>, request: usize, else_: Outcome) {
-        let tries = self.open[&request].tried.len() as u16;
-        let deadline = UnixMs(shared.requests[request].deadline_ms);
-        match self.retry.judge(now, &self.route, tries, deadline) {
-            RetryDecision::RetryAt(at) => {
-                let after_ms = at.since(now.unix_ms);
-                self.effects.push(Effect::RetryIn { request, after_ms });
-            }
-            RetryDecision::GiveUp => self.end(shared, request, else_),
-        }
-    }
-
-    /// An attempt without acknowledgement is taken back; one on a silent link is lost too.
-    fn give_up_lost(&mut self, now: Now, shared: &mut Shared<'_>) {
-        let now_ms = now.unix_ms.0;
-        let mut lost = Vec::new();
-        for (request, open) in &self.open {
-            let Some(attempt) = open.attempt else { continue };
-            let overdue = attempt.ack_by_ms.is_some_and(|ack_by_ms| ack_by_ms <= now_ms);
-            if overdue || self.links[attempt.backend].is_silent(now) {
-                lost.push((*request, attempt, overdue));
-            }
-        }
-        for (request, attempt, overdue) in lost {
-            if overdue {
-                self.links[attempt.backend].health.signal(now, Signal::Missed);
-            }
-            self.close_ordinal(request, attempt.ordinal);
-            if attempt.began {
-                self.end(shared, request, Outcome::Failed);
-            } else {
-                self.try_again(now, shared, request, Outcome::Failed);
-            }
-        }
-    }
-
-    fn live(&mut self, attempt: Attempt) -> Option<&mut OpenAttempt> {
-        let open = self.open.get_mut(&attempt.request)?.attempt.as_mut()?;
-        (open.ordinal == attempt.ordinal).then_some(open)
-    }
-
-    fn close(&mut self, attempt: Attempt) -> Option<OpenAttempt> {
-        self.close_ordinal(attempt.request, attempt.ordinal)
-    }
-
-    fn close_ordinal(&mut self, request: usize, ordinal: u16) -> Option<OpenAttempt> {
-        let open = self.open.get_mut(&request)?;
-        let attempt = open.attempt.filter(|attempt| attempt.ordinal == ordinal)?;
-        open.attempt = None;
-        self.links[attempt.backend].ended();
-        Some(attempt)
-    }
-
-    fn end(&mut self, shared: &mut Shared<'_>, request: usize, outcome: Outcome) {
-        self.open.swap_remove(&request);
-        shared.ledger.ended(request, outcome);
-    }
 }
--- a/crates/lab/src/policy/measure.rs
+++ b/crates/lab/src/policy/measure.rs
@@ -16,6 +16,8 @@
     pub seeds: u64,
     /// Only scenarios whose name contains this text.
     pub only: String,
+    /// Only sets of policies whose name contains this text.
+    pub policy: String,
 }
 
 /// All results.
@@ -87,7 +89,7 @@
 pub fn measure(effort: &Effort) -> Measurement {
     let mut runs = Vec::new();
     for scenario in all().iter().filter(|scenario| scenario.name.contains(&effort.only)) {
-        runs.extend(measure_scenario(scenario, effort.seeds));
+        runs.extend(measure_scenario(scenario, effort));
     }
     let mut overshoot = Vec::new();
     if "overshoot".contains(&effort.only) {
@@ -96,20 +98,19 @@
     Measurement { seeds: effort.seeds, runs, overshoot }
 }
 
-fn measure_scenario(scenario: &Scenario, seeds: u64) -> Vec<RunRow> {
-    let mut tallies: Vec<Tally> = PolicySet::ALL.iter().map(|_| Tally::new()).collect();
-    for seed in 1..=seeds {
+fn measure_scenario(scenario: &Scenario, effort: &Effort) -> Vec<RunRow> {
+    let is_asked_for = |set: &PolicySet| set.name().contains(&effort.policy);
+    let sets: Vec<PolicySet> = PolicySet::ALL.into_iter().filter(is_asked_for).collect();
+    let mut tallies: Vec<Tally> = sets.iter().map(|_| Tally::new()).collect();
+    for seed in 1..=effort.seeds {
         let requests = draw(scenario, seed);
-        for (set, tally) in PolicySet::ALL.into_iter().zip(&mut tallies) {
+        for (set, tally) in sets.iter().copied().zip(&mut tallies) {
             let ledger = world::run(scenario, &requests, set, seed);
             tally.add(scenario, &requests, &ledger);
         }
     }
-    PolicySet::ALL
-        .into_iter()
-        .zip(&tallies)
-        .map(|(set, tally)| run_row(scenario, set, tally))
-        .collect()
+    let rows = sets.iter().zip(&tallies);
+    rows.map(|(set, tally)| run_row(scenario, *set, tally)).collect()
 }
 
 fn run_row(scenario: &Scenario, set: PolicySet, tally: &Tally) -> RunRow {
--- a/crates/lab/src/policy/mod.rs
+++ b/crates/lab/src/policy/mod.rs
@@ -13,6 +13,8 @@
 mod ledger;
 mod link;
 mod measure;
+mod open;
+mod outcome;
 mod overshoot;
 mod policies;
 mod print;
