--- a/crates/core/tests/policy_limits.rs
+++ b/crates/core/tests/policy_limits.rs
@@ -185,6 +185,16 @@
     if entry == 0 || joins { 3.0 * f64::from(LIMIT_PER_S) } else { 1.0 }
 }
 
+/// Demand of 90% of the limit that is even over entries but for chance: in one step out of eight,
+/// drawn anew for each entry, eight times as much.
+fn chancy(entry: usize, entries: usize, moment_ms: u64) -> f64 {
+    let mixed = (entry as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15)
+        ^ (moment_ms + 1).wrapping_mul(0xD6E8_FEB8_6659_FD93);
+    let drawn = (mixed ^ (mixed >> 32)).wrapping_mul(0xD6E8_FEB8_6659_FD93) >> 61;
+    let mean = 0.9 * f64::from(LIMIT_PER_S) / entries as f64;
+    if drawn == 0 { 8.0 * mean } else { 0.0 }
+}
+
 struct SteadyCase {
     name: &'static str,
     demand: DemandAt,
@@ -217,6 +227,24 @@
     expect_that!(rig.run(0, 5000).iter().sum::<f64>(), ge(2.9), "the baseline holds nothing");
 }
 
+// Symptom: a team below its limit is refused some of its requests all the time.
+// Sequence: its demand is even over 40 entries; each sees a few requests a second, some more and
+// some fewer than their part for a while.
+// Cause: shares followed measured rates, and those follow chance.
+#[googletest::test]
+fn chance_does_not_move_shares() {
+    for entries in [8, 40] {
+        let mut rig = Rig::new(entries, chancy, always);
+        rig.run(0, 20_000);
+        let admitted: f64 = rig.run(20_000, 60_000).iter().sum();
+        let steps = (20_000..60_000).step_by(STEP_MS as usize);
+        let demands =
+            steps.flat_map(|at_ms| (0..entries).map(move |one| chancy(one, entries, at_ms)));
+        let offered = demands.sum::<f64>() / f64::from(LIMIT_PER_S) / (40_000 / STEP_MS) as f64;
+        expect_that!(admitted / offered, ge(0.98), "{entries} entries");
+    }
+}
+
 // Symptom: while demand spreads to another entry, a team runs over its limit.
 // Sequence: the entry where demand appears takes a large share; the one where it was still uses
 // its own, because it has not asked for totals since.
