feat(placement): paced background loads, and a cool-down that really adapts

Cause: the moves of a change need a loader that keeps to the weight store's rate with no shared counter, and tests of each failure.

- A proposal four seconds after a change replaced the one being judged, which needs five reports, so the cool-down never lengthened.
A proposal now waits for the judgement, and two reports suffice.
- The test of refused loads passed with a back-off that only grows; its store is now busy for minutes first, and that mutation fails it.

--- a/crates/core/src/placement/cooldown.rs
+++ b/crates/core/src/placement/cooldown.rs
@@ -8,6 +8,8 @@
 const LONGEST_MS: u64 = 600_000;
 /// Share of a predicted gain below which it counts as not realised.
 const REALISED_SHARE: f64 = 0.5;
+/// Shortfall of skew that is left to chance: a change is judged on few reports.
+const TOLERATED_SHORTFALL: f64 = 0.01;
 /// Factor by which the pause grows or shrinks.
 const STEP_FACTOR: u64 = 2;
 
@@ -43,7 +45,7 @@
 
     /// Compares the gain of the last change on later reports with its prediction.
     pub(crate) fn judge(&mut self, now: Now, predicted: f64, realised: f64) {
-        if realised < REALISED_SHARE * predicted {
+        if realised < REALISED_SHARE * predicted - TOLERATED_SHORTFALL {
             self.lengthen();
             self.start(now);
         } else {
@@ -51,6 +53,16 @@
         }
     }
 
+    /// Ends the pause because demand has changed after it was steady for long.
+    ///
+    /// Pauses lengthen while small gains fail to show; held through a sudden change, they would
+    /// keep the group on a map for the demand before. One would notice skew that stays high for
+    /// minutes after the change. Demand that changes all the time does not get here, because no
+    /// gain lasts under it.
+    pub(crate) fn lift(&mut self) {
+        *self = Self::new();
+    }
+
     fn lengthen(&mut self) {
         self.pause_ms = (self.pause_ms * STEP_FACTOR).min(LONGEST_MS);
     }
--- a/crates/core/src/placement/estimate.rs
+++ b/crates/core/src/placement/estimate.rs
@@ -31,6 +31,7 @@
     layers: Vec<LayerEstimate>,
     covered_step: Option<u64>,
     newest_at: UnixMs,
+    changed_at: UnixMs,
     steps_per_s: f64,
 }
 
@@ -55,6 +56,7 @@
             layers: (0..shape.layers).map(|_| LayerEstimate::new(experts)).collect(),
             covered_step: None,
             newest_at: UnixMs::default(),
+            changed_at: UnixMs::default(),
             steps_per_s: 0.0,
         }
     }
@@ -74,7 +76,10 @@
         }
         self.observe_rate(report);
         for (layer, loads) in self.layers.iter_mut().zip(&report.layer_loads_tokens) {
-            layer.observe(loads, report.steps() as f64);
+            let has_changed = layer.observe(loads, report.steps() as f64);
+            if has_changed {
+                self.changed_at = report.ended_at;
+            }
         }
         self.covered_step = Some(report.last_step);
         self.newest_at = report.ended_at;
@@ -102,6 +107,11 @@
         self.steps_per_s
     }
 
+    /// When demand last changed suddenly in some layer.
+    pub(crate) fn changed_at(&self) -> UnixMs {
+        self.changed_at
+    }
+
     /// The last step that a used report covers.
     #[must_use]
     pub fn covered_step(&self) -> Option<u64> {
@@ -135,7 +145,8 @@
         }
     }
 
-    fn observe(&mut self, loads_tokens: &[f32], steps: f64) {
+    /// Takes a report's loads; returns whether demand has changed suddenly.
+    fn observe(&mut self, loads_tokens: &[f32], steps: f64) -> bool {
         self.sample.clear();
         self.sample.extend(loads_tokens.iter().map(|tokens| f64::from(*tokens) / steps));
         self.noise.observe(&self.sample, steps);
@@ -143,9 +154,11 @@
         self.reports = (self.reports + 1).min(WINDOW_REPORTS);
         smooth(&mut self.mean, &self.sample, self.reports);
         smooth(&mut self.short, &self.sample, self.reports.min(SHORT_REPORTS));
-        if self.has_changed() {
+        let has_changed = self.has_changed();
+        if has_changed {
             self.restart();
         }
+        has_changed
     }
 
     /// Forgets all but the newest report. The short mean still holds reports from before the change,
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -2,14 +2,16 @@
 //!
 //! Step reports arrive late and feed a [`LoadEstimator`]. A [`RebalancePolicy`] compares the
 //! present [`ExpertMap`] with maps that a few loads would give and proposes a [`Change`] when that
-//! pays. Whether and when the ranks adopt the new map is the business of the group agreement, not of
-//! this module.
+//! pays. The [`Loader`] of each agent turns the change into paced background loads. Whether and
+//! when the ranks adopt the new map is the business of the group agreement, not of this module.
 
+mod backoff;
 mod change;
 mod cooldown;
 mod cost;
 mod estimate;
 mod layer;
+mod loading;
 mod noise;
 mod pack;
 mod periodic;
@@ -26,6 +28,9 @@
 pub use cost::{CostModel, HORIZON_MS, STALL_STEPS_PER_CHANGE};
 pub use estimate::LoadEstimator;
 pub use layer::{ExpertLoad, ExpertMap, LayerPlacement, MapFault};
+pub use loading::{
+    AbandonCause, LoadAction, LoadEvent, LoadKey, Loader, LoaderSettings, LoaderState,
+};
 pub use pack::{pack_layer, pack_map, refine_layer};
 pub use periodic::PeriodicFull;
 pub use policy::{Change, ChangeOutcome, Prediction, RebalancePolicy};
--- a/crates/core/src/placement/noise.rs
+++ b/crates/core/src/placement/noise.rs
@@ -11,7 +11,7 @@
 /// Weight of a new difference in the running variance.
 const GAIN: f64 = 1.0 / 30.0;
 /// Differences needed before outliers are bounded.
-const SETTLED_REPORTS: u32 = 8;
+const SETTLED_REPORTS: u32 = 20;
 /// A squared difference counts at most this multiple of the present variance.
 ///
 /// Without the bound, a sudden change of demand inflates the variance for minutes; the significance
@@ -19,6 +19,8 @@
 const OUTLIER_RATIO: f64 = 9.0;
 /// Highest correlation of neighbouring reports that is believed.
 const MAX_CORRELATION: f64 = 0.9;
+/// Halvings of the interval in which the correlation lies.
+const BISECTIONS: u32 = 16;
 
 /// Noise of the experts of one layer.
 #[derive(Clone, Debug)]
@@ -84,20 +86,41 @@
     }
 
     /// Variance of one report's load, in square tokens a step; at least that of counting.
+    ///
+    /// Half of it comes from the layer as a whole. An expert's own variance rests on few differences
+    /// and is now and then far too small; the significance test would then let noise pass.
     pub(crate) fn report_variance(&self, expert: usize, load: f64, steps: f64) -> f64 {
-        self.variance[expert].max(load.max(1.0) / steps)
+        let floor = load.max(1.0) / steps;
+        let pooled = floor * self.long_sum / self.variance.len() as f64;
+        (pooled.midpoint(self.variance[expert])).max(floor)
     }
 
     /// How many reports carry as much information as one independent one; at least 1.
+    ///
+    /// Takes noise for a first-order autoregression, for which the variances at lags 1 and 4 are as
+    /// 1 to 1 + r + r^2 + r^3. The result also makes up for the part of the variance that the long
+    /// lag does not show.
     pub(crate) fn correlated_reports(&self) -> f64 {
-        if self.long_sum <= 0.0 {
+        if self.short_sum <= 0.0 {
             return 1.0;
         }
-        let correlation = (1.0 - self.short_sum / self.long_sum).clamp(0.0, MAX_CORRELATION);
-        (1.0 + correlation) / (1.0 - correlation)
+        let correlation = correlation(self.long_sum / self.short_sum);
+        let shown = 1.0 - correlation.powi(LONG_LAG_REPORTS as i32);
+        (1.0 + correlation) / (1.0 - correlation) / shown
     }
 }
 
+/// Solves 1 + r + r^2 + r^3 = `ratio` for r, bounded to what is believed.
+fn correlation(ratio: f64) -> f64 {
+    let (mut low, mut high) = (0.0, MAX_CORRELATION);
+    for _ in 0..BISECTIONS {
+        let middle = (low + high) / 2.0;
+        let is_low = 1.0 + middle * (1.0 + middle * (1.0 + middle)) < ratio;
+        if is_low { low = middle } else { high = middle }
+    }
+    low
+}
+
 fn half_square(difference: f64) -> f64 {
     difference * difference / 2.0
 }
--- a/crates/core/src/placement/realised.rs
+++ b/crates/core/src/placement/realised.rs
@@ -10,7 +10,7 @@
 use crate::placement::skew::layer_skew;
 
 /// Reports after a change on which it is judged.
-const JUDGED_REPORTS: u32 = 5;
+const JUDGED_REPORTS: u32 = 2;
 
 /// A change that is being judged.
 #[derive(Clone, Debug)]
--- a/crates/core/src/placement/search.rs
+++ b/crates/core/src/placement/search.rs
@@ -7,9 +7,9 @@
 use crate::placement::skew::{SmoothSpread, softness_tokens};
 
 /// Slowest ranks from which load is taken.
-const DONORS: usize = 2;
+const DONORS: usize = 3;
 /// Fastest ranks to which load is given.
-const ACCEPTORS: usize = 3;
+const ACCEPTORS: usize = 4;
 /// Difference of two ranks' loads, in standard errors, above which it is not taken for noise.
 ///
 /// A layer of 32 ranks has about a thousand pairs and a group about sixty layers; the extremes of so
--- a/crates/core/src/placement/weighted.rs
+++ b/crates/core/src/placement/weighted.rs
@@ -16,6 +16,8 @@
 /// Reduction of a layer's skew below which an edit is not worth its bookkeeping, also when it loads
 /// nothing.
 const LEAST_GAIN: f64 = 0.002;
+/// Demand that was steady for this long may change suddenly without being taken for unsteady.
+const STEADY_MS: u64 = 60_000;
 
 /// Settings of [`Weighted`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -110,7 +112,12 @@
     }
 
     fn observe(&mut self, report: &LoadReport) -> Result<(), ReportFault> {
+        let changed_before_at = self.estimator.changed_at();
         self.estimator.observe(report)?;
+        let steady_ms = self.estimator.changed_at().since(changed_before_at);
+        if steady_ms >= STEADY_MS {
+            self.cool_down.lift();
+        }
         if let Some(judged) = &mut self.judged {
             judged.observe(report);
         }
@@ -119,7 +126,10 @@
 
     fn decide(&mut self, now: Now, present: &ExpertMap) -> Option<Change> {
         self.judge_last(now, present);
-        if !self.cool_down.is_over(now) || !self.estimator.is_ready(now) {
+        // A proposal before the last change is judged would take the place of the judgement: the
+        // cool-down could never lengthen, and a group whose predictions fail would change its map
+        // at the shortest pause for ever.
+        if self.judged.is_some() || !self.cool_down.is_over(now) || !self.estimator.is_ready(now) {
             return None;
         }
         let target = self.search(present)?;
--- /dev/null
+++ b/crates/core/tests/placement_loading.rs
@@ -0,0 +1,210 @@
+//! Failures of background loads.
+
+use googletest::prelude::*;
+use hickorycross_core::placement::{
+    AbandonCause, ExpertLoad, LoadAction, LoadEvent, LoadKey, Loader, LoaderSettings, LoaderState,
+};
+use hickorycross_core::{Now, UnixMs};
+
+const VERSION: u64 = 7;
+const GIVE_UP_AT: UnixMs = UnixMs(600_000);
+/// A fair share pays for one expert in a tenth of a second.
+const SETTINGS: LoaderSettings =
+    LoaderSettings { store_bytes_per_s: 1_000_000, agents: 10, expert_bytes: 10_000 };
+const TURN_MS: u64 = 100;
+
+fn load(expert: u16) -> ExpertLoad {
+    ExpertLoad { layer: 0, expert, rank: 3 }
+}
+
+fn key(expert: u16) -> LoadKey {
+    LoadKey { map_version: VERSION, load: load(expert) }
+}
+
+fn started(loads: &[ExpertLoad]) -> Loader {
+    let mut loader = Loader::new(SETTINGS, 1);
+    let actions = loader.begin(Now::at(0), VERSION, loads, GIVE_UP_AT);
+    assert_eq!(actions, [LoadAction::Start(LoadKey { map_version: VERSION, load: loads[0] })]);
+    loader
+}
+
+#[gtest]
+fn loads_keep_to_the_fair_share() {
+    let mut loader = started(&[load(0), load(1)]);
+    expect_that!(loader.handle(Now::at(1), LoadEvent::Loaded(key(0))), is_empty());
+    expect_that!(loader.next_at(), eq(UnixMs(TURN_MS)));
+    expect_that!(loader.tick(Now::at(TURN_MS - 1)), is_empty());
+    expect_that!(loader.tick(Now::at(TURN_MS)), elements_are![eq(&LoadAction::Start(key(1)))]);
+    let ready = loader.handle(Now::at(TURN_MS + 1), LoadEvent::Loaded(key(1)));
+    expect_that!(ready, elements_are![eq(&LoadAction::Ready { map_version: VERSION })]);
+    expect_that!(loader.state(), eq(LoaderState::Ready { map_version: VERSION }));
+    expect_that!(loader.tick(Now::at(GIVE_UP_AT.0)), is_empty());
+    loader.adopted(VERSION);
+    expect_that!(loader.state(), eq(LoaderState::Idle));
+}
+
+#[gtest]
+fn change_without_loads_is_ready_at_once() {
+    let mut loader = Loader::new(SETTINGS, 1);
+    let actions = loader.begin(Now::at(0), VERSION, &[], GIVE_UP_AT);
+    expect_that!(actions, elements_are![eq(&LoadAction::Ready { map_version: VERSION })]);
+}
+
+struct AbandonCase {
+    name: &'static str,
+    /// Applied after the first of three loads is in place and the second runs.
+    then: fn(&mut Loader) -> Vec<LoadAction>,
+    cause: AbandonCause,
+    /// Whether the second load is still running when the change is abandoned.
+    is_running: bool,
+}
+
+// Symptom: a group stays on half a change: some ranks keep weights that no map uses, and the next
+// change finds no room.
+// Sequence: the first load is in place, the second runs, the third waits; then the second fails,
+// hangs, the whole change runs out of time, or the coordinator gives up.
+// Cause: giving up without undoing what was done so far.
+#[gtest]
+fn abandoned_change_is_undone() {
+    let cases = [
+        AbandonCase {
+            name: "failed",
+            then: |loader| loader.handle(Now::at(150), LoadEvent::Failed(key(1))),
+            cause: AbandonCause::Failed,
+            is_running: true,
+        },
+        AbandonCase {
+            name: "slow",
+            then: |loader| {
+                let late_at = loader.next_at();
+                assert_eq!(loader.tick(Now::at(late_at.0 - 1)), []);
+                loader.tick(Now { unix_ms: late_at })
+            },
+            cause: AbandonCause::Late,
+            is_running: true,
+        },
+        AbandonCase {
+            name: "out of time",
+            then: |loader| {
+                loader.handle(Now::at(150), LoadEvent::Refused(key(1)));
+                loader.tick(Now { unix_ms: GIVE_UP_AT })
+            },
+            cause: AbandonCause::Expired,
+            is_running: false,
+        },
+        AbandonCase {
+            name: "withdrawn",
+            then: Loader::withdraw,
+            cause: AbandonCause::Withdrawn,
+            is_running: true,
+        },
+    ];
+    for case in cases {
+        let mut loader = started(&[load(0), load(1), load(2)]);
+        loader.handle(Now::at(1), LoadEvent::Loaded(key(0)));
+        loader.tick(Now::at(TURN_MS));
+        let mut expected = vec![LoadAction::Discard(key(0))];
+        expected.extend(case.is_running.then_some(LoadAction::Cancel(key(1))));
+        expected.push(LoadAction::Abandon { map_version: VERSION, cause: case.cause });
+        expect_that!((case.then)(&mut loader), eq(&expected), "{}", case.name);
+        expect_that!(loader.state(), eq(LoaderState::Idle), "{}", case.name);
+        expect_that!(loader.next_at(), eq(UnixMs::NEVER), "{}", case.name);
+    }
+}
+
+// Symptom: a rank runs out of slots though its map leaves room.
+// Sequence: a load is cancelled with its change; its weights arrive all the same, during no change
+// or during the next one.
+// Cause: an answer that belongs to no present change was ignored.
+#[gtest]
+fn weights_of_an_abandoned_change_are_freed() {
+    let mut loader = started(&[load(0)]);
+    loader.withdraw();
+    let stray = loader.handle(Now::at(5), LoadEvent::Loaded(key(0)));
+    expect_that!(stray, elements_are![eq(&LoadAction::Discard(key(0)))]);
+    loader.begin(Now::at(500), VERSION + 1, &[load(0)], GIVE_UP_AT);
+    let stray = loader.handle(Now::at(501), LoadEvent::Loaded(key(0)));
+    expect_that!(stray, elements_are![eq(&LoadAction::Discard(key(0)))]);
+    let loading = LoaderState::Loading { map_version: VERSION + 1, outstanding: 1 };
+    expect_that!(loader.state(), eq(loading));
+    expect_that!(loader.handle(Now::at(502), LoadEvent::Failed(key(0))), is_empty());
+    expect_that!(loader.state(), eq(loading));
+}
+
+/// A store that others keep busy at first and that then grants loads at its rate over a second.
+struct FakeStore {
+    busy_until: UnixMs,
+    loads_per_s: usize,
+    granted_at: Vec<UnixMs>,
+}
+
+impl FakeStore {
+    fn answer(&mut self, now: Now, key: LoadKey) -> LoadEvent {
+        self.granted_at.retain(|granted_at| !granted_at.after(1_000).is_past(now));
+        if !self.busy_until.is_past(now) || self.granted_at.len() >= self.loads_per_s {
+            return LoadEvent::Refused(key);
+        }
+        self.granted_at.push(now.unix_ms);
+        LoadEvent::Loaded(key)
+    }
+}
+
+/// Runs a loader against the store for one moment.
+fn advance(loader: &mut Loader, store: &mut FakeStore, now: Now) {
+    for action in loader.tick(now) {
+        if let LoadAction::Start(key) = action {
+            loader.handle(now, store.answer(now, key));
+        }
+    }
+}
+
+// Symptom: one agent's change never ends while others' do.
+// Sequence: all agents begin at once; others keep the store busy for minutes, so that each agent is
+// refused dozens of times; then the store has half of its rate to spare.
+// Cause: a back-off that only grows loses its turn to whoever asks more often.
+#[gtest]
+fn refused_loads_get_their_turn() {
+    const BUSY_UNTIL: UnixMs = UnixMs(200_000);
+    const END_MS: u64 = BUSY_UNTIL.0 + 5_000;
+    const STEP_MS: usize = 10;
+    let loads: Vec<ExpertLoad> = (0..5).map(load).collect();
+    for seed in 0..5 {
+        let mut store =
+            FakeStore { busy_until: BUSY_UNTIL, loads_per_s: 50, granted_at: Vec::new() };
+        let agents = (0..u64::from(SETTINGS.agents)).map(|agent| seed * 100 + agent);
+        let mut loaders: Vec<Loader> = agents.map(|agent| Loader::new(SETTINGS, agent)).collect();
+        for loader in &mut loaders {
+            loader.begin(Now::at(0), VERSION, &loads, GIVE_UP_AT);
+            loader.handle(Now::at(0), LoadEvent::Refused(key(0)));
+        }
+        for now in (0..END_MS).step_by(STEP_MS).map(Now::at) {
+            loaders.iter_mut().for_each(|loader| advance(loader, &mut store, now));
+        }
+        let states: Vec<LoaderState> = loaders.iter().map(Loader::state).collect();
+        expect_that!(states, each(eq(&LoaderState::Ready { map_version: VERSION })));
+    }
+}
+
+// Symptom: two runs of one recorded fault differ.
+// Sequence: the same loads are refused at the same moments, twice.
+// Cause: jitter from a source that the seed does not fix.
+#[gtest]
+fn waits_repeat_with_the_seed() {
+    let waits = |seed: u64| {
+        let mut loader = Loader::new(SETTINGS, seed);
+        let mut now = Now::at(0);
+        loader.begin(now, VERSION, &[load(0)], UnixMs::NEVER);
+        let mut refuse = || {
+            loader.handle(now, LoadEvent::Refused(key(0)));
+            let wait_ms = loader.next_at().since(now.unix_ms);
+            now = Now { unix_ms: loader.next_at() };
+            loader.tick(now);
+            wait_ms
+        };
+        (0..30).map(|_| refuse()).collect::<Vec<u64>>()
+    };
+    expect_that!(waits(1), eq(&waits(1)));
+    expect_that!(waits(1), not(eq(&waits(2))));
+    expect_that!(waits(1)[20..], each(le(&TURN_MS)));
+    expect_that!(waits(1), each(le(&(32 * TURN_MS))));
+}
--- /dev/null
+++ b/crates/core/tests/placement_reports.rs
@@ -0,0 +1,262 @@
+//! Lagging, missing and malformed reports, and demand that is nothing but noise.
+
+use googletest::prelude::*;
+use hickorycross_config::Balance;
+use hickorycross_core::Now;
+use hickorycross_core::placement::{
+    Change, ChangeOutcome, ExpertMap, GroupShape, LoadEstimator, LoadReport, RebalancePolicy,
+    ReportFault, Weighted, WeightedSettings, pack_layer,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, StandardNormal};
+
+const STEPS: u64 = 200;
+const REPORT_MS: u64 = 1_000;
+const SHAPE: GroupShape = GroupShape {
+    ranks: 8,
+    layers: 3,
+    experts_per_layer: 32,
+    expert_slots_per_rank: 5,
+    expert_bytes: 1 << 20,
+};
+/// Moves are nearly free, so that only the significance of a gain can hold them back.
+const BALANCE: Balance =
+    Balance { skew_weight: 100.0, rebalance_cost_weight: 0.01, weight_store_bytes_per_s: 1 << 34 };
+
+fn policy() -> Weighted {
+    Weighted::new(SHAPE, &WeightedSettings::new(BALANCE))
+}
+
+fn even_map() -> ExpertMap {
+    let layer = pack_layer(&GroupShape { expert_slots_per_rank: 4, ..SHAPE }, &[1.0; 32]);
+    ExpertMap { layers: vec![layer; 3] }
+}
+
+fn report(index: u64, layer_loads_tokens: Vec<Vec<f32>>) -> LoadReport {
+    LoadReport {
+        first_step: index * STEPS,
+        last_step: index * STEPS + STEPS - 1,
+        ended_at: Now::at((index + 1) * REPORT_MS).unix_ms,
+        layer_loads_tokens,
+    }
+}
+
+/// Loads in which one expert is hot, without noise.
+fn hot(index: u64, hot_expert: usize) -> LoadReport {
+    let mut loads = vec![10_000.0; 32];
+    loads[hot_expert] = 60_000.0;
+    report(index, vec![loads; 3])
+}
+
+/// The moment at which a report arrives.
+fn arrival(index: u64) -> Now {
+    Now::at((index + 2) * REPORT_MS)
+}
+
+/// Feeds reports and returns the first proposal.
+fn first_change(
+    policy: &mut Weighted,
+    map: &ExpertMap,
+    reports: impl Iterator<Item = (u64, LoadReport)>,
+) -> Option<Change> {
+    let mut decide = |(index, report): (u64, LoadReport)| {
+        policy.observe(&report).expect("well-formed");
+        policy.decide(arrival(index), map)
+    };
+    reports.into_iter().find_map(&mut decide)
+}
+
+struct NoiseCase {
+    name: &'static str,
+    /// Relative standard deviation of a report's load.
+    deviation: f64,
+    /// Share of the noise that a report has in common with the one before.
+    kept: f64,
+}
+
+// Symptom: experts are loaded to and fro while demand is steady.
+// Sequence: every expert has the same popularity; reports differ by noise, independent or lasting
+// over several reports; some expert always looks hot.
+// Cause: the largest of many noisy differences is taken for a difference of demand.
+#[gtest]
+fn nothing_moves_on_noise() {
+    let cases = [
+        NoiseCase { name: "counting", deviation: 0.01, kept: 0.0 },
+        NoiseCase { name: "overdispersed", deviation: 0.1, kept: 0.0 },
+        NoiseCase { name: "lasting", deviation: 0.05, kept: 0.7 },
+        NoiseCase { name: "coarse", deviation: 0.3, kept: 0.3 },
+    ];
+    for case in cases {
+        // Of 200 seeds tried, 60 and 76 came closest to a change.
+        for seed in 60..80 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let mut noise = vec![vec![0.0; 32]; 3];
+            let mut reports = |index| {
+                for value in noise.iter_mut().flatten() {
+                    let draw: f64 = StandardNormal.sample(&mut rng);
+                    *value = case.kept * *value + (1.0 - case.kept * case.kept).sqrt() * draw;
+                }
+                let load =
+                    |value: &f64| (20_000.0 * (1.0 + case.deviation * value)).max(0.0) as f32;
+                let loads = noise.iter().map(|layer| layer.iter().map(load).collect()).collect();
+                (index, report(index, loads))
+            };
+            let map = even_map();
+            let change = first_change(&mut policy(), &map, (0..600).map(&mut reports));
+            let loads = change.map(|change| change.loads);
+            expect_that!(loads, none(), "{}, seed {seed}", case.name);
+        }
+    }
+}
+
+#[gtest]
+fn hot_expert_is_replicated() {
+    let map = even_map();
+    let change = first_change(&mut policy(), &map, (0..30).map(|index| (index, hot(index, 5))));
+    let change = change.expect("a hot expert is worth a replica");
+    let replicas = change.target.layers[0].replicas(32);
+    expect_that!(replicas[5], gt(1));
+    expect_that!(change.prediction.skew_after, lt(change.prediction.skew_before / 2.0));
+}
+
+struct FaultCase {
+    name: &'static str,
+    report: LoadReport,
+    expected: ReportFault,
+}
+
+// Symptom: estimates look surer than they are, and experts move on few reports.
+// Sequence: a report arrives twice, after a newer one, overlapping, or damaged.
+// Cause: steps counted twice, or numbers that are no loads.
+#[gtest]
+fn unusable_reports_change_nothing() {
+    let covered = |last_step| ReportFault::Covered { last_step, covered: 4 * STEPS - 1 };
+    let cases = [
+        FaultCase { name: "repeated", report: hot(3, 1), expected: covered(4 * STEPS - 1) },
+        FaultCase { name: "overtaken", report: hot(2, 1), expected: covered(3 * STEPS - 1) },
+        FaultCase {
+            name: "overlapping",
+            report: LoadReport { last_step: 5 * STEPS, ..hot(3, 1) },
+            expected: covered(5 * STEPS),
+        },
+        FaultCase {
+            name: "backwards",
+            report: LoadReport { last_step: 0, ..hot(9, 1) },
+            expected: ReportFault::Backwards { last_step: 0 },
+        },
+        FaultCase {
+            name: "layers",
+            report: report(9, vec![vec![1.0; 32]; 2]),
+            expected: ReportFault::Dimensions { layer: 2 },
+        },
+        FaultCase {
+            name: "experts",
+            report: report(9, vec![vec![1.0; 32], vec![1.0; 31], vec![1.0; 32]]),
+            expected: ReportFault::Dimensions { layer: 1 },
+        },
+        FaultCase {
+            name: "not a number",
+            report: report(9, vec![vec![1.0; 32], vec![1.0; 32], vec![f32::NAN; 32]]),
+            expected: ReportFault::Load { layer: 2 },
+        },
+    ];
+    for case in cases {
+        let mut estimator = LoadEstimator::new(SHAPE);
+        (0..4).for_each(|index| estimator.observe(&hot(index, 0)).expect("well-formed"));
+        let before = estimator.loads(0).to_vec();
+        expect_that!(estimator.observe(&case.report), err(eq(case.expected)), "{}", case.name);
+        expect_that!(estimator.loads(0), eq(before.as_slice()), "{}", case.name);
+        expect_that!(estimator.covered_step(), some(eq(4 * STEPS - 1)), "{}", case.name);
+    }
+}
+
+// Symptom: right after a gap in the reports a group changes its map, and soon changes it back.
+// Sequence: reports show a hot expert, then none arrive for minutes while decisions are still asked
+// for; the process may also have slept.
+// Cause: old reports are taken for the present demand.
+#[gtest]
+fn nothing_moves_on_old_reports() {
+    let mut policy = policy();
+    let map = even_map();
+    for index in 0..30 {
+        policy.observe(&hot(index, 5)).expect("well-formed");
+    }
+    let last = arrival(29).unix_ms;
+    expect_that!(policy.decide(Now { unix_ms: last.after(60_000) }, &map), none());
+    expect_that!(policy.decide(Now { unix_ms: last }, &map), some(anything()));
+}
+
+// Symptom: a group keeps an uneven map although demand has been steady for long.
+// Sequence: two of three reports are lost; the others arrive.
+// Cause: a gap counted as a lasting fault of the reports.
+#[gtest]
+fn missing_reports_only_delay() {
+    let map = even_map();
+    let reports = (0..90).step_by(3).map(|index| (index, hot(index, 5)));
+    expect_that!(first_change(&mut policy(), &map, reports), some(anything()));
+}
+
+// Symptom: after a sudden change of demand a group follows the old demand for a minute.
+// Sequence: one expert is hot for long, then another; reports show it at once.
+// Cause: a long window averages over the change.
+#[gtest]
+fn sudden_change_restarts_the_window() {
+    let mut estimator = LoadEstimator::new(SHAPE);
+    for index in 0..100 {
+        estimator.observe(&hot(index, 5)).expect("well-formed");
+    }
+    for index in 100..103 {
+        estimator.observe(&hot(index, 9)).expect("well-formed");
+    }
+    expect_that!(estimator.loads(0)[5], approx_eq(50.0));
+    expect_that!(estimator.loads(0)[9], approx_eq(300.0));
+}
+
+// Symptom: the same loads are asked of a failing weight store every few seconds.
+// Sequence: a change is proposed and abandoned, again and again.
+// Cause: a cool-down that does not grow with failures.
+#[gtest]
+fn abandoned_changes_lengthen_the_cool_down() {
+    let mut policy = policy();
+    let map = even_map();
+    let mut proposed_at = Vec::new();
+    for index in 0..600 {
+        policy.observe(&hot(index, 5)).expect("well-formed");
+        if policy.decide(arrival(index), &map).is_some() {
+            proposed_at.push(index);
+            policy.settle(arrival(index), ChangeOutcome::Abandoned);
+        }
+    }
+    let pauses: Vec<u64> = proposed_at.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    expect_that!(pauses, len(ge(4)));
+    expect_that!(
+        pauses.windows(2).map(|pair| pair[0] < pair[1]).collect::<Vec<_>>(),
+        each(eq(&true))
+    );
+}
+
+// Symptom: a group changes its map over and over and its skew never falls.
+// Sequence: each time that the group has made room for a hot expert, another becomes hot.
+// Cause: predictions that never come true do not slow the policy down.
+#[gtest]
+fn unrealised_gains_lengthen_the_cool_down() {
+    let mut policy = policy();
+    let mut map = even_map();
+    let mut changed_at = Vec::new();
+    for index in 0..3_000 {
+        let hot_expert = changed_at.len() * 5 % 32;
+        policy.observe(&hot(index, hot_expert)).expect("well-formed");
+        if let Some(change) = policy.decide(arrival(index), &map) {
+            map = change.target;
+            let first_step = (index + 1) * STEPS;
+            policy.settle(arrival(index), ChangeOutcome::Adopted { first_step });
+            changed_at.push(index);
+        }
+    }
+    let pauses: Vec<u64> = changed_at.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    expect_that!(pauses, len(ge(4)));
+    expect_that!(pauses[..4].is_sorted_by(|left, right| left < right), eq(true));
+    let at_first_pace = 3_000 / pauses[0];
+    expect_that!(pauses.len() as u64, lt(at_first_pace / 2));
+}
