--- a/crates/core/tests/placement_reports.rs
+++ b/crates/core/tests/placement_reports.rs
@@ -120,6 +120,34 @@
     expect_that!(change.prediction.skew_after, lt(change.prediction.skew_before / 2.0));
 }
 
+struct WeightCase {
+    skew_weight: f64,
+    rebalance_cost_weight: f64,
+    moves: bool,
+}
+
+#[gtest]
+fn weights_decide_whether_a_gain_pays() {
+    let cases = [
+        WeightCase { skew_weight: 0.0, rebalance_cost_weight: 0.0, moves: false },
+        WeightCase { skew_weight: 1.0, rebalance_cost_weight: 0.0, moves: true },
+        WeightCase { skew_weight: 1.0, rebalance_cost_weight: 1.0, moves: true },
+        WeightCase { skew_weight: 0.001, rebalance_cost_weight: 100.0, moves: false },
+    ];
+    for case in cases {
+        let balance = Balance {
+            skew_weight: case.skew_weight,
+            rebalance_cost_weight: case.rebalance_cost_weight,
+            weight_store_bytes_per_s: 1 << 24,
+        };
+        let mut policy = Weighted::new(SHAPE, &WeightedSettings::new(balance));
+        let reports = (0..60).map(|index| (index, hot(index, 5)));
+        let change = first_change(&mut policy, &even_map(), reports);
+        let (skew, cost) = (case.skew_weight, case.rebalance_cost_weight);
+        expect_that!(change.is_some(), eq(case.moves), "skew {skew}, cost {cost}");
+    }
+}
+
 struct FaultCase {
     name: &'static str,
     report: LoadReport,
--- a/crates/lab/src/rebalance/output.rs
+++ b/crates/lab/src/rebalance/output.rs
@@ -1,13 +1,13 @@
 //! Results as files.
 
 use crate::rebalance::summary::{PolicySummary, Spread};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::fs::File;
-use std::io::{self, BufWriter, Write};
+use std::io::{self, BufReader, BufWriter, Write};
 use std::path::Path;
 
 /// One experiment's results.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ExperimentResult {
     /// The experiment's name.
     pub experiment: String,
@@ -33,6 +33,15 @@
     file.flush()
 }
 
+/// Reads results that [`write_json`] wrote.
+///
+/// # Errors
+///
+/// Any error of the file or its format.
+pub fn read_json(path: &Path) -> io::Result<Vec<ExperimentResult>> {
+    Ok(serde_json::from_reader(BufReader::new(File::open(path)?))?)
+}
+
 /// Writes results as CSV, one line for each experiment and policy.
 ///
 /// # Errors
--- a/crates/lab/src/rebalance/plan.rs
+++ b/crates/lab/src/rebalance/plan.rs
@@ -210,7 +210,7 @@
 const fn span(demand: Demand) -> Span {
     match demand {
         Demand::DailyDrift => {
-            Span { length_s: 86_400, report_s: 10, period_s: 3_600, ticks_per_window: 6 }
+            Span { length_s: 86_400, report_s: 10, period_s: 3_600, ticks_per_window: 12 }
         }
         Demand::ClassChange => {
             Span { length_s: 3_600, report_s: 1, period_s: 60, ticks_per_window: 10 }
