--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -2,8 +2,9 @@
 
 use hickorycross_config::{BackendServerId, FailureDomainId};
 use hickorycross_core::InstanceId;
+use hickorycross_runtime::logs;
 use hickorycross_runtime::security::LinkSecurity;
-use hickorycross_runtime::settings::SettingsError;
+use hickorycross_runtime::settings::{self, Fault, Field, Kind};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -46,31 +47,90 @@
     "info".to_owned()
 }
 
-impl Settings {
-    /// Checks that the values fit together.
-    ///
-    /// # Errors
-    ///
-    /// Every fault found.
-    pub fn check(&self) -> Result<(), SettingsError> {
-        let mut faults = Vec::new();
-        if !self.guard_address.ip().is_loopback() {
-            faults.push(format!(
-                "guard_address: found {}, allowed is a loopback address",
-                self.guard_address
-            ));
-        }
-        for (field, url) in
-            [("backend_url", &self.backend_url), ("platform_url", &self.platform_url)]
-        {
-            if !url.starts_with("http://") {
-                faults.push(format!("{field}: found {url:?}, allowed is http://HOST:PORT"));
-            }
-        }
-        if !self.health_path.starts_with('/') {
-            let found = &self.health_path;
-            faults.push(format!("health_path: found {found:?}, allowed is a path from /"));
-        }
-        if faults.is_empty() { Ok(()) } else { Err(SettingsError::Faults { faults }) }
+impl settings::Settings for Settings {
+    const FIELDS: &'static [Field] = &[
+        Field::required::<InstanceId>(
+            "instance",
+            Kind::Text,
+            "Instance in the platform's list",
+            "a text",
+        ),
+        Field::required::<FailureDomainId>(
+            "failure_domain",
+            Kind::Text,
+            "Failure domain of the instance",
+            "the id of a failure domain of the document",
+        ),
+        Field::required::<BackendServerId>(
+            "backend_server",
+            Kind::Text,
+            "Backend server beside which this agent stands",
+            "the id of a backend server of the document",
+        ),
+        Field::required::<SocketAddr>(
+            "link_address",
+            Kind::Text,
+            "Where this agent accepts links",
+            "IP:PORT",
+        ),
+        Field::required::<SocketAddr>(
+            "operator_address",
+            Kind::Text,
+            "Where operators reach this process",
+            "IP:PORT",
+        ),
+        Field::required::<SocketAddr>(
+            "guard_address",
+            Kind::Text,
+            "Held for the agent's lifetime, so that no second one starts",
+            "a loopback address, 127.x.y.z:PORT",
+        ),
+        Field::required::<String>(
+            "backend_url",
+            Kind::Text,
+            "Base address of the backend server",
+            "http://HOST:PORT",
+        ),
+        Field::optional::<String>(
+            "health_path",
+            Kind::Text,
+            "Path that answers 200 while the backend server is well",
+            "a path from /",
+        ),
+        Field::required::<String>(
+            "platform_url",
+            Kind::Text,
+            "Base address of the platform's services",
+            "http://HOST:PORT",
+        ),
+        Field::required::<LinkSecurity>(
+            "link_security",
+            Kind::Structure,
+            "How links are secured",
+            "{mutual_tls: {authority_file, certificate_file, key_file}} or \
+             development_unauthenticated",
+        ),
+        Field::optional::<String>(
+            "log_filter",
+            Kind::Text,
+            "Log levels, in the form of RUST_LOG",
+            "a level, or TARGET=LEVEL pairs with commas between them",
+        ),
+    ];
+
+    fn faults(&self) -> Vec<Fault> {
+        let quoted = |text: &str| format!("{text:?}");
+        let checks = [
+            (
+                "guard_address",
+                self.guard_address.to_string(),
+                self.guard_address.ip().is_loopback(),
+            ),
+            ("backend_url", quoted(&self.backend_url), self.backend_url.starts_with("http://")),
+            ("health_path", quoted(&self.health_path), self.health_path.starts_with('/')),
+            ("platform_url", quoted(&self.platform_url), self.platform_url.starts_with("http://")),
+            ("log_filter", quoted(&self.log_filter), logs::is_filter(&self.log_filter)),
+        ];
+        settings::failed::<Self, _>(checks)
     }
 }
--- a/crates/entry/src/demo/stage.rs
+++ b/crates/entry/src/demo/stage.rs
@@ -197,7 +197,10 @@
         operator_address: place.address(OPERATOR_PORT),
         platform_url: platform_url.to_owned(),
         link_security: LinkSecurity::DevelopmentUnauthenticated,
+        caller_tls: None,
         body_limit_bytes: 1024 * 1024,
+        body_timeout_ms: 20_000,
+        balancer_notice_ms: 3_000,
         open_requests: 8192,
         log_filter: options.log_filter.clone(),
     }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -2,10 +2,12 @@
 
 use hickorycross_config::FailureDomainId;
 use hickorycross_core::InstanceId;
+use hickorycross_runtime::logs;
 use hickorycross_runtime::security::LinkSecurity;
-use hickorycross_runtime::settings::SettingsError;
+use hickorycross_runtime::settings::{self, Fault, Field, Kind};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// Longest body that a caller may send, unless the settings say otherwise.
 const DEFAULT_BODY_LIMIT_BYTES: u64 = 8 * 1024 * 1024;
@@ -13,6 +15,14 @@
 const DEFAULT_OPEN_REQUESTS: usize = 8192;
 /// Largest body limit: a body must fit into one frame of a link.
 const LARGEST_BODY_LIMIT_BYTES: u64 = 24 * 1024 * 1024;
+/// Time that a caller has for sending its body, unless the settings say otherwise.
+const DEFAULT_BODY_TIMEOUT_MS: u64 = 20_000;
+/// Longest time that a caller may be given for its body.
+const LARGEST_BODY_TIMEOUT_MS: u64 = 600_000;
+/// Time that the platform's balancer has for noticing, unless the settings say otherwise.
+const DEFAULT_BALANCER_NOTICE_MS: u64 = 3_000;
+/// Longest time that the balancer may be given.
+const LARGEST_BALANCER_NOTICE_MS: u64 = 60_000;
 
 /// What an entry must know before it starts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +34,9 @@
     pub failure_domain: FailureDomainId,
     /// Where callers reach it.
     pub caller_address: SocketAddr,
+    /// Keys towards callers; without them, callers use plain HTTP.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub caller_tls: Option<CallerTls>,
     /// Where operators reach it.
     pub operator_address: SocketAddr,
     /// Base address of the platform's services.
@@ -33,47 +46,153 @@
     /// Longest body that a caller may send.
     #[serde(default = "default_body_limit_bytes")]
     pub body_limit_bytes: u64,
+    /// Time that a caller has for sending its body.
+    #[serde(default = "default_body_timeout_ms")]
+    pub body_timeout_ms: u64,
     /// Requests that may be open at once.
     #[serde(default = "default_open_requests")]
     pub open_requests: usize,
+    /// Time from the failing of the readiness check until nothing new is taken.
+    #[serde(default = "default_balancer_notice_ms")]
+    pub balancer_notice_ms: u64,
     /// Log levels, in the form of `RUST_LOG`.
     #[serde(default = "default_log_filter")]
     pub log_filter: String,
 }
 
+/// Keys towards callers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerTls {
+    /// Certificate chain, in PEM.
+    pub certificate_file: PathBuf,
+    /// Private key, in PEM.
+    pub key_file: PathBuf,
+}
+
 fn default_body_limit_bytes() -> u64 {
     DEFAULT_BODY_LIMIT_BYTES
 }
 
+fn default_body_timeout_ms() -> u64 {
+    DEFAULT_BODY_TIMEOUT_MS
+}
+
 fn default_open_requests() -> usize {
     DEFAULT_OPEN_REQUESTS
 }
 
+fn default_balancer_notice_ms() -> u64 {
+    DEFAULT_BALANCER_NOTICE_MS
+}
+
 fn default_log_filter() -> String {
     "info".to_owned()
 }
 
-impl Settings {
-    /// Checks that the values fit together.
-    ///
-    /// # Errors
-    ///
-    /// Every fault found.
-    pub fn check(&self) -> Result<(), SettingsError> {
-        let mut faults = Vec::new();
-        if !self.platform_url.starts_with("http://") {
-            let found = &self.platform_url;
-            faults.push(format!("platform_url: found {found:?}, allowed is http://HOST:PORT"));
-        }
-        if !(1..=LARGEST_BODY_LIMIT_BYTES).contains(&self.body_limit_bytes) {
-            let found = self.body_limit_bytes;
-            faults.push(format!(
-                "body_limit_bytes: found {found}, allowed is 1 to {LARGEST_BODY_LIMIT_BYTES}"
-            ));
-        }
-        if self.open_requests == 0 {
-            faults.push("open_requests: found 0, allowed is 1 or more".to_owned());
-        }
-        if faults.is_empty() { Ok(()) } else { Err(SettingsError::Faults { faults }) }
+impl settings::Settings for Settings {
+    const FIELDS: &'static [Field] = &[
+        Field::required::<InstanceId>(
+            "instance",
+            Kind::Text,
+            "Instance in the platform's list",
+            "a text",
+        ),
+        Field::required::<FailureDomainId>(
+            "failure_domain",
+            Kind::Text,
+            "Failure domain of the instance",
+            "the id of a failure domain of the document",
+        ),
+        Field::required::<SocketAddr>(
+            "caller_address",
+            Kind::Text,
+            "Where callers reach this entry",
+            "IP:PORT",
+        ),
+        Field::optional::<CallerTls>(
+            "caller_tls",
+            Kind::Structure,
+            "Keys towards callers",
+            "{certificate_file, key_file}",
+        ),
+        Field::required::<SocketAddr>(
+            "operator_address",
+            Kind::Text,
+            "Where operators reach this process",
+            "IP:PORT",
+        ),
+        Field::required::<String>(
+            "platform_url",
+            Kind::Text,
+            "Base address of the platform's services",
+            "http://HOST:PORT",
+        ),
+        Field::required::<LinkSecurity>(
+            "link_security",
+            Kind::Structure,
+            "How links are secured",
+            "{mutual_tls: {authority_file, certificate_file, key_file}} or \
+             development_unauthenticated",
+        ),
+        Field::optional::<u64>(
+            "body_limit_bytes",
+            Kind::Number,
+            "Longest body that a caller may send, in bytes",
+            "1 to 25165824",
+        ),
+        Field::optional::<u64>(
+            "body_timeout_ms",
+            Kind::Number,
+            "Time that a caller has for sending its body, in milliseconds",
+            "1 to 600000",
+        ),
+        Field::optional::<usize>(
+            "open_requests",
+            Kind::Number,
+            "Requests that may be open at once",
+            "1 or more",
+        ),
+        Field::optional::<u64>(
+            "balancer_notice_ms",
+            Kind::Number,
+            "Time from the failing of the readiness check until nothing new is taken, in \
+             milliseconds",
+            "0 to 60000",
+        ),
+        Field::optional::<String>(
+            "log_filter",
+            Kind::Text,
+            "Log levels, in the form of RUST_LOG",
+            "a level, or TARGET=LEVEL pairs with commas between them",
+        ),
+    ];
+
+    fn faults(&self) -> Vec<Fault> {
+        let checks = [
+            (
+                "platform_url",
+                format!("{:?}", self.platform_url),
+                self.platform_url.starts_with("http://"),
+            ),
+            (
+                "body_limit_bytes",
+                self.body_limit_bytes.to_string(),
+                (1..=LARGEST_BODY_LIMIT_BYTES).contains(&self.body_limit_bytes),
+            ),
+            (
+                "body_timeout_ms",
+                self.body_timeout_ms.to_string(),
+                (1..=LARGEST_BODY_TIMEOUT_MS).contains(&self.body_timeout_ms),
+            ),
+            ("open_requests", self.open_requests.to_string(), self.open_requests > 0),
+            (
+                "balancer_notice_ms",
+                self.balancer_notice_ms.to_string(),
+                self.balancer_notice_ms <= LARGEST_BALANCER_NOTICE_MS,
+            ),
+            ("log_filter", format!("{:?}", self.log_filter), logs::is_filter(&self.log_filter)),
+        ];
+        settings::failed::<Self, _>(checks)
     }
 }
--- /dev/null
+++ b/crates/runtime/src/command/audit.rs
@@ -0,0 +1,127 @@
+//! `audit`: the audit trail of a running process, filtered, and checked for gaps.
+
+use super::Failure;
+use super::fetch::get;
+use super::status::{json_argument, url, url_argument};
+use crate::trail::{self, Break, Entry};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use serde_json::Value;
+
+/// The command.
+#[must_use]
+pub fn audit_command() -> Command {
+    Command::new("audit")
+        .about("Show the audit trail of a running process and check it for gaps")
+        .after_help(
+            "The check of sequence and hashes covers all records that were read, before any \
+             filter but --since. The first record's own hash is taken on trust.",
+        )
+        .arg(url_argument())
+        .arg(
+            Arg::new("since")
+                .long("since")
+                .value_name("SEQUENCE")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("First record to read"),
+        )
+        .arg(filter("kind", "KIND", "Only this kind, such as document_adopted"))
+        .arg(filter("actor", "NAME", "Only changes by this operator"))
+        .arg(filter("text", "TEXT", "Only records that contain this text"))
+        .arg(json_argument())
+}
+
+fn filter(name: &'static str, value: &'static str, about: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).help(about)
+}
+
+/// Prints the trail, then reports a gap or an altered record.
+///
+/// # Errors
+///
+/// When the process cannot be reached or the trail is broken.
+pub fn audit(matches: &ArgMatches) -> Result<(), Failure> {
+    let since = matches.get_one::<u64>("since").copied().unwrap_or(1);
+    let entries: Vec<Entry> = get(url(matches), &format!("/audit?since={since}"))?;
+    let filter = Filter::of(matches);
+    let shown = entries.iter().filter(|entry| filter.passes(entry));
+    if matches.get_flag("json") {
+        let shown: Vec<_> = shown.collect();
+        println!("{}", serde_json::to_string_pretty(&shown).unwrap_or_default());
+    } else {
+        shown.for_each(|entry| println!("{}", readable(entry)));
+    }
+    tell_start(since, &entries);
+    conclude(trail::check(&entries))
+}
+
+/// A process keeps a bounded number of records: what it no longer has is no gap, but must be said.
+fn tell_start(since: u64, entries: &[Entry]) {
+    if let Some(first) = entries.first().filter(|first| first.sequence > since.max(1)) {
+        let last = first.sequence - 1;
+        eprintln!("records {since} to {last} are no longer kept; they stand in the log");
+    }
+}
+
+fn conclude(found: Option<Break>) -> Result<(), Failure> {
+    let report = match found {
+        None => return Ok(()),
+        Some(Break::Missing { expected, found }) => {
+            miette::miette!("the trail has a gap: expected record {expected}, found {found}")
+        }
+        Some(Break::Altered { sequence }) => {
+            miette::miette!("record {sequence} was altered: its hash does not follow")
+        }
+    };
+    Err(Failure::BrokenTrail(report))
+}
+
+struct Filter<'a> {
+    kind: Option<&'a String>,
+    actor: Option<&'a String>,
+    text: Option<&'a String>,
+}
+
+impl<'a> Filter<'a> {
+    fn of(matches: &'a ArgMatches) -> Self {
+        Self {
+            kind: matches.get_one("kind"),
+            actor: matches.get_one("actor"),
+            text: matches.get_one("text"),
+        }
+    }
+
+    fn passes(&self, entry: &Entry) -> bool {
+        let change = serde_json::to_value(&entry.record.change).unwrap_or_default();
+        let is = |name: &str, wanted: Option<&String>| {
+            wanted.is_none_or(|wanted| change[name].as_str() == Some(wanted))
+        };
+        let contains = self.text.is_none_or(|text| change.to_string().contains(text.as_str()));
+        is("kind", self.kind) && is("operator", self.actor) && contains
+    }
+}
+
+fn readable(entry: &Entry) -> String {
+    let change = serde_json::to_value(&entry.record.change).unwrap_or_default();
+    let kind = change["kind"].as_str().unwrap_or_default();
+    let fields = change.as_object().into_iter().flatten().filter(|(name, _)| *name != "kind");
+    let fields = fields.map(|(name, value)| format!(" {name}={}", shown(value)));
+    format!(
+        "{:>6}  {}  revision {}  {kind}{}",
+        entry.sequence,
+        moment(entry.record.at.0),
+        entry.record.stamp.revision,
+        fields.collect::<String>()
+    )
+}
+
+/// JSON keeps a text on one line.
+fn shown(value: &Value) -> String {
+    value.to_string()
+}
+
+fn moment(unix_ms: u64) -> String {
+    let moment =
+        i64::try_from(unix_ms).ok().and_then(|ms| jiff::Timestamp::from_millisecond(ms).ok());
+    moment.map_or_else(|| format!("{unix_ms} ms"), |moment| moment.to_string())
+}
--- a/crates/runtime/src/exposition.rs
+++ b/crates/runtime/src/exposition.rs
@@ -1,6 +1,13 @@
 //! Metrics of a process, in the text form that Prometheus reads.
 
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+
+/// Upper bounds of the buckets of every histogram, in seconds: from a hop over loopback to the
+/// longest deadlines in use.
+const BUCKETS_S: [f64; 16] =
+    [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.9, 3.0, 5.0, 10.0, 30.0, 60.0, 300.0];
+/// End of the name of every histogram.
+const HISTOGRAM_SUFFIX: &str = "_seconds";
 
 /// The metrics of this process.
 #[derive(Clone)]
@@ -13,10 +20,7 @@
     ///
     /// When a recorder has been installed before.
     pub fn install() -> Result<Self, ExpositionError> {
-        PrometheusBuilder::new()
-            .install_recorder()
-            .map(Self)
-            .map_err(|error| ExpositionError(error.to_string()))
+        builder()?.install_recorder().map(Self).map_err(|error| ExpositionError(error.to_string()))
     }
 
     /// Records nothing for the process; renders an empty page. For several programs in one process.
@@ -33,6 +37,53 @@
     }
 }
 
+fn builder() -> Result<PrometheusBuilder, ExpositionError> {
+    let matcher = Matcher::Suffix(HISTOGRAM_SUFFIX.to_owned());
+    PrometheusBuilder::new()
+        .set_buckets_for_metric(matcher, &BUCKETS_S)
+        .map_err(|error| ExpositionError(error.to_string()))
+}
+
+/// Kinds of metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MetricKind {
+    /// Only grows while the process lives.
+    Counter,
+    /// A value at one moment.
+    Gauge,
+    /// Observations in buckets.
+    Histogram,
+}
+
+impl MetricKind {
+    /// The word that Prometheus uses.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Counter => "counter",
+            Self::Gauge => "gauge",
+            Self::Histogram => "histogram",
+        }
+    }
+}
+
+/// One metric that a program registers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MetricName {
+    /// Its name.
+    pub name: String,
+    /// Its kind.
+    pub kind: MetricKind,
+}
+
+impl MetricName {
+    /// Names a metric.
+    #[must_use]
+    pub fn new(name: &str, kind: MetricKind) -> Self {
+        Self { name: name.to_owned(), kind }
+    }
+}
+
 /// Metrics could not be set up.
 #[derive(Debug, thiserror::Error)]
 #[error("metrics cannot be set up: {0}")]
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -54,7 +54,8 @@
     fn hello(&self) -> Hello;
 }
 
-/// The links of a process.
+/// The links of a process; clones share them.
+#[derive(Clone)]
 pub struct Links {
     shared: Arc<Shared>,
 }
--- a/crates/runtime/src/security.rs
+++ b/crates/runtime/src/security/mod.rs
@@ -3,6 +3,11 @@
 //! Both ends of a link show a certificate that the fleet's own authority signed. The certificate
 //! names the role of its holder ([`ENTRY_NAME`], [`AGENT_NAME`]), so that an entry's key cannot be
 //! used to answer in the place of an agent.
+//!
+//! [`authority`] makes such certificates; [`renewal`] takes renewed files up without a restart.
+
+pub mod authority;
+pub mod renewal;
 
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
@@ -12,7 +17,7 @@
 use rustls::server::{ParsedCertificate, WebPkiClientVerifier};
 use rustls::{DigitallySignedStruct, RootCertStore, SignatureScheme};
 use serde::{Deserialize, Serialize};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 /// Name in the certificate of an entry.
@@ -36,6 +41,14 @@
     pub key_file: PathBuf,
 }
 
+impl KeyFiles {
+    /// The files, in the order of the fields.
+    #[must_use]
+    pub fn paths(&self) -> [&Path; 3] {
+        [&self.authority_file, &self.certificate_file, &self.key_file]
+    }
+}
+
 /// How links are secured.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -88,7 +101,14 @@
     pub fn load(security: &LinkSecurity) -> Result<Self, SecurityError> {
         match security {
             LinkSecurity::MutualTls(files) => mutual(files),
-            LinkSecurity::DevelopmentUnauthenticated => unauthenticated(),
+            LinkSecurity::DevelopmentUnauthenticated => {
+                log::warn!(
+                    target: "security",
+                    link_security = "development_unauthenticated";
+                    "links check nobody: for development only"
+                );
+                unauthenticated()
+            }
         }
     }
 }
