--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -1,6 +1,7 @@
 //! Turns what happens around the process into events for the core and carries out its actions.
 
 use crate::backend::{Backend, Run};
+use crate::export::Export;
 use hickorycross_core::adoption::{Exchange, ExchangeAction, Probe, StartGate, is_watcher};
 use hickorycross_core::agent::{AgentAction, AgentCore, AgentEvent};
 use hickorycross_core::audit::AuditRecord;
@@ -9,6 +10,7 @@
 use hickorycross_protocol::{ConfigOffer, Frame, Hello, PeerRole};
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::link::{LinkEvent, Links};
+use hickorycross_runtime::operators::Inspect;
 use hickorycross_runtime::platform::{Follow, PlatformEvent};
 use hickorycross_runtime::trail::Trail;
 use hickorycross_runtime::view::View;
@@ -51,17 +53,20 @@
     exchange: Exchange,
     backend_events: UnboundedSender<AgentEvent>,
     runs: IndexMap<AttemptId, AbortHandle>,
+    export: Export,
     drained: bool,
 }
 
 impl Driver {
     pub(crate) fn new(parts: Parts) -> (Self, UnboundedReceiver<AgentEvent>) {
         let (backend_events, receiver) = unbounded_channel();
+        let export = Export::new(&parts.own);
         let driver = Self {
             parts,
             exchange: Exchange::default(),
             backend_events,
             runs: IndexMap::new(),
+            export,
             drained: false,
         };
         (driver, receiver)
@@ -98,6 +103,18 @@
         self.handle(AgentEvent::Tick);
         let ready = self.exchange.in_force().is_some();
         self.parts.view.update(|status| status.ready = ready);
+        self.show();
+    }
+
+    /// Shows state and counts to operators, once in a while.
+    fn show(&mut self) {
+        let now = self.parts.clock.now();
+        if self.export.is_due(now) {
+            let snapshot = self.parts.core.snapshot(now);
+            let detail = serde_json::to_value(&snapshot).unwrap_or_default();
+            self.parts.view.update(|status| status.detail = detail);
+            self.export.run(self.parts.core.counters(), &snapshot, &self.parts.view.status());
+        }
     }
 
     fn handle(&mut self, event: AgentEvent) {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,9 +7,11 @@
 mod backend;
 mod cli;
 mod driver;
+mod export;
 mod program;
 mod settings;
 
 pub use cli::{command_line, run};
+pub use export::metric_names;
 pub use program::{Agent, StartError};
 pub use settings::Settings;
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -9,9 +9,10 @@
 use hickorycross_protocol::PeerRole;
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::exposition::Exposition;
-use hickorycross_runtime::link::Links;
+use hickorycross_runtime::link::{Links, Listener};
 use hickorycross_runtime::operators::{self, Views};
 use hickorycross_runtime::platform::{self, Follow};
+use hickorycross_runtime::security::renewal::{self, Renewal, Surroundings, UseKeys};
 use hickorycross_runtime::security::{LinkKeys, SecurityError};
 use hickorycross_runtime::server::{self, Running, ServeError};
 use hickorycross_runtime::trail::Trail;
@@ -59,6 +60,20 @@
     operators: Running,
     link_address: SocketAddr,
     _guard: TcpListener,
+    _renewal: Renewal,
+}
+
+/// Gives renewed keys to an agent, which opens links and accepts them.
+struct LinksOfAgent {
+    links: Links,
+    listener: Arc<Listener>,
+}
+
+impl UseKeys for LinksOfAgent {
+    fn use_keys(&self, keys: LinkKeys) {
+        self.links.renew(keys);
+        self.listener.renew();
+    }
 }
 
 impl Agent {
@@ -79,6 +94,12 @@
         let listener = links
             .listen(settings.link_address)
             .map_err(|cause| StartError::Listen { link_address: settings.link_address, cause })?;
+        let listener = Arc::new(listener);
+        let renewal = renewal::follow(
+            &settings.link_security,
+            Box::new(LinksOfAgent { links: links.clone(), listener: listener.clone() }),
+            Surroundings { trail: trail.clone(), inspect: view.clone(), clock },
+        );
         let link_address = listener.address().unwrap_or(settings.link_address);
         let views = Views { inspect: view.clone(), trail: trail.clone(), exposition };
         let operators = operators::mount(server::build(settings.operator_address), views);
@@ -106,7 +127,14 @@
             driver.run(inputs, backend_events).await;
             listener.close();
         });
-        Ok(Self { driver, drain: Some(drain), operators, link_address, _guard: guard })
+        Ok(Self {
+            driver,
+            drain: Some(drain),
+            operators,
+            link_address,
+            _guard: guard,
+            _renewal: renewal,
+        })
     }
 
     /// Where it accepts links.
--- a/crates/core/src/agent/snapshot.rs
+++ b/crates/core/src/agent/snapshot.rs
@@ -3,9 +3,10 @@
 use crate::message::Load;
 use crate::time::UnixMs;
 use hickorycross_config::{RouteId, Stamp};
+use serde::Serialize;
 
 /// State of an agent at one moment, for status views.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct AgentSnapshot {
     /// The document in force.
     pub stamp: Stamp,
@@ -28,7 +29,7 @@
 }
 
 /// Until when keys of a route may count as unknown.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct UnknownKeys {
     /// The route.
     pub route: RouteId,
@@ -37,7 +38,8 @@
 }
 
 /// How far a drain has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum DrainState {
     /// Not begun.
     Serving,
--- a/crates/entry/src/catalog.rs
+++ b/crates/entry/src/catalog.rs
@@ -1,12 +1,35 @@
-//! The model list that callers may ask for.
+//! What the HTTP side knows of the document: who calls, and the model list.
 
-use hickorycross_config::{Document, KeyHash, Target};
+use hickorycross_config::{Document, KeyHash, Target, TeamId, TierId};
+use indexmap::IndexMap;
 use serde::Serialize;
 use std::sync::{Arc, Mutex, PoisonError};
 
-/// The document in force, as far as the model list needs it.
+/// Whose request it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Caller {
+    pub(crate) team: TeamId,
+    pub(crate) tier: TierId,
+}
+
+/// What the document says of an API key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Known {
+    Caller(Caller),
+    Nobody,
+    /// No document has been adopted yet.
+    NothingYet,
+}
+
+/// The document in force, as far as the HTTP side needs it.
 #[derive(Debug, Default)]
-pub(crate) struct Catalog(Mutex<Option<Arc<Document>>>);
+pub(crate) struct Catalog(Mutex<Option<Arc<Adopted>>>);
+
+#[derive(Debug)]
+struct Adopted {
+    document: Arc<Document>,
+    callers: IndexMap<KeyHash, Caller>,
+}
 
 #[derive(Serialize)]
 struct List<'a> {
@@ -24,13 +47,28 @@
 impl Catalog {
     /// Follows another document.
     pub(crate) fn adopt(&self, document: Arc<Document>) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(document);
+        let callers = callers(&document);
+        let adopted = Arc::new(Adopted { document, callers });
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(adopted);
+    }
+
+    fn adopted(&self) -> Option<Arc<Adopted>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Whose key it is.
+    pub(crate) fn caller(&self, key: &KeyHash) -> Known {
+        let Some(adopted) = self.adopted() else {
+            return Known::NothingYet;
+        };
+        adopted.callers.get(key).cloned().map_or(Known::Nobody, Known::Caller)
     }
 
     /// The list in the model API's form; none when no team has the key.
     pub(crate) fn list(&self, key: &KeyHash) -> Option<String> {
-        let document = self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()?;
-        document.team_by_key(key)?;
+        let adopted = self.adopted()?;
+        adopted.callers.get(key)?;
+        let document = &adopted.document;
         let routed = document.routes.iter().filter_map(|route| match &route.target {
             Target::Model { group } => document.group(group.as_str()),
             Target::Service { .. } => None,
@@ -42,3 +80,10 @@
         serde_json::to_string(&List { object: "list", data }).ok()
     }
 }
+
+fn callers(document: &Document) -> IndexMap<KeyHash, Caller> {
+    let teams = document.teams.iter();
+    let keys = teams.flat_map(|team| team.key_hashes.iter().map(move |hash| (*hash, team)));
+    keys.map(|(hash, team)| (hash, Caller { team: team.id.clone(), tier: team.tier.clone() }))
+        .collect()
+}
--- /dev/null
+++ b/crates/entry/src/export.rs
@@ -0,0 +1,130 @@
+//! Hands the core's counts and state to the metrics of the process. docs/METRICS.md lists them.
+
+use hickorycross_core::entry::{EntryCounters, EntrySnapshot, LinkUsage};
+use hickorycross_core::{InstanceId, Now, UnixMs};
+use hickorycross_runtime::exposition::{MetricKind, MetricName};
+use hickorycross_runtime::operators::Status;
+
+/// Begins the name of every metric of an entry.
+const PREFIX: &str = "hickorycross_entry_";
+/// Time between two exports.
+const PAUSE_MS: u64 = 1_000;
+/// Time from arrival to the first chunk, by tier.
+pub(crate) const FIRST_CHUNK_SECONDS: &str = "hickorycross_entry_first_chunk_seconds";
+/// Time from arrival to the end of the answer, by tier and outcome.
+pub(crate) const ANSWER_SECONDS: &str = "hickorycross_entry_answer_seconds";
+const LINKS: &str = "hickorycross_entry_links";
+const IN_FLIGHT: &str = "hickorycross_entry_in_flight_requests";
+const WAITING: &str = "hickorycross_entry_waiting_requests";
+const REVISION: &str = "hickorycross_entry_document_revision";
+const REFUSED_REVISION: &str = "hickorycross_entry_refused_document_revision";
+const WALL_OFFSET: &str = "hickorycross_entry_wall_clock_offset_milliseconds";
+const READY: &str = "hickorycross_entry_ready";
+const GAUGES: [&str; 7] =
+    [LINKS, IN_FLIGHT, WAITING, REVISION, REFUSED_REVISION, WALL_OFFSET, READY];
+const HISTOGRAMS: [&str; 2] = [FIRST_CHUNK_SECONDS, ANSWER_SECONDS];
+/// Every use of a link has a gauge, so that one that has gone shows zero.
+const USAGES: [LinkUsage; 3] = [LinkUsage::Opening, LinkUsage::Active, LinkUsage::Suspect];
+
+/// Every metric that an entry registers.
+#[must_use]
+pub fn metric_names() -> Vec<MetricName> {
+    let counters = rows(&EntryCounters::default());
+    let counters =
+        counters.iter().map(|(name, _)| MetricName::new(&counter_name(name), MetricKind::Counter));
+    let gauges = GAUGES.iter().map(|name| MetricName::new(name, MetricKind::Gauge));
+    let histograms = HISTOGRAMS.iter().map(|name| MetricName::new(name, MetricKind::Histogram));
+    counters.chain(gauges).chain(histograms).collect()
+}
+
+/// Exports once a second.
+#[derive(Debug)]
+pub(crate) struct Export {
+    process: String,
+    due: UnixMs,
+    /// Tiers that had requests in flight before: their gauges fall back to zero.
+    tiers: Vec<String>,
+}
+
+impl Export {
+    /// `instance` tells the processes of one recorder apart.
+    pub(crate) fn new(instance: &InstanceId) -> Self {
+        Self { process: instance.to_string(), due: UnixMs(0), tiers: Vec::new() }
+    }
+
+    /// Whether an export is due; it is then due again later.
+    pub(crate) fn is_due(&mut self, now: Now) -> bool {
+        let is_due = self.due.is_past(now);
+        if is_due {
+            self.due = now.after(PAUSE_MS);
+        }
+        is_due
+    }
+
+    /// Hands everything on.
+    pub(crate) fn run(
+        &mut self,
+        counters: &EntryCounters,
+        snapshot: &EntrySnapshot,
+        status: &Status,
+    ) {
+        for (name, value) in rows(counters) {
+            metrics::counter!(counter_name(&name), "process" => self.process.clone())
+                .absolute(value);
+        }
+        self.links(snapshot);
+        self.in_flight(snapshot);
+        self.gauge(WAITING, f64::from(snapshot.waiting));
+        self.gauge(REVISION, status.stamp.revision as f64);
+        let refused = status.refused.map_or(0, |stamp| stamp.revision);
+        self.gauge(REFUSED_REVISION, refused as f64);
+        self.gauge(WALL_OFFSET, status.wall_offset_ms as f64);
+        self.gauge(READY, if status.ready && !status.draining { 1.0 } else { 0.0 });
+    }
+
+    fn gauge(&self, name: &'static str, value: f64) {
+        metrics::gauge!(name, "process" => self.process.clone()).set(value);
+    }
+
+    fn links(&self, snapshot: &EntrySnapshot) {
+        for usage in USAGES {
+            let count = snapshot.links.iter().filter(|link| link.usage == usage).count();
+            let process = self.process.clone();
+            metrics::gauge!(LINKS, "process" => process, "usage" => usage_name(usage))
+                .set(count as f64);
+        }
+    }
+
+    fn in_flight(&mut self, snapshot: &EntrySnapshot) {
+        for tier in snapshot.in_flight.keys() {
+            if !self.tiers.iter().any(|known| known == tier.as_str()) {
+                self.tiers.push(tier.to_string());
+            }
+        }
+        for tier in &self.tiers {
+            let count = snapshot.in_flight.get(tier.as_str()).copied().unwrap_or_default();
+            let process = self.process.clone();
+            metrics::gauge!(IN_FLIGHT, "process" => process, "tier" => tier.clone())
+                .set(f64::from(count));
+        }
+    }
+}
+
+const fn usage_name(usage: LinkUsage) -> &'static str {
+    match usage {
+        LinkUsage::Opening => "opening",
+        LinkUsage::Active => "active",
+        LinkUsage::Suspect => "suspect",
+    }
+}
+
+fn counter_name(field: &str) -> String {
+    format!("{PREFIX}{field}_total")
+}
+
+/// The counters by the names of their fields.
+fn rows(counters: &EntryCounters) -> Vec<(String, u64)> {
+    let value = serde_json::to_value(counters).unwrap_or_default();
+    let fields = value.as_object().into_iter().flatten();
+    fields.filter_map(|(name, value)| Some((name.clone(), value.as_u64()?))).collect()
+}
--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -1,5 +1,6 @@
 //! Between the HTTP side and the driver of the core.
 
+use crate::request_log::RequestLog;
 use bytes::Bytes;
 use hickorycross_core::RequestId;
 use hickorycross_core::entry::{Arrival, Refusal};
@@ -37,6 +38,7 @@
     parts: UnboundedReceiver<Part>,
     driver: UnboundedSender<Inbound>,
     ended: bool,
+    log: RequestLog,
     /// Held until the answer is out, so that the bound on open requests counts streams too.
     _permit: OwnedSemaphorePermit,
 }
@@ -47,8 +49,9 @@
         parts: UnboundedReceiver<Part>,
         driver: UnboundedSender<Inbound>,
         permit: OwnedSemaphorePermit,
+        log: RequestLog,
     ) -> Self {
-        Self { request, parts, driver, ended: false, _permit: permit }
+        Self { request, parts, driver, ended: false, log, _permit: permit }
     }
 
     /// The request that is being answered.
@@ -59,6 +62,7 @@
     /// The next part; none when the driver has gone.
     pub(crate) async fn next(&mut self) -> Option<Part> {
         let part = self.parts.recv().await;
+        self.log.saw(part.as_ref());
         self.ended = matches!(part, None | Some(Part::Finish | Part::Refuse(_)));
         part
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,12 +11,15 @@
 mod cli;
 pub mod demo;
 mod driver;
+mod export;
 mod inbox;
 mod policies;
 mod program;
 mod refusal;
+mod request_log;
 mod settings;
 
 pub use cli::{command_line, run};
+pub use export::metric_names;
 pub use program::{Entry, StartError};
-pub use settings::Settings;
+pub use settings::{CallerTls, Settings};
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -1,6 +1,6 @@
 //! Starts an entry and stops it.
 
-use crate::callers::Callers;
+use crate::callers::{Bounds, Callers, catchers};
 use crate::catalog::Catalog;
 use crate::driver::{Driver, Inputs, Parts};
 use crate::policies;
@@ -14,8 +14,9 @@
 use hickorycross_runtime::link::Links;
 use hickorycross_runtime::operators::{self, Views};
 use hickorycross_runtime::platform::{self, Follow};
+use hickorycross_runtime::security::renewal::{self, Renewal, Surroundings, UseKeys};
 use hickorycross_runtime::security::{LinkKeys, SecurityError};
-use hickorycross_runtime::server::{self, Running, ServeError};
+use hickorycross_runtime::server::{self, Running, ServeError, TlsFiles};
 use hickorycross_runtime::trail::Trail;
 use hickorycross_runtime::view::View;
 use std::sync::Arc;
@@ -25,9 +26,6 @@
 
 /// Numbers of links from here on belong to the start gate; the core counts from one.
 const FIRST_GATE_LINK: LinkId = LinkId(1 << 62);
-/// After its readiness check begins to fail, an entry still serves for so long: the platform's
-/// balancer needs a few checks to notice.
-const BALANCER_NOTICE: Duration = Duration::from_secs(3);
 
 /// Why an entry does not start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -47,6 +45,19 @@
     view: Arc<View>,
     callers: Running,
     operators: Running,
+    /// The platform's balancer needs a few checks to notice that the readiness check fails; until
+    /// then it sends new requests, and they are served.
+    balancer_notice: Duration,
+    _renewal: Renewal,
+}
+
+/// Gives renewed keys to an entry, which opens links and accepts none.
+struct LinksOfEntry(Links);
+
+impl UseKeys for LinksOfEntry {
+    fn use_keys(&self, keys: LinkKeys) {
+        self.0.renew(keys);
+    }
 }
 
 impl Entry {
@@ -65,19 +76,20 @@
         let keys = LinkKeys::load(&settings.link_security)?;
         let (links, link_events) = Links::new(keys, view.clone());
         let (inbound, caller_events) = unbounded_channel();
-        let callers = Callers::new(
-            incarnation,
-            inbound,
-            clock,
-            settings.body_limit_bytes,
-            settings.open_requests,
-            catalog.clone(),
-        );
-        let server = server::build(settings.caller_address).mount("/", callers.routes());
+        let callers = Callers::new(incarnation, inbound, clock, bounds(settings), catalog.clone());
+        let server = server::build_with(settings.caller_address, caller_tls(settings))
+            .mount("/", callers.routes())
+            .register("/", catchers(&callers));
         let callers = server::start(settings.caller_address, server).await?;
         let views = Views { inspect: view.clone(), trail: trail.clone(), exposition };
         let server = operators::mount(server::build(settings.operator_address), views);
         let operators = server::start(settings.operator_address, server).await?;
+        let surroundings = Surroundings { trail: trail.clone(), inspect: view.clone(), clock };
+        let renewal = renewal::follow(
+            &settings.link_security,
+            Box::new(LinksOfEntry(links.clone())),
+            surroundings,
+        );
         let (platform_events, platform) = unbounded_channel();
         let (follow, mode) = watch::channel(Follow::Watch);
         platform::follow(&settings.platform_url, mode, platform_events);
@@ -99,14 +111,23 @@
         let inputs =
             Inputs { callers: caller_events, links: link_events, platform, drain: drain_asked };
         let driver = tokio::spawn(driver.run(inputs));
-        Ok(Self { driver, drain: Some(drain), view, callers, operators })
+        let balancer_notice = Duration::from_millis(settings.balancer_notice_ms);
+        Ok(Self {
+            driver,
+            drain: Some(drain),
+            view,
+            callers,
+            operators,
+            balancer_notice,
+            _renewal: renewal,
+        })
     }
 
     /// Fails the readiness check, waits until the balancer has noticed, finishes open answers, and
     /// stops.
     pub async fn drain(mut self) {
         self.view.update(|status| status.draining = true);
-        tokio::time::sleep(BALANCER_NOTICE).await;
+        tokio::time::sleep(self.balancer_notice).await;
         if let Some(drain) = self.drain.take() {
             let _ = drain.send(());
         }
@@ -115,3 +136,16 @@
         self.operators.stop().await;
     }
 }
+
+fn bounds(settings: &Settings) -> Bounds {
+    Bounds {
+        body_limit_bytes: settings.body_limit_bytes,
+        body_timeout: Duration::from_millis(settings.body_timeout_ms),
+        open_requests: settings.open_requests,
+    }
+}
+
+fn caller_tls(settings: &Settings) -> Option<TlsFiles<'_>> {
+    let tls = settings.caller_tls.as_ref()?;
+    Some(TlsFiles { certificate_file: &tls.certificate_file, key_file: &tls.key_file })
+}
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -1,7 +1,7 @@
 //! The final answer to a request that was given up, as HTTP.
 
 use hickorycross_core::entry::{Refusal, RefusalCode};
-use hickorycross_core::{Now, RequestId, Verdict};
+use hickorycross_core::{Now, RequestId, UnixMs, Verdict};
 use rocket::Response;
 use rocket::http::{ContentType, Header, Status};
 use serde::Serialize;
@@ -43,6 +43,42 @@
     response
 }
 
+/// Why a request is refused before the core sees it. It has not run.
+#[derive(Clone, Debug)]
+pub(crate) struct Rejected {
+    pub(crate) status: Status,
+    pub(crate) code: RefusalCode,
+    pub(crate) detail: String,
+    pub(crate) retry_at: Option<UnixMs>,
+}
+
+impl Rejected {
+    /// The request broke the rules of the API.
+    pub(crate) fn bad_request(detail: String) -> Self {
+        let code = RefusalCode::BadRequest;
+        Self { status: Status::BadRequest, code, detail, retry_at: None }
+    }
+
+    /// The API key is missing or unknown.
+    pub(crate) fn unknown_key(detail: &str) -> Self {
+        let code = RefusalCode::UnknownKey;
+        Self { status: Status::Unauthorized, code, detail: detail.to_owned(), retry_at: None }
+    }
+}
+
+/// Makes the response of a request that the core never saw.
+pub(crate) fn reject(now: Now, request: RequestId, rejected: &Rejected) -> Response<'static> {
+    let refusal = Refusal {
+        code: rejected.code,
+        verdict: Verdict::NotRun,
+        retry_at: rejected.retry_at,
+        detail: rejected.detail.clone(),
+    };
+    let mut response = respond(now, request, &refusal);
+    response.set_status(rejected.status);
+    response
+}
+
 /// The error body of a refusal.
 pub(crate) fn json(request: RequestId, refusal: &Refusal) -> String {
     let error = ErrorBody {
--- a/crates/runtime/src/server.rs
+++ b/crates/runtime/src/server.rs
@@ -1,9 +1,10 @@
 //! HTTP servers of the programs.
 
-use rocket::config::{Config, Ident, LogLevel, Shutdown};
+use rocket::config::{Config, Ident, LogLevel, Shutdown, TlsConfig};
 use rocket::data::Limits;
 use rocket::{Build, Rocket, Shutdown as ShutdownHandle};
 use std::net::SocketAddr;
+use std::path::Path;
 
 /// Seconds that Rocket grants open answers after it was told to stop. It is told only when none
 /// is left, so that its own bounds can cut nothing.
@@ -15,6 +16,22 @@
 /// finish.
 #[must_use]
 pub fn build(address: SocketAddr) -> Rocket<Build> {
+    build_with(address, None)
+}
+
+/// Files with the keys of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct TlsFiles<'a> {
+    /// Certificate chain, in PEM.
+    pub certificate_file: &'a Path,
+    /// Private key, in PEM.
+    pub key_file: &'a Path,
+}
+
+/// A server that has not been started, with TLS where files are given. Rocket reads the files once,
+/// at start.
+#[must_use]
+pub fn build_with(address: SocketAddr, tls: Option<TlsFiles<'_>>) -> Rocket<Build> {
     let shutdown = Shutdown {
         ctrlc: false,
         signals: std::iter::empty().collect(),
@@ -30,6 +47,7 @@
         limits: Limits::new(),
         shutdown,
         keep_alive: 30,
+        tls: tls.map(|files| TlsConfig::from_paths(files.certificate_file, files.key_file)),
         ..Config::release_default()
     };
     rocket::custom(config)
