--- a/crates/core/src/entry/plain.rs
+++ b/crates/core/src/entry/plain.rs
@@ -72,7 +72,11 @@
         match signal {
             Signal::BackendDown => self.down = true,
             Signal::BackendUp => self.down = false,
-            Signal::Answered | Signal::Failed | Signal::Missed | Signal::Restarted => {}
+            Signal::Heard
+            | Signal::Answered
+            | Signal::Failed
+            | Signal::Missed
+            | Signal::Restarted => {}
         }
     }
 
--- a/crates/core/src/entry/receive.rs
+++ b/crates/core/src/entry/receive.rs
@@ -236,7 +236,9 @@
     let (code, retry) = match reason {
         RefusalReason::QueueFull => (RefusalCode::Overloaded, true),
         RefusalReason::Expired => (RefusalCode::DeadlinePassed, false),
-        RefusalReason::KeyConflict => (RefusalCode::KeyConflict, false),
+        RefusalReason::KeyConflict | RefusalReason::KeyNotYetValid => {
+            (RefusalCode::KeyConflict, false)
+        }
         RefusalReason::Revoked | RefusalReason::WrongIncarnation => {
             (RefusalCode::Interrupted, true)
         }
--- a/crates/entry/src/callers/body.rs
+++ b/crates/entry/src/callers/body.rs
@@ -5,7 +5,7 @@
 use hickorycross_core::entry::RefusalCode;
 use rocket::data::ByteUnit;
 use rocket::form::Form;
-use rocket::http::{ContentType, Method, Status};
+use rocket::http::{Method, Status};
 use rocket::{Data, Request};
 use std::time::Duration;
 
@@ -71,7 +71,7 @@
 /// `_method`. A backend server that expects such a form would get a DELETE in place of a POST; this
 /// repeats Rocket's reading and undoes it. Rocket only ever rewrites POST.
 pub(super) fn sent_method(request: &Request<'_>, body: &[u8]) -> Method {
-    if !request.content_type().is_some_and(ContentType::is_form) {
+    if !request.content_type().is_some_and(|kind| kind.is_form()) {
         return request.method();
     }
     let first_bytes = &body[..body.len().min(METHOD_FIELD_BYTES)];
