--- a/crates/entry/src/callers/catcher.rs
+++ b/crates/entry/src/callers/catcher.rs
@@ -5,7 +5,7 @@
 use hickorycross_core::Verdict;
 use hickorycross_core::entry::{Refusal, RefusalCode};
 use rocket::catcher::{Catcher, Handler, Result};
-use rocket::http::{Header, Status};
+use rocket::http::{Header, Method, Status};
 use rocket::{Request, Response, async_trait};
 
 /// Answers in the form of every other refusal.
@@ -27,7 +27,7 @@
         if !METHODS.contains(&request.method()) {
             let rejected = rejected(Status::MethodNotAllowed, "the method is not served");
             let mut response = refusal::reject(now, id, &rejected);
-            response.set_header(Header::new("allow", METHODS.map(|one| one.as_str()).join(", ")));
+            response.set_header(Header::new("allow", METHODS.map(Method::as_str).join(", ")));
             return response;
         }
         if status.class().is_client_error() {
