--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -49,7 +49,7 @@
 pub(crate) struct Bounds {
     pub(crate) body_limit_bytes: u64,
     pub(crate) body_timeout: Duration,
-    pub(crate) open_requests: usize,
+    pub(crate) open_requests: u32,
 }
 
 /// Takes every request of callers.
@@ -65,6 +65,7 @@
     clock: SteadyClock,
     body: BodyRules,
     open: Arc<Semaphore>,
+    open_requests: u32,
     catalog: Arc<Catalog>,
 }
 
@@ -82,12 +83,18 @@
             driver,
             clock,
             body: BodyRules::new(bounds.body_limit_bytes, bounds.body_timeout),
-            open: Arc::new(Semaphore::new(bounds.open_requests)),
+            open: Arc::new(Semaphore::new(bounds.open_requests as usize)),
+            open_requests: bounds.open_requests,
             catalog,
         };
         Self { shared: Arc::new(shared) }
     }
 
+    /// Waits until no request is open and every answer has been handed to the connections.
+    pub(crate) async fn wait_until_idle(&self) {
+        let _ = self.shared.open.acquire_many(self.shared.open_requests).await;
+    }
+
     /// The routes that catch everything.
     pub(crate) fn routes(&self) -> Vec<Route> {
         METHODS.iter().map(|method| Route::new(*method, "/<path..>", self.clone())).collect()
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -43,7 +43,8 @@
     driver: tokio::task::JoinHandle<()>,
     drain: Option<oneshot::Sender<()>>,
     view: Arc<View>,
-    callers: Running,
+    callers: Callers,
+    server: Running,
     operators: Running,
     /// The platform's balancer needs a few checks to notice that the readiness check fails; until
     /// then it sends new requests, and they are served.
@@ -80,7 +81,7 @@
         let server = server::build_with(settings.caller_address, caller_tls(settings))
             .mount("/", callers.routes())
             .register("/", catchers(&callers));
-        let callers = server::start(settings.caller_address, server).await?;
+        let caller_server = server::start(settings.caller_address, server).await?;
         let views = Views { inspect: view.clone(), trail: trail.clone(), exposition };
         let server = operators::mount(server::build(settings.operator_address), views);
         let operators = server::start(settings.operator_address, server).await?;
@@ -117,6 +118,7 @@
             drain: Some(drain),
             view,
             callers,
+            server: caller_server,
             operators,
             balancer_notice,
             _renewal: renewal,
@@ -132,7 +134,8 @@
             let _ = drain.send(());
         }
         let _ = self.driver.await;
-        self.callers.stop().await;
+        self.callers.wait_until_idle().await;
+        self.server.stop().await;
         self.operators.stop().await;
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -12,7 +12,7 @@
 /// Longest body that a caller may send, unless the settings say otherwise.
 const DEFAULT_BODY_LIMIT_BYTES: u64 = 8 * 1024 * 1024;
 /// Requests that may be open at once, unless the settings say otherwise.
-const DEFAULT_OPEN_REQUESTS: usize = 8192;
+const DEFAULT_OPEN_REQUESTS: u32 = 8192;
 /// Largest body limit: a body must fit into one frame of a link.
 const LARGEST_BODY_LIMIT_BYTES: u64 = 24 * 1024 * 1024;
 /// Time that a caller has for sending its body, unless the settings say otherwise.
@@ -51,7 +51,7 @@
     pub body_timeout_ms: u64,
     /// Requests that may be open at once.
     #[serde(default = "default_open_requests")]
-    pub open_requests: usize,
+    pub open_requests: u32,
     /// Time from the failing of the readiness check until nothing new is taken.
     #[serde(default = "default_balancer_notice_ms")]
     pub balancer_notice_ms: u64,
@@ -78,7 +78,7 @@
     DEFAULT_BODY_TIMEOUT_MS
 }
 
-fn default_open_requests() -> usize {
+fn default_open_requests() -> u32 {
     DEFAULT_OPEN_REQUESTS
 }
 
@@ -147,7 +147,7 @@
             "Time that a caller has for sending its body, in milliseconds",
             "1 to 600000",
         ),
-        Field::optional::<usize>(
+        Field::optional::<u32>(
             "open_requests",
             Kind::Number,
             "Requests that may be open at once",
--- a/crates/entry/tests/cut_off.rs
+++ b/crates/entry/tests/cut_off.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use hickorycross_entry::demo::Stage;
-use hickorycross_standins::{CallState, Failure};
+use hickorycross_standins::{CallState, EngineStandIn, Failure};
 use local::{Local, wait_for};
 use reqwest::Method;
 use serde_json::{Value, json};
@@ -132,10 +132,10 @@
     expect_that!(answer.chunk().await.or_fail()?, some(anything()));
     drop(answer);
     wait_for("the engine's work is cancelled", async || {
-        let mut calls = local.engines().flat_map(|engine| engine.calls());
+        let mut calls = local.engines().flat_map(EngineStandIn::calls);
         calls.any(|call| call.state == CallState::CallerGone)
     })
     .await;
-    expect_that!(local.engines().map(|engine| engine.running()).sum::<u32>(), eq(0));
+    expect_that!(local.engines().map(EngineStandIn::running).sum::<u32>(), eq(0));
     Ok(())
 }
