--- a/crates/agent/tests/command_line.rs
+++ b/crates/agent/tests/command_line.rs
@@ -1,8 +1,23 @@
 //! What the agent's command line answers.
 
 use googletest::prelude::*;
+use hickorycross_agent::Settings;
+use hickorycross_runtime::settings::Settings as _;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
+const SETTINGS: &str = r#"{
+  "instance": "agent-1",
+  "failure_domain": "navrangpura",
+  "backend_server": "runner-1",
+  "link_address": "127.0.0.1:7400",
+  "operator_address": "127.0.0.1:7401",
+  "guard_address": "127.0.0.1:7402",
+  "backend_url": "http://127.0.0.1:8000",
+  "platform_url": "http://127.0.0.1:8500",
+  "link_security": "development_unauthenticated"
+}"#;
+
 struct Case {
     name: &'static str,
     arguments: &'static [&'static str],
@@ -10,16 +25,30 @@
     output: &'static str,
 }
 
-const CASES: [Case; 4] = [
+const CASES: [Case; 8] = [
     Case { name: "help", arguments: &["--help"], code: 0, output: "Exit codes" },
     Case { name: "no command", arguments: &[], code: 2, output: "Usage" },
     Case { name: "unknown command", arguments: &["walk"], code: 2, output: "unrecognized" },
+    Case { name: "no settings", arguments: &["run"], code: 2, output: "--settings" },
     Case {
         name: "missing settings file",
         arguments: &["check", "--settings", "no-such-file.json"],
         code: 2,
         output: "cannot read the settings file",
     },
+    Case { name: "completions", arguments: &["completions", "zsh"], code: 0, output: "#compdef" },
+    Case {
+        name: "status of nothing",
+        arguments: &["status", "http://127.0.0.1:9"],
+        code: 1,
+        output: "cannot read",
+    },
+    Case {
+        name: "audit of nothing",
+        arguments: &["audit", "http://127.0.0.1:9"],
+        code: 1,
+        output: "cannot read",
+    },
 ];
 
 fn run(arguments: &[&str]) -> Output {
@@ -29,13 +58,67 @@
         .expect("the agent runs")
 }
 
+fn text_of(output: Output) -> String {
+    String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned()
+}
+
 #[gtest]
 fn answers_are_as_documented() {
     for case in CASES {
         let output = run(case.arguments);
-        let text = [output.stdout, output.stderr].concat();
-        let text = String::from_utf8_lossy(&text);
         expect_that!(output.status.code(), some(eq(case.code)), "{}", case.name);
-        expect_that!(text, contains_substring(case.output), "{}", case.name);
+        expect_that!(text_of(output), contains_substring(case.output), "{}", case.name);
+    }
+}
+
+/// A settings file that goes with the test.
+struct File(PathBuf);
+
+impl File {
+    fn make(name: &str, text: &str) -> Self {
+        let name = format!("hickorycross-agent-{name}-{}.json", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).expect("a file");
+        Self(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+#[gtest]
+fn settings_are_checked_all_at_once() {
+    let faulty = SETTINGS
+        .replace("127.0.0.1:7402", "10.0.0.1:7402")
+        .replace("http://", "https://")
+        .replace("\"instance\"", "\"health_path\": \"health\", \"instance\"");
+    let good = File::make("good", SETTINGS);
+    let faulty = File::make("faulty", &faulty);
+    let output = run(&["check", "--settings", &good.0.display().to_string()]);
+    expect_that!(output.status.code(), some(eq(0)), "{}", text_of(output));
+    let output = run(&["check", "--settings", &faulty.0.display().to_string()]);
+    expect_that!(output.status.code(), some(eq(2)));
+    let text = text_of(output);
+    for field in ["guard_address", "backend_url", "platform_url", "health_path"] {
+        expect_that!(text, contains_substring(format!("{field}: found")));
+    }
+}
+
+/// The list of fields is the one of the struct, and the page has each.
+#[gtest]
+fn every_field_is_listed_and_documented() {
+    let settings: Settings = serde_json::from_str(SETTINGS).expect("settings");
+    let value = serde_json::to_value(&settings).expect("JSON");
+    let of_struct: Vec<_> = value.as_object().expect("an object").keys().cloned().collect();
+    let mut of_list: Vec<_> = Settings::FIELDS.iter().map(|field| field.name.to_owned()).collect();
+    of_list.sort();
+    expect_that!(of_list, eq(&of_struct));
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
+    let page = std::fs::read_to_string(page).expect("the page");
+    for field in of_list {
+        expect_that!(page, contains_substring(format!("| `{field}` |")));
     }
 }
--- /dev/null
+++ b/crates/runtime/tests/logs.rs
@@ -0,0 +1,37 @@
+//! Lines of the log.
+
+use googletest::prelude::*;
+use hickorycross_runtime::logs::OneLine;
+use logforth::layout::Layout;
+use logforth::record::{Level, Record};
+
+// Symptom: the log tells of an event that never was.
+// Sequence: a caller sends a path or a header with a line feed in it, which is logged.
+// Cause: values written as they are; a line feed begins a line that looks like the process's own.
+#[gtest]
+fn no_value_begins_a_line() {
+    let values = [
+        "plain",
+        "a\nlevel=ERROR",
+        "a\nfeed",
+        "a\r\nb",
+        "a\u{2028}b\u{2029}c\u{85}d",
+        "\u{1b}[31mred",
+        "a \"quoted\" b=c",
+    ];
+    for value in values {
+        let key_values = [(logforth::kv::Key::new("path"), logforth::kv::Value::str(value))];
+        let record = Record::builder()
+            .level(Level::Info)
+            .target("request")
+            .payload(format_args!("{value}"))
+            .key_values(key_values.as_slice())
+            .build();
+        let line = OneLine::new().format(&record, &[]).expect("a line");
+        let line = String::from_utf8(line).expect("UTF-8");
+        expect_that!(line.chars().any(char::is_control), eq(false), "{value:?}: {line:?}");
+        expect_that!(line.lines().count(), eq(1), "{value:?}");
+        expect_that!(line.contains(['\u{2028}', '\u{2029}']), eq(false), "{value:?}");
+        expect_that!(line, contains_substring(" path="));
+    }
+}
