--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -251,6 +251,7 @@
             match action {
                 ExchangeAction::Adopted { stamp, document } => {
                     self.parts.view.update(|status| status.stamp = stamp);
+                    self.export.adopt(&document);
                     self.handle(AgentEvent::Adopted { stamp, document });
                 }
                 ExchangeAction::Announce { link, stamp } => {
--- a/crates/agent/src/export.rs
+++ b/crates/agent/src/export.rs
@@ -1,5 +1,6 @@
 //! Hands the core's counts and state to the metrics of the process. docs/METRICS.md lists them.
 
+use hickorycross_config::Document;
 use hickorycross_core::agent::{AgentCounters, AgentSnapshot};
 use hickorycross_core::{InstanceId, Now, UnixMs};
 use hickorycross_runtime::exposition::{MetricKind, MetricName};
@@ -37,7 +38,7 @@
 pub(crate) struct Export {
     process: String,
     due: UnixMs,
-    /// Ranks of tiers that had requests waiting before: their gauges fall back to zero.
+    /// Ranks of the tiers of every document so far: a gauge shows zero where nothing waits.
     ranks: Vec<u8>,
 }
 
@@ -47,6 +48,15 @@
         Self { process: instance.to_string(), due: UnixMs(0), ranks: Vec::new() }
     }
 
+    /// Learns the tiers of a document.
+    pub(crate) fn adopt(&mut self, document: &Document) {
+        for tier in &document.tiers {
+            if !self.ranks.contains(&tier.rank) {
+                self.ranks.push(tier.rank);
+            }
+        }
+    }
+
     /// Whether an export is due; it is then due again later.
     pub(crate) fn is_due(&mut self, now: Now) -> bool {
         let is_due = self.due.is_past(now);
@@ -57,12 +67,7 @@
     }
 
     /// Hands everything on.
-    pub(crate) fn run(
-        &mut self,
-        counters: &AgentCounters,
-        snapshot: &AgentSnapshot,
-        status: &Status,
-    ) {
+    pub(crate) fn run(&self, counters: &AgentCounters, snapshot: &AgentSnapshot, status: &Status) {
         for row in counters.rows() {
             metrics::counter!(counter_name(row.name), "process" => self.process.clone())
                 .absolute(row.value);
@@ -84,13 +89,8 @@
         metrics::gauge!(name, "process" => self.process.clone()).set(value);
     }
 
-    fn queued(&mut self, snapshot: &AgentSnapshot) {
+    fn queued(&self, snapshot: &AgentSnapshot) {
         let waiting = &snapshot.load.waiting;
-        for row in waiting {
-            if !self.ranks.contains(&row.rank) {
-                self.ranks.push(row.rank);
-            }
-        }
         for rank in &self.ranks {
             let found = waiting.iter().find(|row| row.rank == *rank);
             let count = found.map_or(0, |row| row.requests);
--- a/crates/entry/examples/overhead.rs
+++ b/crates/entry/examples/overhead.rs
@@ -10,7 +10,9 @@
 use hickorycross_entry::Entry;
 use hickorycross_entry::demo::{Stage, StageOptions};
 use hickorycross_runtime::exposition::Exposition;
+use hickorycross_runtime::logs;
 use hickorycross_standins::Knobs;
+use miette::IntoDiagnostic;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -34,6 +36,9 @@
 
 #[tokio::main]
 async fn main() -> miette::Result<()> {
+    // As the programs do. Without a logger of the process's own, Rocket installs one that prints
+    // several lines for each request.
+    logs::install("warn,audit=off,security=off").into_diagnostic()?;
     let backend = start_backend().await;
     let document = without_limits();
     let options = StageOptions {
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -269,6 +269,7 @@
                 ExchangeAction::Adopted { stamp, document } => {
                     self.parts.view.update(|status| status.stamp = stamp);
                     self.parts.catalog.adopt(Arc::clone(&document));
+                    self.export.adopt(&document);
                     self.handle(EntryEvent::Adopted { stamp, document });
                 }
                 ExchangeAction::Announce { link, stamp } => {
--- a/crates/entry/src/export.rs
+++ b/crates/entry/src/export.rs
@@ -1,5 +1,6 @@
 //! Hands the core's counts and state to the metrics of the process. docs/METRICS.md lists them.
 
+use hickorycross_config::{Document, TierId};
 use hickorycross_core::entry::{EntryCounters, EntrySnapshot, LinkUsage};
 use hickorycross_core::{InstanceId, Now, UnixMs};
 use hickorycross_runtime::exposition::{MetricKind, MetricName};
@@ -42,8 +43,8 @@
 pub(crate) struct Export {
     process: String,
     due: UnixMs,
-    /// Tiers that had requests in flight before: their gauges fall back to zero.
-    tiers: Vec<String>,
+    /// Tiers of every document so far: a gauge shows zero where nothing is in flight.
+    tiers: Vec<TierId>,
 }
 
 impl Export {
@@ -52,6 +53,15 @@
         Self { process: instance.to_string(), due: UnixMs(0), tiers: Vec::new() }
     }
 
+    /// Learns the tiers of a document.
+    pub(crate) fn adopt(&mut self, document: &Document) {
+        for tier in &document.tiers {
+            if !self.tiers.contains(&tier.id) {
+                self.tiers.push(tier.id.clone());
+            }
+        }
+    }
+
     /// Whether an export is due; it is then due again later.
     pub(crate) fn is_due(&mut self, now: Now) -> bool {
         let is_due = self.due.is_past(now);
@@ -62,12 +72,7 @@
     }
 
     /// Hands everything on.
-    pub(crate) fn run(
-        &mut self,
-        counters: &EntryCounters,
-        snapshot: &EntrySnapshot,
-        status: &Status,
-    ) {
+    pub(crate) fn run(&self, counters: &EntryCounters, snapshot: &EntrySnapshot, status: &Status) {
         for (name, value) in rows(counters) {
             metrics::counter!(counter_name(&name), "process" => self.process.clone())
                 .absolute(value);
@@ -95,16 +100,11 @@
         }
     }
 
-    fn in_flight(&mut self, snapshot: &EntrySnapshot) {
-        for tier in snapshot.in_flight.keys() {
-            if !self.tiers.iter().any(|known| known == tier.as_str()) {
-                self.tiers.push(tier.to_string());
-            }
-        }
+    fn in_flight(&self, snapshot: &EntrySnapshot) {
         for tier in &self.tiers {
-            let count = snapshot.in_flight.get(tier.as_str()).copied().unwrap_or_default();
+            let count = snapshot.in_flight.get(tier).copied().unwrap_or_default();
             let process = self.process.clone();
-            metrics::gauge!(IN_FLIGHT, "process" => process, "tier" => tier.clone())
+            metrics::gauge!(IN_FLIGHT, "process" => process, "tier" => tier.to_string())
                 .set(f64::from(count));
         }
     }
--- a/crates/runtime/src/settings/field.rs
+++ b/crates/runtime/src/settings/field.rs
@@ -2,9 +2,8 @@
 
 use super::error::Fault;
 use super::members::Member;
-use super::overrides::Overrides;
 use serde::de::DeserializeOwned;
-use serde_json::Value;
+use serde_json::{Map, Value};
 
 /// How a field is written on the command line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,8 +62,10 @@
 
 /// What file, environment and flags give.
 pub(super) struct Given<'a> {
+    /// The file's members, as they stand there.
     pub(super) members: &'a [Member<'a>],
-    pub(super) overrides: &'a Overrides,
+    /// The same with the overrides in their places.
+    pub(super) merged: &'a Map<String, Value>,
 }
 
 /// Finds unknown, repeated, missing and mistyped fields.
@@ -95,25 +96,17 @@
 }
 
 fn check_field(field: &Field, given: &Given<'_>) -> Option<Fault> {
-    if let Some(value) = given.overrides.whole(field.name) {
-        return mistyped(field, value, &value.to_string());
+    match given.merged.get(field.name) {
+        None => field.required.then(|| Fault::new(field.name, "nothing", field.allowed)),
+        Some(value) => mistyped(field, value),
     }
-    let Some(member) = given.members.iter().rfind(|member| member.name == field.name) else {
-        let is_missing = field.required && !given.overrides.has_part_of(field.name);
-        return is_missing.then(|| Fault::new(field.name, "nothing", field.allowed));
-    };
-    if given.overrides.has_part_of(field.name) {
-        return None;
-    }
-    let value: Value = serde_json::from_str(member.raw.get()).unwrap_or(Value::Null);
-    mistyped(field, &value, member.raw.get())
 }
 
-fn mistyped(field: &Field, value: &Value, found: &str) -> Option<Fault> {
+fn mistyped(field: &Field, value: &Value) -> Option<Fault> {
     let cause = (field.parse)(value).err()?;
     let allowed = match field.kind {
         Kind::Structure => format!("{} ({cause})", field.allowed),
         Kind::Text | Kind::Number => field.allowed.to_owned(),
     };
-    Some(Fault::new(field.name, found, &allowed))
+    Some(Fault::new(field.name, &value.to_string(), &allowed))
 }
--- a/crates/runtime/src/settings/mod.rs
+++ b/crates/runtime/src/settings/mod.rs
@@ -53,10 +53,11 @@
 ) -> Result<T, SettingsError> {
     let source = Source { name, text };
     let found = members(text).map_err(|error| source.malformed(&error))?;
-    let given = Given { members: &found, overrides };
+    let merged = merged(&found, overrides);
+    let given = Given { members: &found, merged: &merged };
     let mut faults = field::check(T::FIELDS, &given);
     if faults.is_empty() {
-        match serde_json::from_value::<T>(merged(&found, overrides)) {
+        match serde_json::from_value::<T>(Value::Object(merged)) {
             Ok(settings) => {
                 faults = settings.faults();
                 if faults.is_empty() {
@@ -70,7 +71,7 @@
 }
 
 /// The file's members with the overrides in their places.
-fn merged(found: &[Member<'_>], overrides: &Overrides) -> Value {
+fn merged(found: &[Member<'_>], overrides: &Overrides) -> Map<String, Value> {
     let mut whole = Map::new();
     for member in found {
         let value = serde_json::from_str(member.raw.get()).unwrap_or(Value::Null);
@@ -79,7 +80,7 @@
     for (path, value) in overrides.iter() {
         put(&mut whole, path, value.clone());
     }
-    Value::Object(whole)
+    whole
 }
 
 fn put(object: &mut Map<String, Value>, path: &[&str], value: Value) {
--- a/crates/runtime/src/settings/overrides.rs
+++ b/crates/runtime/src/settings/overrides.rs
@@ -56,17 +56,6 @@
     pub(super) fn iter(&self) -> impl Iterator<Item = (&[&'static str], &Value)> {
         self.0.iter().map(|(path, value)| (path.as_slice(), value))
     }
-
-    /// The value that replaces a whole field.
-    pub(super) fn whole(&self, name: &str) -> Option<&Value> {
-        let found = self.0.iter().rfind(|(path, _)| path.as_slice() == [name]);
-        found.map(|(_, value)| value)
-    }
-
-    /// Whether something within a field is replaced.
-    pub(super) fn has_part_of(&self, name: &str) -> bool {
-        self.0.iter().any(|(path, _)| path.len() > 1 && path[0] == name)
-    }
 }
 
 /// A text that is no number stays a text, and is then reported as one of the wrong type.
