--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 mod cli;
 mod driver;
 mod export;
+mod group;
 mod program;
 mod settings;
 
--- a/crates/core/tests/group_faults.rs
+++ b/crates/core/tests/group_faults.rs
@@ -167,6 +167,8 @@
             (0..MEMBERS).filter(hit).for_each(|index| fleet.kill(index));
             fleet.run_for(50);
             recover(&mut fleet, &format!("{point:?}, agent {restarted}"));
+            let known = fleet.run_until(5_000, Fleet::is_map_known);
+            assert!(known.is_some(), "{point:?}, agent {restarted}: no map to start from");
         }
     }
 }
@@ -388,7 +390,7 @@
 fn engines_slower_than_the_repetition_of_an_inspection() {
     // Symptom: beside a slow engine no member ever becomes coordinator.
     // Sequence: each order takes longer than the agent waits before it repeats its inspection.
-    // Cause: the answer to the first inspection is not taken for the repeated one.
+    // Cause: heartbeats and repeated inspections queue orders without end.
     let mut fleet = Fleet::new(16, MEMBERS);
     fleet.weather.order_min_ms = 350;
     fleet.weather.order_max_ms = 350;
@@ -410,6 +412,10 @@
     fleet.start(0);
     fleet.run_for(10_000);
     assert_eq!(fleet.last_step, stopped_at);
+    fleet.replace_engine(2);
+    (0..MEMBERS).for_each(|index| fleet.kill(index));
+    fleet.findings.clear();
+    recover(&mut fleet, "all agents restarted");
 }
 
 /// A guard and where its absence shows.
--- a/crates/entry/examples/overhead.rs
+++ b/crates/entry/examples/overhead.rs
@@ -47,6 +47,7 @@
         network: NETWORK,
         knobs: Knobs::default(),
         log_filter: "off".to_owned(),
+        lock_step: None,
     };
     let mut stage = Stage::set_up(&options).await?;
     let mut agents = Vec::new();
--- a/crates/entry/tests/local/mod.rs
+++ b/crates/entry/tests/local/mod.rs
@@ -118,6 +118,7 @@
         network: unique_network(),
         knobs: Knobs::default(),
         log_filter: "off".to_owned(),
+        lock_step: None,
     }
 }
 
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -54,7 +54,7 @@
     fn hello(&self) -> Hello;
 }
 
-/// The links of a process; clones share them.
+/// The links of a process; copies share them.
 #[derive(Clone)]
 pub struct Links {
     shared: Arc<Shared>,
