--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -96,6 +96,8 @@
 
     fn tick(&mut self) {
         self.handle(AgentEvent::Tick);
+        let actions = self.exchange.tick(self.parts.clock.now());
+        self.act_on_exchange(actions);
         let ready = self.exchange.in_force().is_some();
         self.parts.view.update(|status| status.ready = ready);
     }
@@ -151,6 +153,8 @@
             LinkEvent::Closed { link, reason } => {
                 log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
                 self.parts.gate.settled(link);
+                let actions = self.exchange.closed(self.parts.clock.now(), link);
+                self.act_on_exchange(actions);
                 self.handle(AgentEvent::LinkClosed { link });
             }
         }
--- a/crates/core/src/adoption/exchange.rs
+++ b/crates/core/src/adoption/exchange.rs
@@ -9,6 +9,7 @@
 use crate::ids::LinkId;
 use crate::time::{Now, UnixMs};
 use hickorycross_config::{Document, Stamp};
+use indexmap::IndexMap;
 use std::sync::Arc;
 
 /// An unanswered request for a document is repeated on another link after this time.
@@ -53,6 +54,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Asked {
+    link: LinkId,
     stamp: Stamp,
     again: UnixMs,
 }
@@ -62,6 +64,8 @@
 pub struct Exchange {
     adoption: Adoption,
     asked: Option<Asked>,
+    /// Links whose peer holds something newer, the one that was asked last at the end.
+    ahead: IndexMap<LinkId, Stamp>,
 }
 
 impl Exchange {
@@ -92,6 +96,8 @@
             self.asked = None;
             actions.extend(self.adopted());
         }
+        let Self { adoption, ahead, .. } = self;
+        ahead.retain(|_, stamp| adoption.is_behind(*stamp));
         actions
     }
 
@@ -108,8 +114,10 @@
     pub fn heard(&mut self, now: Now, link: LinkId, peer: Stamp) -> Vec<ExchangeAction> {
         let held = self.stamp();
         if self.adoption.is_behind(peer) {
-            return self.ask(now, link, peer).into_iter().collect();
+            self.ahead.insert(link, peer);
+            return self.ask(now).into_iter().collect();
         }
+        self.ahead.shift_remove(&link);
         if held.revision > peer.revision {
             return vec![ExchangeAction::Announce { link, stamp: held }];
         }
@@ -124,17 +132,39 @@
         Some(ExchangeAction::Offer { link, stamp: in_force.stamp, bytes })
     }
 
-    /// Asks a peer unless the same document has just been asked for elsewhere.
+    /// Forgets a link that has ended.
+    pub fn closed(&mut self, now: Now, link: LinkId) -> Vec<ExchangeAction> {
+        self.ahead.shift_remove(&link);
+        if self.asked.is_some_and(|asked| asked.link == link) {
+            self.asked = None;
+        }
+        self.ask(now).into_iter().collect()
+    }
+
+    /// Asks another peer for a document that did not come; to be called several times a second.
+    ///
+    /// A request or its answer may be lost, or go to a link that is just being closed. Peers
+    /// announce a document only once, so nothing else would bring the next request before a
+    /// heartbeat: one would see single processes on the old revision many seconds after a change.
+    pub fn tick(&mut self, now: Now) -> Vec<ExchangeAction> {
+        self.ask(now).into_iter().collect()
+    }
+
+    /// Asks the peer that holds the highest revision, unless that has just been asked for.
     ///
     /// Without the pause a process with many links would be sent the whole document on each of
     /// them at every change; one would see the fleet's control traffic grow with its links.
-    fn ask(&mut self, now: Now, link: LinkId, peer: Stamp) -> Option<ExchangeAction> {
+    fn ask(&mut self, now: Now) -> Option<ExchangeAction> {
+        let stamp = self.ahead.values().copied().max_by_key(|stamp| stamp.revision)?;
         let is_waiting =
-            self.asked.is_some_and(|asked| asked.stamp == peer && !asked.again.is_past(now));
+            self.asked.is_some_and(|asked| asked.stamp == stamp && !asked.again.is_past(now));
         if is_waiting {
             return None;
         }
-        self.asked = Some(Asked { stamp: peer, again: now.after(REQUEST_PATIENCE_MS) });
+        let link = self.ahead.iter().find(|(_, held)| **held == stamp).map(|(link, _)| *link)?;
+        self.ahead.shift_remove(&link);
+        self.ahead.insert(link, stamp);
+        self.asked = Some(Asked { link, stamp, again: now.after(REQUEST_PATIENCE_MS) });
         Some(ExchangeAction::Request { link })
     }
 
--- a/crates/core/tests/whole_system/adapter.rs
+++ b/crates/core/tests/whole_system/adapter.rs
@@ -157,7 +157,11 @@
         match input {
             Input::Entry(event) => self.entry_event(now, event, &mut effects),
             Input::Agent(event) => self.agent_event(now, event, &mut effects),
-            Input::Tick => self.both(now, EntryEvent::Tick, AgentEvent::Tick, &mut effects),
+            Input::Tick => {
+                self.both(now, EntryEvent::Tick, AgentEvent::Tick, &mut effects);
+                let actions = self.exchange.tick(now);
+                self.act(now, actions, &mut effects);
+            }
             Input::Drain => self.both(now, EntryEvent::Drain, AgentEvent::Drain, &mut effects),
             Input::Opened { link, hello } => self.opened(now, link, &hello, &mut effects),
             Input::Closed { link } => self.closed(now, link, &mut effects),
@@ -240,6 +244,8 @@
     fn closed(&mut self, now: Now, link: LinkId, effects: &mut Vec<Effect>) {
         self.links.swap_remove(&link);
         self.gate.settled(link);
+        let actions = self.exchange.closed(now, link);
+        self.act(now, actions, effects);
         if !self.gate.owns(link) {
             self.entry_event(now, EntryEvent::LinkClosed { link }, effects);
             self.agent_event(now, AgentEvent::LinkClosed { link }, effects);
--- a/crates/core/tests/whole_system/callers.rs
+++ b/crates/core/tests/whole_system/callers.rs
@@ -38,6 +38,12 @@
         self.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS)
     }
 
+    /// Which operation a body names.
+    pub(crate) fn index(body: &[u8]) -> usize {
+        let text = String::from_utf8_lossy(body);
+        text.trim_start_matches("op-").parse().expect("a body names its operation")
+    }
+
     pub(crate) fn body(index: usize) -> Bytes {
         Bytes::from(format!("op-{index}"))
     }
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -77,6 +77,8 @@
 
     fn tick(&mut self) {
         self.handle(EntryEvent::Tick);
+        let actions = self.exchange.tick(self.parts.clock.now());
+        self.act_on_exchange(actions);
         let now = self.parts.clock.now();
         let ready = self.exchange.in_force().is_some() && self.parts.gate.is_open(now);
         self.parts.view.update(|status| status.ready = ready);
@@ -138,6 +140,8 @@
             LinkEvent::Closed { link, reason } => {
                 log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
                 self.parts.gate.settled(link);
+                let actions = self.exchange.closed(self.parts.clock.now(), link);
+                self.act_on_exchange(actions);
                 if !self.parts.gate.owns(link) {
                     self.handle(EntryEvent::LinkClosed { link });
                 }
