fix(adoption): ask again for a document that did not come; give back slots of broken calls

Cause: a process asked the first peer that announced the revision, and nobody else for as long as 500 ms; peers announce once; nothing asked again when the answer was lost or the link closed, as the link of a start gate does right after its greeting. The start gate besides closed every other link as soon as one request was pending. Ruled out: a shorter heartbeat (costs control traffic on every link), asking all peers at once (each change would be sent once a link).

Now the exchange keeps the links whose peer is ahead, asks the next one after 500 ms or at once when the asked link ends, and the gate keeps those links until the document is here.

The agent's program told its core nothing when it broke a call off, so the slot of every cancelled request stayed taken: an agent refused for a full queue and its drain never ended.

--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -5,7 +5,7 @@
 use hickorycross_core::agent::{AgentAction, AgentCore, AgentEvent};
 use hickorycross_core::audit::AuditRecord;
 use hickorycross_core::message::ToAgent;
-use hickorycross_core::{AttemptId, Instance, InstanceId, LinkId};
+use hickorycross_core::{AttemptId, Instance, InstanceId, LinkId, Verdict};
 use hickorycross_protocol::{ConfigOffer, Frame, Hello, PeerRole};
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::link::{LinkEvent, Links};
@@ -98,6 +98,7 @@
         self.handle(AgentEvent::Tick);
         let actions = self.exchange.tick(self.parts.clock.now());
         self.act_on_exchange(actions);
+        self.settle_gate();
         let ready = self.exchange.in_force().is_some();
         self.parts.view.update(|status| status.ready = ready);
     }
@@ -132,9 +133,14 @@
     }
 
     fn abort(&mut self, attempt: AttemptId) {
-        if let Some(run) = self.runs.swap_remove(&attempt) {
-            run.abort();
-        }
+        let Some(run) = self.runs.swap_remove(&attempt) else { return };
+        run.abort();
+        // An aborted task says nothing more. Without this the core would take the slot for
+        // occupied for ever: one would see an agent that runs nothing, refuses for a full queue
+        // and never ends its drain.
+        let detail = "nobody waits for it any more".to_owned();
+        let verdict = Verdict::MayHaveRun;
+        let _ = self.backend_events.send(AgentEvent::BackendFailed { attempt, verdict, detail });
     }
 
     fn on_backend(&mut self, event: AgentEvent) {
@@ -166,12 +172,11 @@
             self.handle(AgentEvent::LinkOpened { link, entry: hello.incarnation });
         }
         let actions = self.exchange.heard(now, link, hello.stamp);
-        let asks = actions.iter().any(|action| matches!(action, ExchangeAction::Request { .. }));
-        if self.parts.gate.owns(link) && !asks {
-            self.parts.gate.settled(link);
-            self.parts.links.close(link);
-        }
         self.act_on_exchange(actions);
+        if self.parts.gate.owns(link) {
+            self.parts.gate.heard(link);
+            self.settle_gate();
+        }
     }
 
     fn on_frame(&mut self, link: LinkId, frame: Frame) {
@@ -192,19 +197,23 @@
                 let actions = self.exchange.requested(link).into_iter().collect();
                 self.act_on_exchange(actions);
             }
-            Frame::ConfigOffer(offer) => self.on_offer(link, &offer),
+            Frame::ConfigOffer(offer) => self.on_offer(&offer),
             Frame::Hello(_) | Frame::ToEntry(_) => {
                 log::warn!(target: "link", link = link.0; "unexpected frame");
             }
         }
     }
 
-    fn on_offer(&mut self, link: LinkId, offer: &ConfigOffer) {
+    fn on_offer(&mut self, offer: &ConfigOffer) {
         let now = self.parts.clock.now();
         let actions = self.exchange.peer_offer(now, offer.stamp, &offer.document);
         self.act_on_exchange(actions);
-        if self.parts.gate.owns(link) {
-            self.parts.gate.settled(link);
+        self.settle_gate();
+    }
+
+    /// Closes the links of the start gate from which nothing newer is to come.
+    fn settle_gate(&mut self) {
+        for link in self.parts.gate.settle(|link| self.exchange.awaits(link)) {
             self.parts.links.close(link);
         }
     }
--- a/crates/core/src/adoption/exchange.rs
+++ b/crates/core/src/adoption/exchange.rs
@@ -114,7 +114,7 @@
     pub fn heard(&mut self, now: Now, link: LinkId, peer: Stamp) -> Vec<ExchangeAction> {
         let held = self.stamp();
         if self.adoption.is_behind(peer) {
-            self.ahead.insert(link, peer);
+            self.note_ahead(link, peer);
             return self.ask(now).into_iter().collect();
         }
         self.ahead.shift_remove(&link);
@@ -124,6 +124,12 @@
         Vec::new()
     }
 
+    /// Whether the peer of a link holds something newer that has not come yet.
+    #[must_use]
+    pub fn awaits(&self, link: LinkId) -> bool {
+        self.ahead.contains_key(&link)
+    }
+
     /// Answers a peer that is behind.
     #[must_use]
     pub fn requested(&self, link: LinkId) -> Option<ExchangeAction> {
@@ -150,6 +156,16 @@
         self.ask(now).into_iter().collect()
     }
 
+    /// Notes that a peer holds something newer; one that was not asked yet comes first.
+    fn note_ahead(&mut self, link: LinkId, peer: Stamp) {
+        match self.ahead.get_mut(&link) {
+            Some(held) => *held = peer,
+            None => {
+                self.ahead.shift_insert(0, link, peer);
+            }
+        }
+    }
+
     /// Asks the peer that holds the highest revision, unless that has just been asked for.
     ///
     /// Without the pause a process with many links would be sent the whole document on each of
--- a/crates/core/src/adoption/start.rs
+++ b/crates/core/src/adoption/start.rs
@@ -9,7 +9,7 @@
 use crate::instance::{Instance, InstanceState, Role};
 use crate::time::{Now, UnixMs};
 use hickorycross_config::FailureDomainId;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::net::SocketAddr;
 
 /// Peers that are heard before serving.
@@ -34,6 +34,8 @@
     own: InstanceId,
     first_link: LinkId,
     waiting: IndexMap<LinkId, InstanceId>,
+    /// Links whose peer has said what is in force there.
+    heard: IndexSet<LinkId>,
     begun: bool,
     deadline: UnixMs,
 }
@@ -44,7 +46,14 @@
     #[must_use]
     pub fn new(own: InstanceId, first_link: LinkId) -> Self {
         let deadline = UnixMs::NEVER;
-        Self { own, first_link, waiting: IndexMap::new(), begun: false, deadline }
+        Self {
+            own,
+            first_link,
+            waiting: IndexMap::new(),
+            heard: IndexSet::new(),
+            begun: false,
+            deadline,
+        }
     }
 
     /// How many link numbers a gate uses at most.
@@ -65,9 +74,29 @@
         probes
     }
 
-    /// Notes that a peer has said what is in force there, or cannot be heard.
+    /// Notes that a peer has said what is in force there.
+    pub fn heard(&mut self, link: LinkId) {
+        self.heard.insert(link);
+    }
+
+    /// Notes that a link has ended.
     pub fn settled(&mut self, link: LinkId) {
         self.waiting.swap_remove(&link);
+        self.heard.swap_remove(&link);
+    }
+
+    /// Settles the peers from which nothing newer is to come and returns their links, to be
+    /// closed.
+    ///
+    /// The links of the others stay open, not just the one on which the document was asked for.
+    /// Its peer may die before it answers; then the process would serve on what it read from a
+    /// stale platform, although it knows better: one would see a revision come back that the
+    /// fleet left long ago.
+    pub fn settle(&mut self, is_awaited: impl Fn(LinkId) -> bool) -> Vec<LinkId> {
+        let done: Vec<LinkId> =
+            self.heard.iter().copied().filter(|link| !is_awaited(*link)).collect();
+        done.iter().for_each(|link| self.settled(*link));
+        done
     }
 
     /// Whether the link was opened for the gate.
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -79,6 +79,7 @@
         self.handle(EntryEvent::Tick);
         let actions = self.exchange.tick(self.parts.clock.now());
         self.act_on_exchange(actions);
+        self.settle_gate();
         let now = self.parts.clock.now();
         let ready = self.exchange.in_force().is_some() && self.parts.gate.is_open(now);
         self.parts.view.update(|status| status.ready = ready);
@@ -152,14 +153,10 @@
     fn on_opened(&mut self, link: LinkId, hello: Hello) {
         let now = self.parts.clock.now();
         let actions = self.exchange.heard(now, link, hello.stamp);
-        let asks = actions.iter().any(|action| matches!(action, ExchangeAction::Request { .. }));
         self.act_on_exchange(actions);
         if self.parts.gate.owns(link) {
-            if !asks {
-                self.parts.gate.settled(link);
-                self.parts.links.close(link);
-            }
-            return;
+            self.parts.gate.heard(link);
+            return self.settle_gate();
         }
         if let PeerRole::Agent { backend_server } = hello.role {
             let incarnation = hello.incarnation;
@@ -185,19 +182,23 @@
                 let actions = self.exchange.requested(link).into_iter().collect();
                 self.act_on_exchange(actions);
             }
-            Frame::ConfigOffer(offer) => self.on_offer(link, &offer),
+            Frame::ConfigOffer(offer) => self.on_offer(&offer),
             Frame::Hello(_) | Frame::ToAgent(_) => {
                 log::warn!(target: "link", link = link.0; "unexpected frame");
             }
         }
     }
 
-    fn on_offer(&mut self, link: LinkId, offer: &ConfigOffer) {
+    fn on_offer(&mut self, offer: &ConfigOffer) {
         let now = self.parts.clock.now();
         let actions = self.exchange.peer_offer(now, offer.stamp, &offer.document);
         self.act_on_exchange(actions);
-        if self.parts.gate.owns(link) {
-            self.parts.gate.settled(link);
+        self.settle_gate();
+    }
+
+    /// Closes the links of the start gate from which nothing newer is to come.
+    fn settle_gate(&mut self) {
+        for link in self.parts.gate.settle(|link| self.exchange.awaits(link)) {
             self.parts.links.close(link);
         }
     }
--- a/crates/entry/tests/processes_fail.rs
+++ b/crates/entry/tests/processes_fail.rs
@@ -247,3 +247,24 @@
     }
     Ok(())
 }
+
+// Symptom: an agent that runs nothing refuses work for a full queue, and its planned stop never
+// ends.
+// Sequence: a caller leaves in the midst of a stream; the entry cancels; the agent breaks the call
+// to its backend server off; the agent is asked to stop.
+// Cause: the broken call reported no end, so that its slot stayed taken for ever.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_gives_its_slot_back() -> googletest::Result<()> {
+    let mut fleet = Fleet::start(&small_document(), 1, UNHURRIED).await;
+    let request = fleet.post(0, "clerks", CHAT, &streamed("left", 100 * TOKENS)).send();
+    let mut pieces = request.await.or_fail()?.bytes_stream();
+    pieces.next().await.or_fail()?.or_fail()?;
+    let name = busy(&fleet).await;
+    drop(pieces);
+    let agent = fleet.agents.get_mut(&name).or_fail()?;
+    agent.terminate();
+    wait_for("the agent's end", async || agent.ended().is_some()).await;
+    expect_that!(agent.ended().or_fail()?.code(), some(eq(0)));
+    Ok(())
+}
