--- a/crates/standins/src/relay/udp.rs
+++ b/crates/standins/src/relay/udp.rs
@@ -48,6 +48,10 @@
     pub to_server: u64,
     /// Handed on to clients, copies included.
     pub to_clients: u64,
+    /// Payload bytes of what was handed on to the server.
+    pub to_server_bytes: u64,
+    /// Payload bytes of what was handed on to clients.
+    pub to_clients_bytes: u64,
 }
 
 /// Relays datagrams to one server and disturbs them on demand.
@@ -275,8 +279,14 @@
         };
         let mut table = self.lock();
         match (sent, pending.direction) {
-            (Ok(_), Direction::ToServer) => table.counts.to_server += 1,
-            (Ok(_), Direction::ToClient) => table.counts.to_clients += 1,
+            (Ok(length), Direction::ToServer) => {
+                table.counts.to_server += 1;
+                table.counts.to_server_bytes += length as u64;
+            }
+            (Ok(length), Direction::ToClient) => {
+                table.counts.to_clients += 1;
+                table.counts.to_clients_bytes += length as u64;
+            }
             (Err(_), _) => table.counts.dropped += 1,
         }
     }
