--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -1,14 +1,18 @@
 //! Turns what happens around the process into events for the core and carries out its actions.
 
 use crate::backend::{Backend, Run};
+use crate::export::Export;
+use crate::group::{EngineEvent, Group};
+use hickorycross_config::BackendServerId;
 use hickorycross_core::adoption::{Exchange, ExchangeAction, Probe, StartGate, is_watcher};
 use hickorycross_core::agent::{AgentAction, AgentCore, AgentEvent};
-use hickorycross_core::audit::AuditRecord;
+use hickorycross_core::audit::{AuditRecord, Change};
 use hickorycross_core::message::ToAgent;
 use hickorycross_core::{AttemptId, Instance, InstanceId, LinkId, Verdict};
 use hickorycross_protocol::{ConfigOffer, Frame, Hello, PeerRole};
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::link::{LinkEvent, Links};
+use hickorycross_runtime::operators::Inspect;
 use hickorycross_runtime::platform::{Follow, PlatformEvent};
 use hickorycross_runtime::trail::Trail;
 use hickorycross_runtime::view::View;
@@ -29,12 +33,14 @@
 pub(crate) struct Inputs {
     pub(crate) links: UnboundedReceiver<LinkEvent>,
     pub(crate) platform: UnboundedReceiver<PlatformEvent>,
+    pub(crate) engine: UnboundedReceiver<EngineEvent>,
     pub(crate) drain: oneshot::Receiver<()>,
 }
 
 /// What the driver acts on.
 pub(crate) struct Parts {
     pub(crate) core: AgentCore,
+    pub(crate) group: Group,
     pub(crate) gate: StartGate,
     pub(crate) own: InstanceId,
     pub(crate) links: Links,
@@ -51,17 +57,23 @@
     exchange: Exchange,
     backend_events: UnboundedSender<AgentEvent>,
     runs: IndexMap<AttemptId, AbortHandle>,
+    export: Export,
+    /// Links by the backend server at their other end, for agents.
+    agents: IndexMap<LinkId, BackendServerId>,
     drained: bool,
 }
 
 impl Driver {
     pub(crate) fn new(parts: Parts) -> (Self, UnboundedReceiver<AgentEvent>) {
         let (backend_events, receiver) = unbounded_channel();
+        let export = Export::new(&parts.own);
         let driver = Self {
             parts,
             exchange: Exchange::default(),
             backend_events,
             runs: IndexMap::new(),
+            export,
+            agents: IndexMap::new(),
             drained: false,
         };
         (driver, receiver)
@@ -88,6 +100,7 @@
                 _ = ticks.tick() => self.tick(),
                 Some(event) = inputs.links.recv() => self.on_link(event),
                 Some(event) = backend.recv() => self.on_backend(event),
+                Some(event) = inputs.engine.recv() => self.on_engine(event),
                 Some(event) = inputs.platform.recv() => self.on_platform(event),
             }
         }
@@ -96,11 +109,25 @@
 
     fn tick(&mut self) {
         self.handle(AgentEvent::Tick);
-        let actions = self.exchange.tick(self.parts.clock.now());
+        let now = self.parts.clock.now();
+        self.with_group(|group, audit| group.tick(now, audit));
+        let actions = self.exchange.tick(now);
         self.act_on_exchange(actions);
         self.settle_gate();
         let ready = self.exchange.in_force().is_some();
         self.parts.view.update(|status| status.ready = ready);
+        self.show();
+    }
+
+    /// Shows state and counts to operators, once in a while.
+    fn show(&mut self) {
+        let now = self.parts.clock.now();
+        if self.export.is_due(now) {
+            let snapshot = self.parts.core.snapshot(now);
+            let detail = serde_json::to_value(&snapshot).unwrap_or_default();
+            self.parts.view.update(|status| status.detail = detail);
+            self.export.run(self.parts.core.counters(), &snapshot, &self.parts.view.status());
+        }
     }
 
     fn handle(&mut self, event: AgentEvent) {
@@ -143,6 +170,22 @@
         let _ = self.backend_events.send(AgentEvent::BackendFailed { attempt, verdict, detail });
     }
 
+    /// Lets the group do something and writes down what changed.
+    fn with_group(&mut self, job: impl FnOnce(&mut Group, &mut Vec<Change>)) {
+        let mut changes = Vec::new();
+        job(&mut self.parts.group, &mut changes);
+        let at = self.parts.clock.now().unix_ms;
+        let stamp = self.exchange.stamp();
+        for change in changes {
+            self.parts.trail.write(AuditRecord { at, stamp, change });
+        }
+    }
+
+    fn on_engine(&mut self, event: EngineEvent) {
+        let now = self.parts.clock.now();
+        self.with_group(|group, audit| group.on_engine(now, event, audit));
+    }
+
     fn on_backend(&mut self, event: AgentEvent) {
         if let AgentEvent::BackendEnd { attempt } | AgentEvent::BackendFailed { attempt, .. } =
             &event
@@ -159,6 +202,8 @@
             LinkEvent::Closed { link, reason } => {
                 log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
                 self.parts.gate.settled(link);
+                self.parts.group.closed(link);
+                self.agents.swap_remove(&link);
                 let actions = self.exchange.closed(self.parts.clock.now(), link);
                 self.act_on_exchange(actions);
                 self.handle(AgentEvent::LinkClosed { link });
@@ -168,8 +213,16 @@
 
     fn on_opened(&mut self, link: LinkId, hello: &Hello) {
         let now = self.parts.clock.now();
-        if hello.role == PeerRole::Entry {
-            self.handle(AgentEvent::LinkOpened { link, entry: hello.incarnation });
+        match &hello.role {
+            PeerRole::Entry => {
+                self.handle(AgentEvent::LinkOpened { link, entry: hello.incarnation });
+            }
+            PeerRole::Agent { backend_server } => {
+                self.agents.insert(link, backend_server.clone());
+                if self.parts.group.owns(link) {
+                    self.parts.group.opened(link);
+                }
+            }
         }
         let actions = self.exchange.heard(now, link, hello.stamp);
         self.act_on_exchange(actions);
@@ -181,7 +234,14 @@
 
     fn on_frame(&mut self, link: LinkId, frame: Frame) {
         let now = self.parts.clock.now();
+        if let Some(backend_server) = self.agents.get(&link) {
+            self.parts.group.heard(backend_server);
+        }
         match frame {
+            Frame::Group(message) => {
+                self.with_group(|group, audit| group.received(now, *message, audit));
+            }
+            Frame::RankLoad(load) => self.parts.group.load(now, *load),
             Frame::ToAgent(message) => {
                 if let ToAgent::Heartbeat { stamp, .. } = &message {
                     let actions = self.exchange.heard(now, link, *stamp);
@@ -236,6 +296,7 @@
         let follow =
             if is_watcher(&self.parts.own, instances) { Follow::Watch } else { Follow::Poll };
         self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
+        self.parts.group.listed(instances);
         for Probe { link, address, .. } in self.parts.gate.listed(self.parts.clock.now(), instances)
         {
             self.parts.links.open(link, address);
@@ -247,6 +308,9 @@
             match action {
                 ExchangeAction::Adopted { stamp, document } => {
                     self.parts.view.update(|status| status.stamp = stamp);
+                    self.export.adopt(&document);
+                    let now = self.parts.clock.now();
+                    self.with_group(|group, audit| group.adopt(now, stamp, &document, audit));
                     self.handle(AgentEvent::Adopted { stamp, document });
                 }
                 ExchangeAction::Announce { link, stamp } => {
--- a/crates/agent/src/group/balance.rs
+++ b/crates/agent/src/group/balance.rs
@@ -1,5 +1,6 @@
 //! The coordinator's decision when to move experts.
 
+use super::engine::EngineEvent;
 use hickorycross_config::{Balance, ModelGroup};
 use hickorycross_core::group::{self, GroupMember};
 use hickorycross_core::placement::{
@@ -7,50 +8,87 @@
     Weighted, WeightedSettings,
 };
 use hickorycross_core::{Now, UnixMs};
+use tokio::sync::mpsc::UnboundedSender;
 
 /// Pause between two decisions.
 const DECISION_PAUSE_MS: u64 = 1_000;
 /// Experts loaded in one change at most, on average for each layer.
 const MAX_LOADS_PER_LAYER: u32 = 4;
 
+/// A decision, with the policy that made it.
+pub(crate) struct Decision {
+    policy: Box<dyn RebalancePolicy>,
+    change: Option<Change>,
+    present: group::ExpertMap,
+}
+
 /// Decides for one group.
+///
+/// A decision over 60 layers takes tens of milliseconds. Made on the driver's own task it would
+/// hold up every link of the agent, and one would see heartbeats answered late whenever a group is
+/// rebalanced; it is made on a thread for blocking work, and the policy is away meanwhile.
 pub(crate) struct Balancer {
-    policy: Box<dyn RebalancePolicy>,
+    /// None while a decision is being made.
+    policy: Option<Box<dyn RebalancePolicy>>,
     collector: LoadCollector,
     decide_at: UnixMs,
     proposed: Option<Change>,
+    events: UnboundedSender<EngineEvent>,
 }
 
 impl Balancer {
     /// Begins for a group; none when its dimensions admit no map.
-    pub(crate) fn new(group: &ModelGroup, balance: Balance) -> Option<Self> {
+    pub(crate) fn new(
+        group: &ModelGroup,
+        balance: Balance,
+        events: UnboundedSender<EngineEvent>,
+    ) -> Option<Self> {
         let shape = GroupShape::of(group).ok()?;
         let settings = WeightedSettings { balance, max_loads_per_layer: MAX_LOADS_PER_LAYER };
         Some(Self {
-            policy: Box::new(Weighted::new(shape, &settings)),
+            policy: Some(Box::new(Weighted::new(shape, &settings))),
             collector: LoadCollector::new(shape.ranks),
             decide_at: UnixMs::default(),
             proposed: None,
+            events,
         })
     }
 
     /// Takes the load of one member's ranks.
     pub(crate) fn take(&mut self, now: Now, load: RankLoad) {
         let Some(report) = self.collector.take(now, load) else { return };
-        if let Err(fault) = self.policy.observe(&report) {
+        let Some(policy) = &mut self.policy else { return };
+        if let Err(fault) = policy.observe(&report) {
             log::debug!(target: "group", fault = fault.to_string().as_str(); "load not used");
         }
     }
 
-    /// Decides, if it is time and this member coordinates.
-    pub(crate) fn propose(&mut self, now: Now, member: &GroupMember) -> Option<group::ExpertMap> {
+    /// Begins a decision, if it is time and this member coordinates.
+    pub(crate) fn begin(&mut self, now: Now, member: &GroupMember) {
         if !self.decide_at.is_past(now) || self.proposed.is_some() {
-            return None;
+            return;
         }
         self.decide_at = now.after(DECISION_PAUSE_MS);
-        let present = member.map_in_use()?;
-        let change = self.policy.decide(now, &ExpertMap { layers: present.layers.clone() })?;
-        let map = group::ExpertMap { layers: change.target.layers.clone(), ..present.clone() };
+        let Some(present) = member.map_in_use().cloned() else { return };
+        let Some(mut policy) = self.policy.take() else { return };
+        let events = self.events.clone();
+        tokio::task::spawn_blocking(move || {
+            let change = policy.decide(now, &ExpertMap { layers: present.layers.clone() });
+            let decision = Decision { policy, change, present };
+            let _ = events.send(EngineEvent::Decided(Box::new(decision)));
+        });
+    }
+
+    /// Ends a decision; gives the map to propose.
+    pub(crate) fn end(&mut self, decision: Decision) -> Option<group::ExpertMap> {
+        let Decision { policy, change, present } = decision;
+        if self.policy.is_some() {
+            // The group's dimensions changed meanwhile: the decision is that of the policy before.
+            return None;
+        }
+        self.policy = Some(policy);
+        let change = change?;
+        let map = group::ExpertMap { layers: change.target.layers.clone(), ..present };
         self.proposed = Some(change);
         Some(map)
     }
@@ -58,7 +96,9 @@
     /// Learns how the proposal ended; gives it back for the record.
     pub(crate) fn settle(&mut self, now: Now, outcome: ChangeOutcome) -> Option<Change> {
         let change = self.proposed.take()?;
-        self.policy.settle(now, outcome);
+        if let Some(policy) = &mut self.policy {
+            policy.settle(now, outcome);
+        }
         Some(change)
     }
 }
--- a/crates/agent/src/group/engine.rs
+++ b/crates/agent/src/group/engine.rs
@@ -2,6 +2,7 @@
 //!
 //! The protocol is the engine's; docs/PLATFORM.md describes it.
 
+use super::balance::Decision;
 use hickorycross_core::Fencing;
 use hickorycross_core::group::{
     EngineOrder, EngineState, ExpertMap, FencedOrder, MapRef, OrderId, StepReport,
@@ -21,7 +22,6 @@
 const LOAD_PAUSE: Duration = Duration::from_millis(500);
 
 /// What comes from the engine.
-#[derive(Debug)]
 pub(crate) enum EngineEvent {
     /// It carried out an order, or says why not by its state.
     Answered { id: OrderId, state: EngineState },
@@ -35,6 +35,8 @@
     Ranks(RanksReport),
     /// Load of its ranks in the latest window of steps.
     Load(RankLoad),
+    /// A decision about the map has been made.
+    Decided(Box<Decision>),
 }
 
 /// An order on the wire.
--- a/crates/agent/src/group/member.rs
+++ b/crates/agent/src/group/member.rs
@@ -1,6 +1,6 @@
 //! Drives one member of a group.
 
-use super::balance::Balancer;
+use super::balance::{Balancer, Decision};
 use super::engine::{Engine, EngineEvent, RanksReport};
 use super::peers::Peers;
 use hickorycross_config::{BackendServerId, Document, ModelGroup, Stamp};
@@ -67,7 +67,8 @@
         match &mut self.running {
             Some(running) if running.group.id == group.id => {
                 if running.group != *group {
-                    running.balancer = Balancer::new(group, document.balance);
+                    running.balancer =
+                        Balancer::new(group, document.balance, self.ground.events.clone());
                 }
                 running.group = group.clone();
                 self.handle(now, GroupEvent::MembershipRead(membership), audit);
@@ -97,7 +98,7 @@
             group: group.clone(),
             member: GroupMember::new(now, settings),
             engine: Engine::start(&self.ground.backend_url, self.ground.events.clone()),
-            balancer: Balancer::new(group, document.balance),
+            balancer: Balancer::new(group, document.balance, self.ground.events.clone()),
             last_map: None,
             resident: Vec::new(),
             stage_failed: None,
@@ -148,9 +149,17 @@
         }
         self.peers.tick(now);
         self.handle(now, GroupEvent::Tick, audit);
-        let proposal = self.running.as_mut().and_then(|running| {
-            running.balancer.as_mut().and_then(|one| one.propose(now, &running.member))
-        });
+        if let Some(running) = &mut self.running
+            && let Some(balancer) = &mut running.balancer
+        {
+            balancer.begin(now, &running.member);
+        }
+    }
+
+    /// Proposes the map that a decision asks for, unless the group has changed meanwhile.
+    fn decided(&mut self, now: Now, decision: Decision, audit: &mut Vec<Change>) {
+        let balancer = self.running.as_mut().and_then(|running| running.balancer.as_mut());
+        let proposal = balancer.and_then(|balancer| balancer.end(decision));
         if let Some(map) = proposal {
             self.handle(now, GroupEvent::Propose(map), audit);
         }
@@ -169,6 +178,7 @@
             EngineEvent::MapRead(map) => self.handle(now, GroupEvent::EngineMapRead(map), audit),
             EngineEvent::Ranks(report) => self.on_ranks(now, report, audit),
             EngineEvent::Load(load) => self.pass_on_load(now, load),
+            EngineEvent::Decided(decision) => self.decided(now, *decision, audit),
         }
     }
 
--- a/crates/core/tests/whole_system/platform.rs
+++ b/crates/core/tests/whole_system/platform.rs
@@ -128,7 +128,7 @@
                           "backend_servers": MODEL, "ranks_per_server": 1, "layers": 1,
                           "experts_per_layer": 3, "expert_bytes": 1, "expert_slots_per_rank": 1}],
         "routes": [route("lodge", under("/lodge/"), false), route("read", under("/read/"), true),
-                   route("model", json!({"model": {"group": "group"}}), true)],
+                   route("model", json!({"model": {"groups": ["group"]}}), true)],
         "balance": {"skew_weight": 1.0, "rebalance_cost_weight": 1.0,
                     "weight_store_bytes_per_s": 1}
     });
--- a/crates/entry/src/catalog.rs
+++ b/crates/entry/src/catalog.rs
@@ -1,6 +1,6 @@
 //! What the HTTP side knows of the document: who calls, and the model list.
 
-use hickorycross_config::{Document, KeyHash, Target, TeamId, TierId};
+use hickorycross_config::{Document, KeyHash, TeamId, TierId};
 use indexmap::IndexMap;
 use serde::Serialize;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -69,12 +69,10 @@
         let adopted = self.adopted()?;
         adopted.callers.get(key)?;
         let document = &adopted.document;
-        let routed = document.routes.iter().filter_map(|route| match &route.target {
-            Target::Model { group } => document.group(group.as_str()),
-            Target::Service { .. } => None,
-        });
-        let data = routed
-            .flat_map(|group| &group.models)
+        let data = document
+            .routes
+            .iter()
+            .flat_map(|route| document.models_of(&route.target))
             .map(|id| Model { id, object: "model", owned_by: "hickorycross" })
             .collect();
         serde_json::to_string(&List { object: "list", data }).ok()
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -1,14 +1,17 @@
 //! Turns what happens around the process into events for the core and carries out its actions.
 
 use crate::catalog::Catalog;
+use crate::export::Export;
 use crate::inbox::{Inbound, Part};
+use hickorycross_config::BackendServerId;
 use hickorycross_core::adoption::{Exchange, ExchangeAction, Probe, StartGate, is_watcher};
 use hickorycross_core::entry::{EntryAction, EntryCore, EntryEvent};
-use hickorycross_core::message::ToEntry;
-use hickorycross_core::{Instance, InstanceId, LinkId, RequestId};
+use hickorycross_core::message::{ToAgent, ToEntry};
+use hickorycross_core::{Instance, InstanceId, LinkId, Now, RequestId};
 use hickorycross_protocol::{ConfigOffer, Frame, Hello, PeerRole};
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::link::{LinkEvent, Links};
+use hickorycross_runtime::operators::Inspect;
 use hickorycross_runtime::platform::{Follow, PlatformEvent};
 use hickorycross_runtime::trail::Trail;
 use hickorycross_runtime::view::View;
@@ -48,12 +51,22 @@
     parts: Parts,
     exchange: Exchange,
     answers: IndexMap<RequestId, UnboundedSender<Part>>,
+    /// Backend servers at the other ends of links, for logs.
+    backends: IndexMap<LinkId, BackendServerId>,
+    export: Export,
     drained: bool,
 }
 
 impl Driver {
     pub(crate) fn new(parts: Parts) -> Self {
-        Self { parts, exchange: Exchange::default(), answers: IndexMap::new(), drained: false }
+        Self {
+            export: Export::new(&parts.own),
+            parts,
+            exchange: Exchange::default(),
+            answers: IndexMap::new(),
+            backends: IndexMap::new(),
+            drained: false,
+        }
     }
 
     pub(crate) async fn run(mut self, mut inputs: Inputs) {
@@ -83,6 +96,17 @@
         let now = self.parts.clock.now();
         let ready = self.exchange.in_force().is_some() && self.parts.gate.is_open(now);
         self.parts.view.update(|status| status.ready = ready);
+        self.show(now);
+    }
+
+    /// Shows state and counts to operators, once in a while.
+    fn show(&mut self, now: Now) {
+        if self.export.is_due(now) {
+            let snapshot = self.parts.core.snapshot(now);
+            let detail = serde_json::to_value(&snapshot).unwrap_or_default();
+            self.parts.view.update(|status| status.detail = detail);
+            self.export.run(&self.parts.core.counters(), &snapshot, &self.parts.view.status());
+        }
     }
 
     fn handle(&mut self, event: EntryEvent) {
@@ -98,6 +122,7 @@
             EntryAction::OpenLink { link, address, .. } => self.parts.links.open(link, address),
             EntryAction::CloseLink { link } => self.parts.links.close(link),
             EntryAction::Send { link, message } => {
+                self.log_submit(link, &message);
                 self.parts.links.send(link, Frame::ToAgent(message));
             }
             EntryAction::Begin { request, head } => self.pass_on(request, Part::Begin(head)),
@@ -109,6 +134,18 @@
         }
     }
 
+    fn log_submit(&self, link: LinkId, message: &ToAgent) {
+        if let ToAgent::Submit(submit) = message {
+            log::debug!(
+                target: "request",
+                request = submit.attempt.request.to_string().as_str(),
+                attempt = submit.attempt.ordinal,
+                backend_server = self.backends.get(&link).map_or("-", BackendServerId::as_str);
+                "submitted"
+            );
+        }
+    }
+
     fn pass_on(&self, request: RequestId, part: Part) {
         if let Some(answer) = self.answers.get(&request) {
             let _ = answer.send(part);
@@ -140,6 +177,7 @@
             LinkEvent::Frame { link, frame } => self.on_frame(link, frame),
             LinkEvent::Closed { link, reason } => {
                 log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
+                self.backends.swap_remove(&link);
                 self.parts.gate.settled(link);
                 let actions = self.exchange.closed(self.parts.clock.now(), link);
                 self.act_on_exchange(actions);
@@ -160,6 +198,7 @@
         }
         if let PeerRole::Agent { backend_server } = hello.role {
             let incarnation = hello.incarnation;
+            self.backends.insert(link, backend_server.clone());
             self.handle(EntryEvent::LinkOpened { link, backend_server, incarnation });
         }
     }
@@ -183,7 +222,7 @@
                 self.act_on_exchange(actions);
             }
             Frame::ConfigOffer(offer) => self.on_offer(&offer),
-            Frame::Hello(_) | Frame::ToAgent(_) => {
+            Frame::Hello(_) | Frame::ToAgent(_) | Frame::Group(_) | Frame::RankLoad(_) => {
                 log::warn!(target: "link", link = link.0; "unexpected frame");
             }
         }
@@ -235,6 +274,7 @@
                 ExchangeAction::Adopted { stamp, document } => {
                     self.parts.view.update(|status| status.stamp = stamp);
                     self.parts.catalog.adopt(Arc::clone(&document));
+                    self.export.adopt(&document);
                     self.handle(EntryEvent::Adopted { stamp, document });
                 }
                 ExchangeAction::Announce { link, stamp } => {
--- a/crates/lab/src/capacity/document.rs
+++ b/crates/lab/src/capacity/document.rs
@@ -130,7 +130,7 @@
 fn route(group: u32) -> Route {
     Route {
         id: RouteId::new(&format!("route-{group:02}")),
-        target: Target::Model { group: ModelGroupId::new(&format!("group-{group:02}")) },
+        target: Target::Model { groups: vec![ModelGroupId::new(&format!("group-{group:02}"))] },
         idempotent: true,
         default_deadline_ms: 60_000,
         max_deadline_ms: 600_000,
