refactor(core): one set of baseline policies; the entry tells its policies more

The entry calls the hooks that routing learns from (document, begun, expired and failed work), and counts signs of life apart from answers. The entry's own baselines stood twice beside those of the policy modules and are gone; production policies are made in the core, where tests and programs share them.

--- a/crates/core/src/entry/backend.rs
+++ b/crates/core/src/entry/backend.rs
@@ -44,7 +44,7 @@
 
     /// Passes a signal to its health policy.
     pub(super) fn signal(&mut self, now: Now, signal: Signal) {
-        if signal != Signal::Answered && signal != Signal::BackendUp {
+        if !matches!(signal, Signal::Answered | Signal::Heard | Signal::BackendUp) {
             self.last_fault = Some(signal);
         }
         self.health.signal(now, signal);
--- a/crates/core/src/entry/fleet.rs
+++ b/crates/core/src/entry/fleet.rs
@@ -16,6 +16,7 @@
 impl EntryCore {
     pub(super) fn adopt(&mut self, turn: &mut Turn<'_>, stamp: Stamp, document: Arc<Document>) {
         self.policies.limits.adopt(turn.now, &document);
+        self.policies.routing.adopt(&document);
         self.policies.retries.adopt(&document);
         self.backends.retain(|id, _| document.backend(id.as_str()).is_some());
         for server in &document.backend_servers {
@@ -92,6 +93,9 @@
             return;
         }
         backend.signal(turn.now, signal);
+        if signal == Signal::Failed {
+            self.policies.routing.failed(turn.now, &backend_server);
+        }
         self.note_circuit(turn, &backend_server);
     }
 
--- a/crates/core/src/entry/receive.rs
+++ b/crates/core/src/entry/receive.rs
@@ -117,7 +117,7 @@
         if in_time && let Some(peer) = self.peers.get_mut(&instance) {
             peer.round_trip.observe(turn.now, sent);
         }
-        self.signal(turn, &instance, Signal::Answered);
+        self.signal(turn, &instance, Signal::Heard);
     }
 
     fn refused(
@@ -132,10 +132,15 @@
         let Some(instance) = self.attempt_mut(request).map(|live| live.instance.clone()) else {
             return;
         };
+        if reason == RefusalReason::Expired
+            && let Some(row) = self.requests.get(&request)
+        {
+            self.policies.routing.expired(turn.now, row.rank);
+        }
         match reason {
             RefusalReason::BackendDown => self.learn_backend_down(turn, &instance, true),
             RefusalReason::Leaving => self.learn_leaving(&instance),
-            _ => self.signal(turn, &instance, Signal::Answered),
+            _ => self.signal(turn, &instance, Signal::Heard),
         }
         self.end_attempt(turn, request, refusal_ending(reason, retry_at));
     }
@@ -187,7 +192,7 @@
             }
             return;
         };
-        self.signal_of_attempt(turn, request, Signal::Answered);
+        self.signal_of_attempt(turn, request, Signal::Heard);
         match outcome {
             RevokeOutcome::Attached => self.touched(turn, link, request),
             RevokeOutcome::Tombstoned => {
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -22,7 +22,7 @@
                 self.in_touch_again(request);
             }
         }
-        self.signal(turn, &instance, Signal::Answered);
+        self.signal(turn, &instance, Signal::Heard);
     }
 
     /// An accepted attempt is no longer out of touch: its agent answers on the link in use.
--- a/crates/core/src/entry/setup.rs
+++ b/crates/core/src/entry/setup.rs
@@ -1,12 +1,15 @@
 //! What an entry is made of: its identity and its policies.
 
-use crate::entry::plain::{AsTold, FewestOutstanding, FixedTries, NoLimit};
-use crate::health::HealthOf;
+use crate::health::{AsTold, Graded, HealthOf};
 use crate::ids::Incarnation;
-use crate::limits::LimitTeams;
-use crate::retry::BudgetRetries;
-use crate::routing::ChooseBackend;
+use crate::limits::{LimitTeams, SharedLimits, Unlimited};
+use crate::retry::{BudgetRetries, FixedBudget, TokenBudget};
+use crate::routing::{ChooseBackend, LeastOutstanding, TwoChoices};
 use hickorycross_config::FailureDomainId;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Tries of a request under the baseline policies.
+const PLAIN_TRIES: u16 = 3;
 
 /// Who an entry is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,12 +40,28 @@
     #[must_use]
     pub fn plain() -> Self {
         Self {
-            routing: Box::new(FewestOutstanding),
-            limits: Box::new(NoLimit),
-            retries: Box::new(FixedTries),
+            routing: Box::new(LeastOutstanding::default()),
+            limits: Box::new(Unlimited),
+            retries: Box::new(FixedBudget::at_once(PLAIN_TRIES)),
             health: Box::new(|| Box::<AsTold>::default()),
         }
     }
+
+    /// The policies of production. Entries differ in their seeds, so that they do not follow one
+    /// another to the same backend server, nor probe or retry in step.
+    #[must_use]
+    pub fn production(seed: u64) -> Self {
+        let next_health_seed = AtomicU64::new(seed);
+        Self {
+            routing: Box::new(TwoChoices::new(seed)),
+            limits: Box::new(SharedLimits::new()),
+            retries: Box::new(TokenBudget::new(seed)),
+            health: Box::new(move || {
+                let seed = next_health_seed.fetch_add(1, Ordering::Relaxed);
+                Box::new(Graded::new(seed))
+            }),
+        }
+    }
 }
 
 impl std::fmt::Debug for EntryPolicies {
--- a/crates/core/src/entry/stream.rs
+++ b/crates/core/src/entry/stream.rs
@@ -178,10 +178,10 @@
 
     /// Lets the routing policy learn how long the first piece took.
     fn observe_first_chunk(&mut self, turn: &Turn<'_>, request: RequestId) {
-        let Some(live) = self.requests.get(&request).and_then(|row| row.attempt.as_ref()) else {
-            return;
-        };
+        let Some(row) = self.requests.get(&request) else { return };
+        let Some(live) = row.attempt.as_ref() else { return };
         let first_chunk_ms = turn.now.unix_ms.since(live.sent);
+        self.policies.routing.began(turn.now, row.rank);
         self.policies.routing.observe(turn.now, &live.backend_server, first_chunk_ms);
     }
 
--- /dev/null
+++ b/crates/core/src/health/as_told.rs
@@ -0,0 +1,30 @@
+//! Baseline: down while the agent says so.
+
+use super::border::{HealthOf, Signal, Standing};
+use crate::time::Now;
+
+/// Baseline of health: down while the agent says so, else a full share.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AsTold {
+    down: bool,
+}
+
+impl HealthOf for AsTold {
+    fn signal(&mut self, _now: Now, signal: Signal) {
+        match signal {
+            Signal::BackendDown => self.down = true,
+            Signal::BackendUp => self.down = false,
+            Signal::Heard
+            | Signal::Answered
+            | Signal::Failed
+            | Signal::Missed
+            | Signal::Restarted => {}
+        }
+    }
+
+    fn standing(&self, _now: Now) -> Standing {
+        if self.down { Standing::Open } else { Standing::Share(1000) }
+    }
+
+    fn probe_sent(&mut self, _now: Now) {}
+}
--- a/crates/core/src/retry/fixed_budget.rs
+++ b/crates/core/src/retry/fixed_budget.rs
@@ -14,13 +14,20 @@
 #[derive(Clone, Copy, Debug)]
 pub struct FixedBudget {
     most_tries: u16,
+    pauses: bool,
 }
 
 impl FixedBudget {
     /// Allows `most_tries` tries of each request, the first one included.
     #[must_use]
     pub const fn new(most_tries: u16) -> Self {
-        Self { most_tries }
+        Self { most_tries, pauses: true }
+    }
+
+    /// Allows this many tries of a request, one right after the other.
+    #[must_use]
+    pub const fn at_once(most_tries: u16) -> Self {
+        Self { most_tries, pauses: false }
     }
 }
 
@@ -36,7 +43,7 @@
     fn first_try(&mut self, _now: Now, _route: &RouteId) {}
 
     fn judge(&mut self, now: Now, _route: &RouteId, tries: u16, deadline: UnixMs) -> RetryDecision {
-        let at = now.after(PAUSE_MS);
+        let at = if self.pauses { now.after(PAUSE_MS) } else { now.unix_ms };
         if tries >= self.most_tries || at >= deadline {
             return RetryDecision::GiveUp;
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,7 +13,6 @@
 mod driver;
 mod export;
 mod inbox;
-mod policies;
 mod program;
 mod refusal;
 mod request_log;
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -3,10 +3,9 @@
 use crate::callers::{Bounds, Callers, catchers};
 use crate::catalog::Catalog;
 use crate::driver::{Driver, Inputs, Parts};
-use crate::policies;
 use crate::settings::Settings;
 use hickorycross_core::adoption::StartGate;
-use hickorycross_core::entry::{EntryCore, EntryIdentity};
+use hickorycross_core::entry::{EntryCore, EntryIdentity, EntryPolicies};
 use hickorycross_core::{Incarnation, LinkId};
 use hickorycross_protocol::PeerRole;
 use hickorycross_runtime::clock::SteadyClock;
@@ -98,7 +97,7 @@
             EntryIdentity { incarnation, failure_domain: settings.failure_domain.clone() };
         let seed = rand::random();
         let driver = Driver::new(Parts {
-            core: EntryCore::new(identity, policies::production(seed), seed),
+            core: EntryCore::new(identity, EntryPolicies::production(seed), seed),
             gate: StartGate::new(settings.instance.clone(), FIRST_GATE_LINK),
             own: settings.instance.clone(),
             links,
