--- a/crates/entry/src/demo/mod.rs
+++ b/crates/entry/src/demo/mod.rs
@@ -43,7 +43,7 @@
             Arg::new("log")
                 .long("log")
                 .value_name("FILTER")
-                .default_value("warn,audit=off")
+                .default_value("warn,audit=off,security=error")
                 .help("Log levels, in the form of RUST_LOG"),
         )
 }
