--- a/crates/lab/src/capacity/agent.rs
+++ b/crates/lab/src/capacity/agent.rs
@@ -4,7 +4,7 @@
 use super::document::{FleetShape, document};
 use super::fit::{Series, SeriesName};
 use super::measure::Effort;
-use super::memory::bytes_of;
+use super::memory::{bytes_of, hold};
 use bytes::Bytes;
 use hickorycross_config::{Digest, RouteId, Stamp, TeamId, TierId};
 use hickorycross_core::agent::{AgentAction, AgentCore, AgentEvent, AgentIdentity};
@@ -227,7 +227,7 @@
     ]
 }
 
-/// Memory of an agent's core. Everything is held until the end.
+/// Memory of an agent's core.
 pub(super) fn agent_memory(effort: Effort) -> Vec<Series> {
     let trials = effort.trials;
     let mut kept = Vec::new();
@@ -246,5 +246,6 @@
                 rig
             })
         });
+    hold(kept);
     vec![by_links, by_streams]
 }
--- a/crates/lab/src/capacity/config.rs
+++ b/crates/lab/src/capacity/config.rs
@@ -4,7 +4,7 @@
 use super::document::{FleetShape, document};
 use super::fit::{Series, SeriesName};
 use super::measure::Effort;
-use super::memory::bytes_of;
+use super::memory::{bytes_of, hold};
 use hickorycross_core::Now;
 use hickorycross_core::adoption::{Exchange, Published};
 use std::hint::black_box;
@@ -60,5 +60,6 @@
             exchange
         })
     });
+    hold(kept);
     vec![memory]
 }
--- a/crates/lab/src/capacity/entry.rs
+++ b/crates/lab/src/capacity/entry.rs
@@ -4,7 +4,7 @@
 use super::document::{FleetShape, document, instances};
 use super::fit::{Series, SeriesName};
 use super::measure::Effort;
-use super::memory::bytes_of;
+use super::memory::{bytes_of, hold};
 use bytes::Bytes;
 use hickorycross_config::{Digest, FailureDomainId, KeyHash, Stamp, hash_api_key};
 use hickorycross_core::entry::{
@@ -308,7 +308,7 @@
     ]
 }
 
-/// Memory of an entry's core. Everything is held until the end.
+/// Memory of an entry's core.
 pub(super) fn entry_memory(effort: Effort) -> Vec<Series> {
     let design = effort.design;
     let mut kept = Vec::new();
@@ -339,5 +339,6 @@
             })
         },
     );
+    hold(kept);
     vec![by_backends, by_teams, by_streams]
 }
--- a/crates/lab/src/capacity/memory.rs
+++ b/crates/lab/src/capacity/memory.rs
@@ -14,10 +14,19 @@
 /// Bytes by which one value makes this process grow, over `copies` values that are all held in
 /// `kept`: memory that was freed before would be used again and hide the growth.
 pub(super) fn bytes_of<T>(copies: usize, kept: &mut Vec<T>, make: impl Fn(usize) -> T) -> f64 {
-    kept.reserve(copies);
+    kept.reserve(2 * copies);
+    // The first copies fill what earlier work has freed.
+    for copy in 0..copies {
+        kept.push(black_box(make(copy)));
+    }
     let before = resident_bytes();
     for copy in 0..copies {
         kept.push(black_box(make(copy)));
     }
     (resident_bytes() - before) / copies as f64
 }
+
+/// Holds measured values to the end of the process, so that no later series uses their memory.
+pub(super) fn hold<T>(kept: Vec<T>) {
+    std::mem::forget(kept);
+}
