--- a/crates/lab/src/policy/mod.rs
+++ b/crates/lab/src/policy/mod.rs
@@ -6,12 +6,15 @@
 
 mod arrivals;
 mod backend;
+mod chart;
 mod demand;
 mod entry;
 mod fleet;
 mod ledger;
 mod link;
 mod measure;
+mod open;
+mod outcome;
 mod overshoot;
 mod policies;
 mod print;
