--- a/crates/core/src/adoption/start.rs
+++ b/crates/core/src/adoption/start.rs
@@ -7,9 +7,11 @@
 
 use crate::ids::{InstanceId, LinkId};
 use crate::instance::{Instance, InstanceState, Role};
+use crate::rendezvous;
 use crate::time::{Now, UnixMs};
 use hickorycross_config::FailureDomainId;
 use indexmap::{IndexMap, IndexSet};
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 /// Peers that are heard before serving.
@@ -111,11 +113,18 @@
         self.begun && (self.waiting.is_empty() || self.deadline.is_past(now))
     }
 
-    /// Agents, one in each failure domain first.
+    /// Agents, one in each failure domain first, in an order that differs between processes.
+    ///
+    /// Were they taken in the order of the list, a fleet that starts all at once would open all its
+    /// links to the same three agents; one would see their memory grow with the fleet.
     fn probes(&self, instances: &[Instance]) -> Vec<Probe> {
+        let key = rendezvous::key_of(&self.own.0);
+        let mut peers: Vec<_> =
+            instances.iter().filter(|instance| self.is_peer(instance)).collect();
+        peers.sort_by_cached_key(|peer| Reverse(rendezvous::weight(key, &peer.id.0)));
         let mut by_domain: IndexMap<&FailureDomainId, Vec<&Instance>> = IndexMap::new();
-        for instance in instances.iter().filter(|instance| self.is_peer(instance)) {
-            by_domain.entry(&instance.failure_domain).or_default().push(instance);
+        for peer in peers {
+            by_domain.entry(&peer.failure_domain).or_default().push(peer);
         }
         let depth = by_domain.values().map(Vec::len).max().unwrap_or(0);
         let in_turn =
