feat(protocol): documents are passed on deflated

Ruled out: compact JSON (174 KB), and passing on differences, which would need both ends to agree on what the other holds.

--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -9,7 +9,7 @@
 use hickorycross_core::audit::{AuditRecord, Change};
 use hickorycross_core::message::ToAgent;
 use hickorycross_core::{AttemptId, Instance, InstanceId, LinkId, Verdict};
-use hickorycross_protocol::{ConfigOffer, Frame, Hello, PeerRole};
+use hickorycross_protocol::{ConfigOffer, Frame, Hello, OfferCache, PeerRole};
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::link::{LinkEvent, Links};
 use hickorycross_runtime::operators::Inspect;
@@ -55,6 +55,7 @@
 pub(crate) struct Driver {
     parts: Parts,
     exchange: Exchange,
+    offers: OfferCache,
     backend_events: UnboundedSender<AgentEvent>,
     runs: IndexMap<AttemptId, AbortHandle>,
     export: Export,
@@ -70,6 +71,7 @@
         let driver = Self {
             parts,
             exchange: Exchange::default(),
+            offers: OfferCache::default(),
             backend_events,
             runs: IndexMap::new(),
             export,
@@ -266,8 +268,13 @@
 
     fn on_offer(&mut self, offer: &ConfigOffer) {
         let now = self.parts.clock.now();
-        let actions = self.exchange.peer_offer(now, offer.stamp, &offer.document);
-        self.act_on_exchange(actions);
+        match offer.document() {
+            Ok(document) => {
+                let actions = self.exchange.peer_offer(now, offer.stamp, &document);
+                self.act_on_exchange(actions);
+            }
+            Err(error) => log::warn!(target: "link", error:% = error; "unusable offer"),
+        }
         self.settle_gate();
     }
 
@@ -323,9 +330,8 @@
                     self.parts.links.send(link, Frame::ConfigRequest);
                 }
                 ExchangeAction::Offer { link, stamp, bytes } => {
-                    let document = bytes.to_vec();
-                    let offer = Frame::ConfigOffer(ConfigOffer { stamp, document });
-                    self.parts.links.send(link, offer);
+                    let offer = self.offers.offer(stamp, &bytes);
+                    self.parts.links.send(link, Frame::ConfigOffer(offer));
                 }
                 ExchangeAction::Audit(record) => self.write(record),
             }
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -8,7 +8,7 @@
 use hickorycross_core::entry::{EntryAction, EntryCore, EntryEvent};
 use hickorycross_core::message::{ToAgent, ToEntry};
 use hickorycross_core::{Instance, InstanceId, LinkId, Now, RequestId};
-use hickorycross_protocol::{ConfigOffer, Frame, Hello, PeerRole};
+use hickorycross_protocol::{ConfigOffer, Frame, Hello, OfferCache, PeerRole};
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::link::{LinkEvent, Links};
 use hickorycross_runtime::operators::Inspect;
@@ -50,6 +50,7 @@
 pub(crate) struct Driver {
     parts: Parts,
     exchange: Exchange,
+    offers: OfferCache,
     answers: IndexMap<RequestId, UnboundedSender<Part>>,
     /// Backend servers at the other ends of links, for logs.
     backends: IndexMap<LinkId, BackendServerId>,
@@ -63,6 +64,7 @@
             export: Export::new(&parts.own),
             parts,
             exchange: Exchange::default(),
+            offers: OfferCache::default(),
             answers: IndexMap::new(),
             backends: IndexMap::new(),
             drained: false,
@@ -230,8 +232,13 @@
 
     fn on_offer(&mut self, offer: &ConfigOffer) {
         let now = self.parts.clock.now();
-        let actions = self.exchange.peer_offer(now, offer.stamp, &offer.document);
-        self.act_on_exchange(actions);
+        match offer.document() {
+            Ok(document) => {
+                let actions = self.exchange.peer_offer(now, offer.stamp, &document);
+                self.act_on_exchange(actions);
+            }
+            Err(error) => log::warn!(target: "link", error:% = error; "unusable offer"),
+        }
         self.settle_gate();
     }
 
@@ -287,9 +294,8 @@
                     self.parts.links.send(link, Frame::ConfigRequest);
                 }
                 ExchangeAction::Offer { link, stamp, bytes } => {
-                    let document = bytes.to_vec();
-                    let offer = Frame::ConfigOffer(ConfigOffer { stamp, document });
-                    self.parts.links.send(link, offer);
+                    let offer = self.offers.offer(stamp, &bytes);
+                    self.parts.links.send(link, Frame::ConfigOffer(offer));
                 }
                 ExchangeAction::Audit(record) => self.parts.trail.write(record),
             }
--- a/crates/protocol/src/frame.rs
+++ b/crates/protocol/src/frame.rs
@@ -1,5 +1,6 @@
 //! The frames of a link.
 
+use crate::offer::ConfigOffer;
 use crate::version::VersionRange;
 use hickorycross_config::{BackendServerId, Stamp};
 use hickorycross_core::group::GroupMessage;
@@ -37,15 +38,6 @@
     pub stamp: Stamp,
 }
 
-/// A published document, passed on from one process to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ConfigOffer {
-    /// Its stamp.
-    pub stamp: Stamp,
-    /// The bytes as published.
-    pub document: Vec<u8>,
-}
-
 /// One frame.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,8 +16,10 @@
 
 mod codec;
 mod frame;
+mod offer;
 mod version;
 
 pub use codec::{CodecError, LENGTH_BYTES, MAX_FRAME_BYTES, body_length, decode, encode};
-pub use frame::{ConfigOffer, Frame, Hello, PeerRole};
+pub use frame::{Frame, Hello, PeerRole};
+pub use offer::{ConfigOffer, MAX_DOCUMENT_BYTES, OfferCache, OfferError};
 pub use version::{VERSIONS, Version, VersionRange, negotiate};
