--- a/crates/entry/examples/capacity_processes/fleet.rs
+++ b/crates/entry/examples/capacity_processes/fleet.rs
@@ -74,6 +74,7 @@
             entries: size.entries,
             network: network(),
             knobs,
+            lock_step: None,
             log_filter: "error".to_owned(),
         };
         let mut stage = Stage::set_up(&options).await?;
--- a/crates/entry/examples/capacity_processes/main.rs
+++ b/crates/entry/examples/capacity_processes/main.rs
@@ -56,14 +56,16 @@
     let matches = command().get_matches();
     let before = load_average();
     let mut points = Points::default();
-    let largest = matches.get_one::<u32>("largest").copied().unwrap_or(u32::MAX);
+    let only = matches.get_one::<u32>("only").copied();
     for (trial, size) in SIZES.iter().enumerate() {
-        if size.processes() <= largest {
+        if only.is_none_or(|only| only == size.processes()) {
             println!("trial {trial}: {size:?}, load {}", load_average());
             measure_idle(&mut points, *size).await?;
         }
     }
-    measure_load(&mut points).await?;
+    if only.is_none() {
+        measure_load(&mut points).await?;
+    }
     let report = Report { load_average: [before, load_average()], series: points.into_series() };
     for series in &report.series {
         print_line(series);
@@ -78,9 +80,9 @@
     Command::new("capacity_processes")
         .about("Measures real processes in idle, at a change, at the start of all, under load")
         .arg(
-            Arg::new("largest")
-                .long("largest")
-                .help("Leave out fleets of more processes")
+            Arg::new("only")
+                .long("only")
+                .help("Only the fleet of this many processes, without load")
                 .value_parser(value_parser!(u32)),
         )
         .arg(
--- a/crates/lab/src/capacity/bytes.rs
+++ b/crates/lab/src/capacity/bytes.rs
@@ -1,7 +1,7 @@
 //! Encoded bytes of the messages between processes.
 
-use super::config::published;
-use super::document::FleetShape;
+use super::config::{published, scaled};
+use super::document::{FleetShape, instances};
 use super::measure::Effort;
 use bytes::Bytes;
 use hickorycross_config::{Digest, RouteId, Stamp, TeamId, TierId};
@@ -88,7 +88,7 @@
         .map(|number| TeamTotal { team: team(number), requests_per_s: 600.0, entries: 400 })
         .collect();
     let token = Bytes::from(vec![b't'; TOKEN_BYTES]);
-    let document = published(effort, effort.design.backends, 1).bytes.to_vec();
+    let document = published(effort, effort.design.backends, 1).bytes;
     let attempt = attempt();
     let nonce = 100_000;
     vec![
@@ -118,10 +118,7 @@
         ("totals of 8 teams", Frame::ToEntry(ToEntry::Totals(totals))),
         ("announce", Frame::Announce(STAMP)),
         ("config request", Frame::ConfigRequest),
-        (
-            "config offer at the design size",
-            Frame::ConfigOffer(ConfigOffer { stamp: STAMP, document }),
-        ),
+        ("config offer at the design size", Frame::ConfigOffer(ConfigOffer::new(STAMP, &document))),
     ]
 }
 
@@ -131,5 +128,12 @@
         let bytes = encode(&content).ok()?.len();
         Some(FrameSize { frame, bytes })
     });
-    sizes.collect()
+    sizes.chain([instance_list(effort)]).collect()
+}
+
+/// The platform's instance list as a reader gets it.
+fn instance_list(effort: Effort) -> FrameSize {
+    let shape = scaled(effort, effort.design.backends);
+    let list = serde_json::to_vec(&instances(shape, effort.design.entries));
+    FrameSize { frame: "instance list at the design size", bytes: list.map_or(0, |it| it.len()) }
 }
