feat(console): forms, views and audit trail on the operators' address

Cause: operators had only JSON views; the document had to be written by hand and nothing said who did what. The console fills one document in through forms, shows every fault beside its field, compares it with the document in force, and gives it out to be published by the platform's own means. The draft lives in the form.

Ruled out: drafts kept in the process (instances are replaced at any time); Rocket's private cookies (they need a key in every server of both programs): the session is an HMAC-signed text with its expiry as a deadline, valid for one process.

New dependencies: maud (templates checked at build), argon2 (password hashes), hmac (session and form tokens), form_urlencoded (forms above Rocket's bounds).

Audit records carry their actor. A fleet table holds what links say anyway.

--- a/crates/core/src/adoption/order.rs
+++ b/crates/core/src/adoption/order.rs
@@ -186,5 +186,5 @@
 }
 
 fn record(now: Now, stamp: Stamp, change: Change) -> AuditRecord {
-    AuditRecord { at: now.unix_ms, stamp, change }
+    AuditRecord::new(now.unix_ms, stamp, change)
 }
--- a/crates/core/src/agent/replies.rs
+++ b/crates/core/src/agent/replies.rs
@@ -24,7 +24,7 @@
     }
 
     pub(super) fn audit(&self, now: Now, change: Change, actions: &mut Vec<AgentAction>) {
-        let record = AuditRecord { at: now.unix_ms, stamp: self.stamp, change };
+        let record = AuditRecord::new(now.unix_ms, self.stamp, change);
         actions.push(AgentAction::Audit(record));
     }
 
--- a/crates/core/src/entry/turn.rs
+++ b/crates/core/src/entry/turn.rs
@@ -24,7 +24,7 @@
     }
 
     pub(super) fn audit(&mut self, change: Change) {
-        let record = AuditRecord { at: self.now.unix_ms, stamp: self.stamp, change };
+        let record = AuditRecord::new(self.now.unix_ms, self.stamp, change);
         self.push(EntryAction::Audit(record));
     }
 }
--- a/crates/entry/src/cli.rs
+++ b/crates/entry/src/cli.rs
@@ -1,8 +1,8 @@
 //! The entry's command line.
 
-use crate::demo;
 use crate::program::Entry;
 use crate::settings::Settings;
+use crate::{console, demo};
 use clap::{Arg, ArgMatches, Command, value_parser};
 use hickorycross_runtime::exposition::Exposition;
 use hickorycross_runtime::signals::StopSignals;
@@ -30,6 +30,7 @@
             Command::new("run").about("Run until SIGTERM, then drain").arg(settings_argument()),
         )
         .subcommand(demo::command())
+        .subcommand(console::command())
 }
 
 fn settings_argument() -> Arg {
@@ -60,6 +61,7 @@
             }
         },
         Some(("demo", matches)) => demo::run(matches),
+        Some(("hash-password", _)) => console::hash_password(),
         _ => Ok(()),
     };
     match done {
--- a/crates/entry/src/demo/mod.rs
+++ b/crates/entry/src/demo/mod.rs
@@ -2,6 +2,7 @@
 
 mod stage;
 
+use crate::console::OperatorCredential;
 use crate::program::Entry;
 use clap::{Arg, ArgMatches, Command, value_parser};
 use hickorycross_agent::Agent;
@@ -20,6 +21,8 @@
 const ENTRIES: u8 = 3;
 /// Loopback addresses of the demo: 127.77.0.0/24.
 const NETWORK: [u8; 2] = [77, 0];
+/// Who may sign in to the demo's console; the password is drawn at each start.
+const OPERATOR: &str = "demo";
 /// Pace of the demo's stand-ins.
 const FIRST_PIECE_MS: u64 = 60;
 const BETWEEN_PIECES_MS: u64 = 20;
@@ -69,7 +72,12 @@
 async fn serve(options: &StageOptions) -> miette::Result<()> {
     let mut signals = StopSignals::install().into_diagnostic()?;
     let exposition = Exposition::install().into_diagnostic()?;
-    let stage = Stage::set_up(options).await?;
+    let mut stage = Stage::set_up(options).await?;
+    let password = format!("{:016x}", rand::random::<u64>());
+    let operator = OperatorCredential::new(OPERATOR, &password).into_diagnostic()?;
+    for settings in &mut stage.entries {
+        settings.operators.push(operator.clone());
+    }
     let mut agents = Vec::new();
     for settings in &stage.agents {
         agents.push(Agent::start(settings, exposition.clone()).await?);
@@ -78,12 +86,12 @@
     for settings in &stage.entries {
         entries.push(Entry::start(settings, exposition.clone()).await?);
     }
-    print_welcome(&stage);
+    print_welcome(&stage, &password);
     signals.next().await;
     Ok(())
 }
 
-fn print_welcome(stage: &Stage) {
+fn print_welcome(stage: &Stage, password: &str) {
     let Some(entry) = stage.entries.first() else {
         return;
     };
@@ -97,6 +105,10 @@
         entry.caller_address
     );
     println!("Operators: http://{}/status", entry.operator_address);
+    println!(
+        "Console: http://{}/console, name {OPERATOR}, password {password}",
+        entry.operator_address
+    );
     println!("Platform stand-in: http://{}/v1/config", stage.platform.address());
     println!("Ctrl-C ends it.");
 }
--- a/crates/entry/src/demo/stage.rs
+++ b/crates/entry/src/demo/stage.rs
@@ -199,6 +199,7 @@
         link_security: LinkSecurity::DevelopmentUnauthenticated,
         body_limit_bytes: 1024 * 1024,
         open_requests: 8192,
+        operators: Vec::new(),
         log_filter: options.log_filter.clone(),
     }
 }
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -2,10 +2,11 @@
 
 use crate::catalog::Catalog;
 use crate::inbox::{Inbound, Part};
+use crate::observed::Observed;
 use hickorycross_core::adoption::{Exchange, ExchangeAction, Probe, StartGate, is_watcher};
 use hickorycross_core::entry::{EntryAction, EntryCore, EntryEvent};
 use hickorycross_core::message::ToEntry;
-use hickorycross_core::{Instance, InstanceId, LinkId, RequestId};
+use hickorycross_core::{Instance, InstanceId, LinkId, RequestId, UnixMs};
 use hickorycross_protocol::{ConfigOffer, Frame, Hello, PeerRole};
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::link::{LinkEvent, Links};
@@ -22,6 +23,9 @@
 /// Pause between two ticks of the core.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Pause between two snapshots for operators.
+const SNAPSHOT_PAUSE_MS: u64 = 1_000;
+
 /// What reaches the driver from outside.
 pub(crate) struct Inputs {
     pub(crate) callers: UnboundedReceiver<Inbound>,
@@ -39,6 +43,7 @@
     pub(crate) view: Arc<View>,
     pub(crate) trail: Arc<Trail>,
     pub(crate) catalog: Arc<Catalog>,
+    pub(crate) observed: Arc<Observed>,
     pub(crate) clock: SteadyClock,
     pub(crate) follow: watch::Sender<Follow>,
 }
@@ -49,11 +54,18 @@
     exchange: Exchange,
     answers: IndexMap<RequestId, UnboundedSender<Part>>,
     drained: bool,
+    next_snapshot: UnixMs,
 }
 
 impl Driver {
     pub(crate) fn new(parts: Parts) -> Self {
-        Self { parts, exchange: Exchange::default(), answers: IndexMap::new(), drained: false }
+        Self {
+            parts,
+            exchange: Exchange::default(),
+            answers: IndexMap::new(),
+            drained: false,
+            next_snapshot: UnixMs::default(),
+        }
     }
 
     pub(crate) async fn run(mut self, mut inputs: Inputs) {
@@ -80,6 +92,10 @@
         let now = self.parts.clock.now();
         let ready = self.exchange.in_force().is_some() && self.parts.gate.is_open(now);
         self.parts.view.update(|status| status.ready = ready);
+        if self.next_snapshot.is_past(now) {
+            self.next_snapshot = now.after(SNAPSHOT_PAUSE_MS);
+            self.parts.observed.show(now.unix_ms, self.parts.core.snapshot(now));
+        }
     }
 
     fn handle(&mut self, event: EntryEvent) {
@@ -138,6 +154,7 @@
             LinkEvent::Closed { link, reason } => {
                 log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
                 self.parts.gate.settled(link);
+                self.parts.observed.fleet().closed(link);
                 if !self.parts.gate.owns(link) {
                     self.handle(EntryEvent::LinkClosed { link });
                 }
@@ -147,6 +164,7 @@
 
     fn on_opened(&mut self, link: LinkId, hello: Hello) {
         let now = self.parts.clock.now();
+        self.parts.observed.fleet().greeted(now.unix_ms, link, &hello);
         let actions = self.exchange.heard(now, link, hello.stamp);
         let asks = actions.iter().any(|action| matches!(action, ExchangeAction::Request { .. }));
         self.act_on_exchange(actions);
@@ -168,12 +186,14 @@
         match frame {
             Frame::ToEntry(message) => {
                 if let ToEntry::HeartbeatAck { stamp, .. } = &message {
+                    self.parts.observed.fleet().heard(now.unix_ms, link, *stamp);
                     let actions = self.exchange.heard(now, link, *stamp);
                     self.act_on_exchange(actions);
                 }
                 self.handle(EntryEvent::Message { link, message });
             }
             Frame::Announce(stamp) => {
+                self.parts.observed.fleet().heard(now.unix_ms, link, stamp);
                 let actions = self.exchange.heard(now, link, stamp);
                 self.act_on_exchange(actions);
             }
@@ -216,6 +236,7 @@
         let follow =
             if is_watcher(&self.parts.own, &instances) { Follow::Watch } else { Follow::Poll };
         self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
+        self.parts.observed.fleet().listed(self.parts.clock.now().unix_ms, &instances);
         for Probe { link, address, .. } in
             self.parts.gate.listed(self.parts.clock.now(), &instances)
         {
@@ -230,6 +251,7 @@
                 ExchangeAction::Adopted { stamp, document } => {
                     self.parts.view.update(|status| status.stamp = stamp);
                     self.parts.catalog.adopt(Arc::clone(&document));
+                    self.parts.observed.adopt(stamp, Arc::clone(&document));
                     self.handle(EntryEvent::Adopted { stamp, document });
                 }
                 ExchangeAction::Announce { link, stamp } => {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,14 +9,17 @@
 mod callers;
 mod catalog;
 mod cli;
+mod console;
 pub mod demo;
 mod driver;
 mod inbox;
+mod observed;
 mod policies;
 mod program;
 mod refusal;
 mod settings;
 
 pub use cli::{command_line, run};
+pub use console::OperatorCredential;
 pub use program::{Entry, StartError};
 pub use settings::Settings;
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -2,7 +2,9 @@
 
 use crate::callers::Callers;
 use crate::catalog::Catalog;
+use crate::console::{self, Console};
 use crate::driver::{Driver, Inputs, Parts};
+use crate::observed::Observed;
 use crate::policies;
 use crate::settings::Settings;
 use hickorycross_core::adoption::StartGate;
@@ -62,6 +64,7 @@
             Arc::new(View::new(clock, settings.instance.clone(), incarnation, PeerRole::Entry));
         let trail = Arc::new(Trail::default());
         let catalog = Arc::new(Catalog::default());
+        let observed = Arc::new(Observed::default());
         let keys = LinkKeys::load(&settings.link_security)?;
         let (links, link_events) = Links::new(keys, view.clone());
         let (inbound, caller_events) = unbounded_channel();
@@ -77,6 +80,9 @@
         let callers = server::start(settings.caller_address, server).await?;
         let views = Views { inspect: view.clone(), trail: trail.clone(), exposition };
         let server = operators::mount(server::build(settings.operator_address), views);
+        let console =
+            Console::new(&settings.operators, clock, view.clone(), trail.clone(), observed.clone());
+        let server = console::mount(server, console);
         let operators = server::start(settings.operator_address, server).await?;
         let (platform_events, platform) = unbounded_channel();
         let (follow, mode) = watch::channel(Follow::Watch);
@@ -92,6 +98,7 @@
             view: view.clone(),
             trail,
             catalog,
+            observed,
             clock,
             follow,
         });
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry.
 
+use crate::console::OperatorCredential;
 use hickorycross_config::FailureDomainId;
 use hickorycross_core::InstanceId;
 use hickorycross_runtime::security::LinkSecurity;
@@ -36,6 +37,9 @@
     /// Requests that may be open at once.
     #[serde(default = "default_open_requests")]
     pub open_requests: usize,
+    /// Who may sign in to the console; without any, its forms are off.
+    #[serde(default)]
+    pub operators: Vec<OperatorCredential>,
     /// Log levels, in the form of `RUST_LOG`.
     #[serde(default = "default_log_filter")]
     pub log_filter: String,
@@ -74,6 +78,7 @@
         if self.open_requests == 0 {
             faults.push("open_requests: found 0, allowed is 1 or more".to_owned());
         }
+        faults.extend(OperatorCredential::faults(&self.operators));
         if faults.is_empty() { Ok(()) } else { Err(SettingsError::Faults { faults }) }
     }
 }
--- /dev/null
+++ b/crates/entry/tests/console/main.rs
@@ -0,0 +1,5 @@
+//! The console over HTTP.
+
+mod forms;
+mod sign_in;
+mod site;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -4,12 +4,13 @@
 //! - [`settings`] reads a program's settings file and points at what is wrong in it.
 //! - [`logs`] and [`trail`] write one line for each event; [`exposition`] serves metrics.
 //! - [`security`] holds the keys of links; [`link`] carries frames between processes.
-//! - [`view`] holds the state that peers and operators see.
+//! - [`view`] holds the state that peers and operators see, [`fleet`] what was heard of others.
 //! - [`server`] sets up HTTP servers; [`operators`] shows a process to its operators.
 //! - [`platform`] reads the platform's configuration service and instance list.
 
 pub mod clock;
 pub mod exposition;
+pub mod fleet;
 pub mod link;
 pub mod logs;
 pub mod operators;
--- a/crates/runtime/src/trail.rs
+++ b/crates/runtime/src/trail.rs
@@ -101,6 +101,7 @@
         sequence = entry.sequence,
         hash = entry.hash.as_str(),
         at_unix_ms = entry.record.at.0,
+        actor = entry.record.actor.to_string().as_str(),
         revision = entry.record.stamp.revision,
         change = change.as_str();
         "change"
--- /dev/null
+++ b/crates/runtime/tests/trail.rs
@@ -0,0 +1,85 @@
+//! The audit trail: chained records, and what their check finds.
+
+use googletest::prelude::*;
+use hickorycross_config::Stamp;
+use hickorycross_core::UnixMs;
+use hickorycross_core::audit::{Actor, AuditRecord, Change};
+use hickorycross_runtime::trail::{Break, Entry, KEPT_RECORDS, Trail, check};
+
+const RECORDS: u64 = 6;
+
+fn trail(records: u64) -> Trail {
+    let trail = Trail::default();
+    for number in 0..records {
+        let change =
+            Change::SignIn { operator: format!("operator-{number}"), accepted: number % 2 == 0 };
+        trail.write(AuditRecord::new(UnixMs(1_000 + number), Stamp::NONE, change));
+    }
+    trail
+}
+
+/// A trail that was tampered with, and what is found.
+struct Case {
+    name: &'static str,
+    tamper: fn(&mut Vec<Entry>),
+    found: Option<Break>,
+}
+
+const CASES: [Case; 6] = [
+    Case { name: "untouched", tamper: |_| {}, found: None },
+    Case {
+        name: "one record is missing",
+        tamper: |entries| {
+            entries.remove(3);
+        },
+        found: Some(Break::Missing { expected: 4, found: 5 }),
+    },
+    Case {
+        name: "a record is missing and the rest was numbered anew",
+        tamper: |entries| {
+            entries.remove(3);
+            (1..).zip(entries).for_each(|(number, entry)| entry.sequence = number);
+        },
+        found: Some(Break::Altered { sequence: 4 }),
+    },
+    Case {
+        name: "another actor",
+        tamper: |entries| entries[2].record.actor = Actor::System,
+        found: Some(Break::Altered { sequence: 3 }),
+    },
+    Case {
+        name: "another time",
+        tamper: |entries| entries[4].record.at = UnixMs(9),
+        found: Some(Break::Altered { sequence: 5 }),
+    },
+    Case {
+        name: "two records swapped",
+        tamper: |entries| entries.swap(1, 2),
+        found: Some(Break::Missing { expected: 2, found: 3 }),
+    },
+];
+
+/// Symptom: what an operator did cannot be found in the trail, and nothing shows that it is gone.
+///
+/// Events: records are written; one is lost or changed on the way to whoever keeps them.
+///
+/// Cause: lines of a log can be lost or edited one by one.
+#[gtest]
+fn missing_and_altered_records_are_seen() -> googletest::Result<()> {
+    for case in &CASES {
+        let mut entries = trail(RECORDS).since(0);
+        (case.tamper)(&mut entries);
+        expect_that!(check(&entries), eq(case.found), "{}", case.name);
+    }
+    Ok(())
+}
+
+#[gtest]
+fn oldest_records_give_way_without_a_gap() -> googletest::Result<()> {
+    let written = KEPT_RECORDS as u64 + 10;
+    let entries = trail(written).since(0);
+    expect_that!(entries.len(), eq(KEPT_RECORDS));
+    expect_that!(entries[0].sequence, eq(11));
+    expect_that!(check(&entries), none());
+    Ok(())
+}
