--- a/crates/entry/src/console/pages/audit.rs
+++ b/crates/entry/src/console/pages/audit.rs
@@ -1,7 +1,8 @@
 //! The audit trail with filters, and whether it is whole.
 
-use super::layout::{Chrome, Page, Shown};
+use super::layout::{Chrome, Page, Shown, clock};
 use hickorycross_config::Digest;
+use hickorycross_core::UnixMs;
 use hickorycross_core::audit::Change;
 use hickorycross_runtime::trail::{self, Break, Entry, Trail};
 use maud::{Markup, html};
@@ -17,8 +18,8 @@
     pub(crate) kind: Option<&'a str>,
     /// Only records that contain this text.
     pub(crate) text: Option<&'a str>,
-    /// Only records from this moment on, in milliseconds since the Unix epoch.
-    pub(crate) since: u64,
+    /// Only records from this moment on.
+    pub(crate) since: Option<UnixMs>,
 }
 
 /// The page of the trail.
@@ -38,7 +39,7 @@
         table {
             thead {
                 tr {
-                    th { "No." } th { "Time (ms since 1970 UTC)" } th { "Who" } th { "What" }
+                    th { "No." } th { "Time (UTC)" } th { "Who" } th { "What" }
                     th { "Before" } th { "After" } th { "In force then" }
                 }
             }
@@ -79,8 +80,9 @@
             }
             label for="text" { "Contains" }
             input #text name="text" value=(filter.text.unwrap_or_default());
-            label for="since" { "From (ms since 1970 UTC)" }
-            input #since name="since" inputmode="numeric" value=(filter.since);
+            label for="since" { "From (UTC)" }
+            input #since name="since" placeholder="2026-01-31T08:00:00Z"
+                value=(filter.since.map_or_else(String::new, clock));
             button { "Show" }
         }
     }
@@ -92,7 +94,7 @@
     html! {
         tr {
             td { (entry.sequence) }
-            td { (record.at) }
+            td { (clock(record.at)) }
             td { (record.actor.to_string()) }
             td { (kind_of(&record.change).replace('_', " ")) @if !sides.about.is_empty() { ": " (sides.about) } }
             td { (sides.before) }
@@ -110,7 +112,7 @@
 fn is_wanted(entry: &Entry, filter: &AuditFilter<'_>) -> bool {
     let record = &entry.record;
     let text = || serde_json::to_string(record).unwrap_or_default();
-    record.at.0 >= filter.since
+    filter.since.is_none_or(|since| record.at >= since)
         && filter.kind.is_none_or(|kind| kind_of(&record.change) == kind)
         && filter.text.is_none_or(|wanted| text().contains(wanted))
 }
--- a/crates/entry/src/console/pages/edit.rs
+++ b/crates/entry/src/console/pages/edit.rs
@@ -25,7 +25,7 @@
             button.first name="go" value=(Go::To(place)) { "Save" }
             (carried(chrome, draft))
             input type="hidden" name="here" value=(place);
-            (steps(draft, place, &faults))
+            (steps(draft, Some(place), &faults))
             p.help { (place.section.about) }
             @if place.has_fields() {
                 (fields(draft, place, &faults))
@@ -80,7 +80,7 @@
 }
 
 /// Buttons to every part of the draft, with the count of faults in each.
-pub(super) fn steps(draft: &Draft, here: Place, faults: &[Fault]) -> Markup {
+pub(super) fn steps(draft: &Draft, here: Option<Place>, faults: &[Fault]) -> Markup {
     html! {
         nav.steps aria-label="Draft" {
             @for section in &SECTIONS {
@@ -97,8 +97,8 @@
     }
 }
 
-fn is_here(here: Place, section: &Section) -> Option<&'static str> {
-    (here.section.key == section.key).then_some("page")
+fn is_here(here: Option<Place>, section: &Section) -> Option<&'static str> {
+    here.is_some_and(|here| here.section.key == section.key).then_some("page")
 }
 
 /// Whether a fault belongs to a section; what belongs to no other belongs to the document's own.
--- a/crates/entry/src/console/pages/fleet.rs
+++ b/crates/entry/src/console/pages/fleet.rs
@@ -10,7 +10,7 @@
 use hickorycross_core::entry::{BackendView, EntrySnapshot, LinkUsage, StandingView};
 use hickorycross_core::{InstanceId, InstanceState, Role, UnixMs};
 use hickorycross_runtime::fleet::{FleetSnapshot, Process};
-use hickorycross_runtime::operators::Inspect;
+use hickorycross_runtime::operators::{Inspect, Status};
 use hickorycross_runtime::trail::Entry;
 use indexmap::IndexMap;
 use maud::{Markup, html};
@@ -41,7 +41,7 @@
         h2 { "Document in force" }
         (spread.table(now))
         h2 { "Instances" }
-        (instances(&fleet, snapshot, now))
+        (instances(&fleet, snapshot, &status, now))
         h2 { "Load" }
         (load(shown.as_ref(), in_force.as_ref().map(|one| &*one.document), now))
         h2 { "Step-time skew" }
@@ -55,7 +55,12 @@
     chrome.page("Fleet", &body)
 }
 
-fn instances(fleet: &FleetSnapshot, snapshot: Option<&EntrySnapshot>, now: UnixMs) -> Markup {
+fn instances(
+    fleet: &FleetSnapshot,
+    snapshot: Option<&EntrySnapshot>,
+    own: &Status,
+    now: UnixMs,
+) -> Markup {
     let unlisted = FailureDomainId::new("no longer listed");
     let mut domains: IndexMap<&FailureDomainId, Vec<(&InstanceId, &Process)>> = IndexMap::new();
     for (instance, process) in &fleet.processes {
@@ -75,9 +80,11 @@
                         td { (instance) }
                         td { (role_of(process)) }
                         td { (state_of(instance, process, snapshot)) }
-                        td { @if let Some(heard) = process.heard { (Shown(heard.stamp)) }
+                        td { @if **instance == own.instance { (Shown(own.stamp)) }
+                            @else if let Some(heard) = process.heard { (Shown(heard.stamp)) }
                             @else { "not known" } }
-                        td { @if let Some(heard) = process.heard { (age(now, heard.at)) }
+                        td { @if **instance == own.instance { "this process" }
+                            @else if let Some(heard) = process.heard { (age(now, heard.at)) }
                             @else { "never" } }
                     }
                 } }
--- a/crates/entry/src/console/pages/layout.rs
+++ b/crates/entry/src/console/pages/layout.rs
@@ -108,7 +108,7 @@
                     main #main { h1 { (title) } (body) }
                     footer {
                         "Instance " (self.instance) ". Document in force here: " (Shown(self.stamp))
-                        ". Page made at " (self.at) " ms since 1970 UTC."
+                        ". Page made at " (clock(self.at)) "."
                     }
                 }
             }
@@ -185,3 +185,16 @@
         |(unit_ms, name)| format!("{} {name} ago", age_ms / unit_ms),
     )
 }
+
+/// A moment in UTC, to the second.
+pub(super) fn clock(at: UnixMs) -> String {
+    let at_ms = i64::try_from(at.0).unwrap_or(i64::MAX);
+    jiff::Timestamp::from_millisecond(at_ms)
+        .map_or_else(|_| at.to_string(), |at| at.strftime("%Y-%m-%dT%H:%M:%SZ").to_string())
+}
+
+/// Reads a moment as [`clock`] writes it.
+pub(crate) fn read_clock(text: &str) -> Option<UnixMs> {
+    let at: jiff::Timestamp = text.trim().parse().ok()?;
+    u64::try_from(at.as_millisecond()).ok().map(UnixMs)
+}
--- a/crates/entry/src/console/pages/mod.rs
+++ b/crates/entry/src/console/pages/mod.rs
@@ -14,7 +14,7 @@
 pub(super) use begin::{begin, sign_in};
 pub(super) use edit::edit;
 pub(super) use fleet::fleet;
-pub(super) use layout::{Chrome, Page, bare, message};
+pub(super) use layout::{Chrome, Page, bare, message, read_clock};
 pub(super) use result::result;
 pub(super) use review::review;
 pub(super) use rollout::rollout;
--- a/crates/entry/src/console/pages/review.rs
+++ b/crates/entry/src/console/pages/review.rs
@@ -3,7 +3,7 @@
 use super::edit::{as_json, carried, place_of, steps};
 use super::layout::{Chrome, Page, Shown};
 use crate::console::draft::Draft;
-use crate::console::place::{Go, Place};
+use crate::console::place::Go;
 use crate::observed::InForce;
 use hickorycross_config::{
     Balance, Change, Document, Edit, Fault, SCHEMA_VERSION, Stamp, diff, warnings,
@@ -14,12 +14,11 @@
 pub(crate) fn review(chrome: &Chrome, draft: &Draft, in_force: Option<&InForce>) -> Page {
     let judged = draft.judge();
     let faults = judged.as_ref().err().map_or(&[][..], Vec::as_slice);
-    let here = Place { section: &crate::console::fields::SECTIONS[0], index: None };
     let body = html! {
         form method="post" action="/console/draft" {
             button.first name="go" value=(Go::Review) { "Review again" }
             (carried(chrome, draft))
-            (steps(draft, here, faults))
+            (steps(draft, None, faults))
             @match &judged {
                 Err(faults) => (faulty(faults)),
                 Ok(document) => (valid(draft, document, in_force)),
--- a/crates/entry/src/console/routes.rs
+++ b/crates/entry/src/console/routes.rs
@@ -58,12 +58,12 @@
     session: Option<Session>,
     kind: Option<&str>,
     text: Option<&str>,
-    since: Option<u64>,
+    since: Option<&str>,
 ) -> Page {
     let filter = pages::AuditFilter {
         kind: kind.filter(|kind| !kind.is_empty()),
         text: text.filter(|text| !text.is_empty()),
-        since: since.unwrap_or(0),
+        since: since.and_then(pages::read_clock),
     };
     pages::audit(&Chrome::new(console, session.as_ref()), &console.trail, &filter)
 }
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -94,7 +94,10 @@
         self.parts.view.update(|status| status.ready = ready);
         if self.next_snapshot.is_past(now) {
             self.next_snapshot = now.after(SNAPSHOT_PAUSE_MS);
-            self.parts.observed.show(now.unix_ms, self.parts.core.snapshot(now));
+            let snapshot = self.parts.core.snapshot(now);
+            let detail = serde_json::to_value(&snapshot).unwrap_or_default();
+            self.parts.view.update(|status| status.detail = detail);
+            self.parts.observed.show(now.unix_ms, snapshot);
         }
     }
 
