--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,7 +11,7 @@
 /// Longest body that a caller may send, unless the settings say otherwise.
 const DEFAULT_BODY_LIMIT_BYTES: u64 = 8 * 1024 * 1024;
 /// Requests that may be open at once, unless the settings say otherwise.
-const DEFAULT_OPEN_REQUESTS: usize = 8192;
+const DEFAULT_OPEN_REQUESTS: u32 = 8192;
 /// Largest body limit: a body must fit into one frame of a link.
 const LARGEST_BODY_LIMIT_BYTES: u64 = 24 * 1024 * 1024;
 
@@ -36,7 +36,7 @@
     pub body_limit_bytes: u64,
     /// Requests that may be open at once.
     #[serde(default = "default_open_requests")]
-    pub open_requests: usize,
+    pub open_requests: u32,
     /// Who may sign in to the console; without any, its forms are off.
     #[serde(default)]
     pub operators: Vec<OperatorCredential>,
@@ -49,7 +49,7 @@
     DEFAULT_BODY_LIMIT_BYTES
 }
 
-fn default_open_requests() -> usize {
+fn default_open_requests() -> u32 {
     DEFAULT_OPEN_REQUESTS
 }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,8 @@
-//! Load and experiment tool.
+//! Load and experiment tool of hickorycross.
+//!
+//! - [`policy`] measures routing, limits, health and retries in virtual time.
+//! - [`rebalance`] compares rebalancing policies on seeded traces of expert load.
 
 pub mod policy;
-//! Load and experiment tool of hickorycross.
 
 pub mod rebalance;
