--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::Backend;
 use crate::driver::{Driver, Inputs, Parts};
+use crate::group::{Ground, Group};
 use crate::settings::Settings;
 use hickorycross_core::adoption::StartGate;
 use hickorycross_core::agent::{AgentCore, AgentIdentity};
@@ -9,9 +10,10 @@
 use hickorycross_protocol::PeerRole;
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::exposition::Exposition;
-use hickorycross_runtime::link::Links;
+use hickorycross_runtime::link::{Links, Listener};
 use hickorycross_runtime::operators::{self, Views};
 use hickorycross_runtime::platform::{self, Follow};
+use hickorycross_runtime::security::renewal::{self, Renewal, Surroundings, UseKeys};
 use hickorycross_runtime::security::{LinkKeys, SecurityError};
 use hickorycross_runtime::server::{self, Running, ServeError};
 use hickorycross_runtime::trail::Trail;
@@ -59,6 +61,20 @@
     operators: Running,
     link_address: SocketAddr,
     _guard: TcpListener,
+    _renewal: Renewal,
+}
+
+/// Gives renewed keys to an agent, which opens links and accepts them.
+struct LinksOfAgent {
+    links: Links,
+    listener: Arc<Listener>,
+}
+
+impl UseKeys for LinksOfAgent {
+    fn use_keys(&self, keys: LinkKeys) {
+        self.links.renew(keys);
+        self.listener.renew();
+    }
 }
 
 impl Agent {
@@ -79,6 +95,12 @@
         let listener = links
             .listen(settings.link_address)
             .map_err(|cause| StartError::Listen { link_address: settings.link_address, cause })?;
+        let listener = Arc::new(listener);
+        let renewal = renewal::follow(
+            &settings.link_security,
+            Box::new(LinksOfAgent { links: links.clone(), listener: listener.clone() }),
+            Surroundings { trail: trail.clone(), inspect: view.clone(), clock },
+        );
         let link_address = listener.address().unwrap_or(settings.link_address);
         let views = Views { inspect: view.clone(), trail: trail.clone(), exposition };
         let operators = operators::mount(server::build(settings.operator_address), views);
@@ -89,7 +111,15 @@
         let backend = Backend::new(&settings.backend_url, &settings.health_path, clock)?;
         let identity =
             AgentIdentity { incarnation, backend_server: settings.backend_server.clone() };
+        let (engine_events, engine) = unbounded_channel();
+        let ground = Ground {
+            own: settings.backend_server.clone(),
+            incarnation,
+            backend_url: settings.backend_url.clone(),
+            events: engine_events,
+        };
         let (driver, backend_events) = Driver::new(Parts {
+            group: Group::new(ground, links.clone()),
             core: AgentCore::new(identity, rand::random()),
             gate: StartGate::new(settings.instance.clone(), LinkId(0)),
             own: settings.instance.clone(),
@@ -101,12 +131,19 @@
             follow,
         });
         let (drain, drain_asked) = oneshot::channel();
-        let inputs = Inputs { links: link_events, platform, drain: drain_asked };
+        let inputs = Inputs { links: link_events, platform, engine, drain: drain_asked };
         let driver = tokio::spawn(async move {
             driver.run(inputs, backend_events).await;
             listener.close();
         });
-        Ok(Self { driver, drain: Some(drain), operators, link_address, _guard: guard })
+        Ok(Self {
+            driver,
+            drain: Some(drain),
+            operators,
+            link_address,
+            _guard: guard,
+            _renewal: renewal,
+        })
     }
 
     /// Where it accepts links.
--- a/crates/entry/src/console/credentials.rs
+++ b/crates/entry/src/console/credentials.rs
@@ -2,12 +2,19 @@
 
 use argon2::password_hash::{PasswordHash, PasswordHasher, PasswordVerifier, SaltString};
 use argon2::{Algorithm, Argon2};
+use hickorycross_runtime::settings::Fault;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::LazyLock;
 
 /// Longest name of an operator.
 const MAX_NAME_BYTES: usize = 64;
+/// The field of the settings that holds credentials.
+const SETTING: &str = "operators";
+/// What a name may be.
+const NAME_ALLOWED: &str = "1 to 64 of a-z, 0-9, '.', '_' and '-', each name once";
+/// What a hash may be.
+const HASH_ALLOWED: &str = "an argon2id PHC string, as hickorycross-entry hash-password writes it";
 /// Longest password that is hashed; the form cuts nothing, it refuses.
 pub(super) const MAX_PASSWORD_BYTES: usize = 1024;
 
@@ -52,22 +59,19 @@
         Ok(Self { name: name.to_owned(), password_hash: hash.to_string() })
     }
 
-    /// Faults of a list of credentials, as lines for the settings' report.
-    pub(crate) fn faults(credentials: &[Self]) -> Vec<String> {
+    /// Faults of the credentials in the settings. No hash is quoted: a password may have been put
+    /// in its place.
+    pub(crate) fn faults(credentials: &[Self]) -> Vec<Fault> {
         let mut faults = Vec::new();
         for (index, credential) in credentials.iter().enumerate() {
             let name = &credential.name;
             if !is_name(name) || credentials[..index].iter().any(|other| other.name == *name) {
-                faults.push(format!(
-                    "operators[{index}].name: found {name:?}, allowed is 1 to {MAX_NAME_BYTES} \
-                     of a-z, 0-9, '.', '_' and '-', each name once"
-                ));
+                let found = format!("the name {name:?} at [{index}]");
+                faults.push(Fault::new(SETTING, &found, NAME_ALLOWED));
             }
             if !is_argon2id(&credential.password_hash) {
-                faults.push(format!(
-                    "operators[{index}].password_hash: allowed is an argon2id PHC string, as \
-                     hickorycross-entry hash-password writes it"
-                ));
+                let found = format!("another password_hash at [{index}]");
+                faults.push(Fault::new(SETTING, &found, HASH_ALLOWED));
             }
         }
         faults
--- a/crates/entry/src/console/fields.rs
+++ b/crates/entry/src/console/fields.rs
@@ -198,11 +198,16 @@
             field(
                 "target",
                 "Leads to",
-                "model: the model API of one group; service: a plain service behind a path. Save \
+                "model: the model API of groups; service: a plain service behind a path. Save \
                  to see the fields of another choice.",
                 Kind::Variant(&["model", "service"]),
             ),
-            field("target.model.group", "Model group", "", Kind::IdOf("model_groups")),
+            field(
+                "target.model.groups",
+                "Model groups",
+                "All with the same models, one a line.",
+                Kind::Lines,
+            ),
             field(
                 "target.service.path_prefix",
                 "Path prefix",
--- a/crates/entry/src/console/sign_in.rs
+++ b/crates/entry/src/console/sign_in.rs
@@ -31,15 +31,13 @@
 ) -> Result<String, Rejected> {
     let now = console.clock.now();
     if let Err(not_before) = console.throttle.admit(now, address) {
-        metrics::counter!("console_sign_ins_total", "outcome" => "throttled").increment(1);
+        log::warn!(target: "console", address = address.to_string().as_str(); "sign-in throttled");
         return Err(Rejected::TooMany(not_before));
     }
     let accepted = verify(console, name, password).await;
     let known = console.operators.iter().any(|one| one.name == name);
     let operator = if known { name } else { UNKNOWN_OPERATOR }.to_owned();
     console.audit(Change::SignIn { operator, accepted });
-    let outcome = if accepted { "accepted" } else { "rejected" };
-    metrics::counter!("console_sign_ins_total", "outcome" => outcome).increment(1);
     if !accepted {
         return Err(Rejected::Wrong);
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,14 +12,17 @@
 mod console;
 pub mod demo;
 mod driver;
+mod export;
 mod inbox;
 mod observed;
 mod policies;
 mod program;
 mod refusal;
+mod request_log;
 mod settings;
 
 pub use cli::{command_line, run};
 pub use console::OperatorCredential;
+pub use export::metric_names;
 pub use program::{Entry, StartError};
-pub use settings::Settings;
+pub use settings::{CallerTls, Settings};
--- a/crates/entry/tests/console/forms.rs
+++ b/crates/entry/tests/console/forms.rs
@@ -65,7 +65,7 @@
         fields: &[
             ("id", "correct"),
             ("target", "model"),
-            ("target.model.group", "lines"),
+            ("target.model.groups", "lines"),
             ("idempotent", "yes"),
             ("default_deadline_ms", "5000"),
             ("max_deadline_ms", "20000"),
--- a/crates/entry/tests/console/sign_in.rs
+++ b/crates/entry/tests/console/sign_in.rs
@@ -3,6 +3,7 @@
 use crate::site::{NAME, PASSWORD, Site, operators};
 use googletest::prelude::*;
 use hickorycross_entry::OperatorCredential;
+use hickorycross_runtime::settings::Settings;
 
 /// One attempt and its answer.
 struct Attempt {
@@ -109,8 +110,9 @@
     for case in &LISTED {
         let (name, password_hash) = (case.name.to_owned(), case.password_hash.to_owned());
         let settings = settings_with(OperatorCredential { name, password_hash });
-        let report = settings.check().err().map(|error| error.to_string()).unwrap_or_default();
-        expect_that!(report.matches("operators[0]").count(), eq(case.faults), "{report}");
+        let report: Vec<_> = settings.faults().iter().map(ToString::to_string).collect();
+        let report = report.join("\n");
+        expect_that!(report.matches("at [0]").count(), eq(case.faults), "{report}");
         expect_that!(report, not(contains_substring("secret")));
     }
     Ok(())
--- a/crates/lab/src/policy/measure.rs
+++ b/crates/lab/src/policy/measure.rs
@@ -16,6 +16,8 @@
     pub seeds: u64,
     /// Only scenarios whose name contains this text.
     pub only: String,
+    /// Only sets of policies whose name contains this text.
+    pub policy: String,
 }
 
 /// All results.
@@ -40,6 +42,7 @@
     /// Worst over the seeds; none where no repair belongs to the scenario.
     pub(crate) recovery: Option<Recovery>,
     pub(crate) tiers: Vec<TierRow>,
+    /// Only where a limit binds.
     pub(crate) teams: Vec<TeamRow>,
 }
 
@@ -86,7 +89,7 @@
 pub fn measure(effort: &Effort) -> Measurement {
     let mut runs = Vec::new();
     for scenario in all().iter().filter(|scenario| scenario.name.contains(&effort.only)) {
-        runs.extend(measure_scenario(scenario, effort.seeds));
+        runs.extend(measure_scenario(scenario, effort));
     }
     let mut overshoot = Vec::new();
     if "overshoot".contains(&effort.only) {
@@ -95,26 +98,26 @@
     Measurement { seeds: effort.seeds, runs, overshoot }
 }
 
-fn measure_scenario(scenario: &Scenario, seeds: u64) -> Vec<RunRow> {
-    let mut tallies: Vec<Tally> = PolicySet::ALL.iter().map(|_| Tally::new()).collect();
-    for seed in 1..=seeds {
+fn measure_scenario(scenario: &Scenario, effort: &Effort) -> Vec<RunRow> {
+    let is_asked_for = |set: &PolicySet| set.name().contains(&effort.policy);
+    let sets: Vec<PolicySet> = PolicySet::ALL.into_iter().filter(is_asked_for).collect();
+    let mut tallies: Vec<Tally> = sets.iter().map(|_| Tally::new()).collect();
+    for seed in 1..=effort.seeds {
         let requests = draw(scenario, seed);
-        for (set, tally) in PolicySet::ALL.into_iter().zip(&mut tallies) {
+        for (set, tally) in sets.iter().copied().zip(&mut tallies) {
             let ledger = world::run(scenario, &requests, set, seed);
             tally.add(scenario, &requests, &ledger);
         }
     }
-    PolicySet::ALL
-        .into_iter()
-        .zip(&tallies)
-        .map(|(set, tally)| run_row(scenario, set, tally, seeds))
-        .collect()
+    let rows = sets.iter().zip(&tallies);
+    rows.map(|(set, tally)| run_row(scenario, *set, tally)).collect()
 }
 
-fn run_row(scenario: &Scenario, set: PolicySet, tally: &Tally, seeds: u64) -> RunRow {
+fn run_row(scenario: &Scenario, set: PolicySet, tally: &Tally) -> RunRow {
     let goodput = &tally.goodput_permille;
     let tiers = TIERS.iter().zip(&tally.tiers).map(|(plan, tier)| tier_row(plan.name, tier));
-    let teams = (0..TEAMS.len()).map(|team| team_row(scenario, team, &tally.teams[team], seeds));
+    let teams = if scenario.has_narrow_limits() { 0..TEAMS.len() } else { 0..0 };
+    let teams = teams.map(|team| team_row(team, tally));
     RunRow {
         scenario: scenario.name,
         policy: set.name(),
@@ -141,10 +144,10 @@
     }
 }
 
-fn team_row(scenario: &Scenario, team: usize, counts: &Counts, seeds: u64) -> TeamRow {
+fn team_row(team: usize, tally: &Tally) -> TeamRow {
+    let counts = &tally.teams[team];
     let within = counts.offered - counts.limited;
-    let limit = scenario.limit_requests(team) * seeds as f64;
-    let entitled = limit.min(counts.offered as f64).max(1.0);
+    let entitled = tally.entitled[team].max(1.0);
     TeamRow {
         team: TEAMS[team].name,
         within_of_entitled_permille: 1000.0 * within as f64 / entitled,
@@ -190,6 +193,7 @@
         cut_peak_permille: highest(|through| through.cut_peak_permille),
         cut_mean_permille: mean(|through| through.cut_mean_permille),
         cut_overshoot_fair_shares: highest(|through| through.cut_overshoot_fair_shares),
+        cut_peak_overshoot_fair_shares: highest(|through| through.cut_peak_overshoot_fair_shares),
         report_bytes_per_s: highest(|through| through.report_bytes_per_s),
     };
     OvershootRow { case, worst }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,10 +5,12 @@
 //! - [`logs`] and [`trail`] write one line for each event; [`exposition`] serves metrics.
 //! - [`security`] holds the keys of links; [`link`] carries frames between processes.
 //! - [`view`] holds the state that peers and operators see, [`fleet`] what was heard of others.
+//! - [`command`] holds the commands that both programs have.
 //! - [`server`] sets up HTTP servers; [`operators`] shows a process to its operators.
 //! - [`platform`] reads the platform's configuration service and instance list.
 
 pub mod clock;
+pub mod command;
 pub mod exposition;
 pub mod fleet;
 pub mod link;
