--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -179,7 +179,7 @@
         let at = self.parts.clock.now().unix_ms;
         let stamp = self.exchange.stamp();
         for change in changes {
-            self.parts.trail.write(AuditRecord { at, stamp, change });
+            self.parts.trail.write(AuditRecord::new(at, stamp, change));
         }
     }
 
--- a/crates/entry/src/cli/mod.rs
+++ b/crates/entry/src/cli/mod.rs
@@ -3,9 +3,9 @@
 mod documents;
 mod keys;
 
-use crate::demo;
 use crate::program::Entry;
 use crate::settings::Settings;
+use crate::{console, demo};
 use clap::Command;
 use hickorycross_runtime::command::{self, EXIT_CODES, Failure};
 use hickorycross_runtime::exposition::Exposition;
@@ -44,6 +44,7 @@
         .subcommand(command::status_command())
         .subcommand(command::audit_command())
         .subcommand(keys::command())
+        .subcommand(console::command())
         .subcommand(demo::command())
         .subcommand(command::completions_command())
 }
@@ -66,6 +67,7 @@
         Some(("status", matches)) => command::status(matches),
         Some(("audit", matches)) => command::audit(matches),
         Some(("keys", matches)) => keys::run(matches),
+        Some(("hash-password", _)) => console::hash_password().map_err(Failure::Unusable),
         Some(("demo", matches)) => demo::run(matches).map_err(Failure::Failed),
         Some(("completions", matches)) => command::completions(matches, command_line()),
         _ => Ok(()),
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -3,6 +3,7 @@
 use crate::catalog::Catalog;
 use crate::export::Export;
 use crate::inbox::{Inbound, Part};
+use crate::observed::Observed;
 use hickorycross_config::BackendServerId;
 use hickorycross_core::adoption::{Exchange, ExchangeAction, Probe, StartGate, is_watcher};
 use hickorycross_core::entry::{EntryAction, EntryCore, EntryEvent};
@@ -42,6 +43,7 @@
     pub(crate) view: Arc<View>,
     pub(crate) trail: Arc<Trail>,
     pub(crate) catalog: Arc<Catalog>,
+    pub(crate) observed: Arc<Observed>,
     pub(crate) clock: SteadyClock,
     pub(crate) follow: watch::Sender<Follow>,
 }
@@ -107,6 +109,7 @@
             let snapshot = self.parts.core.snapshot(now);
             let detail = serde_json::to_value(&snapshot).unwrap_or_default();
             self.parts.view.update(|status| status.detail = detail);
+            self.parts.observed.show(now.unix_ms, snapshot.clone());
             self.export.run(&self.parts.core.counters(), &snapshot, &self.parts.view.status());
         }
     }
@@ -180,6 +183,7 @@
             LinkEvent::Closed { link, reason } => {
                 log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
                 self.backends.swap_remove(&link);
+                self.parts.observed.fleet().closed(link);
                 self.parts.gate.settled(link);
                 let actions = self.exchange.closed(self.parts.clock.now(), link);
                 self.act_on_exchange(actions);
@@ -192,6 +196,7 @@
 
     fn on_opened(&mut self, link: LinkId, hello: Hello) {
         let now = self.parts.clock.now();
+        self.parts.observed.fleet().greeted(now.unix_ms, link, &hello);
         let actions = self.exchange.heard(now, link, hello.stamp);
         self.act_on_exchange(actions);
         if self.parts.gate.owns(link) {
@@ -210,12 +215,14 @@
         match frame {
             Frame::ToEntry(message) => {
                 if let ToEntry::HeartbeatAck { stamp, .. } = &message {
+                    self.parts.observed.fleet().heard(now.unix_ms, link, *stamp);
                     let actions = self.exchange.heard(now, link, *stamp);
                     self.act_on_exchange(actions);
                 }
                 self.handle(EntryEvent::Message { link, message });
             }
             Frame::Announce(stamp) => {
+                self.parts.observed.fleet().heard(now.unix_ms, link, stamp);
                 let actions = self.exchange.heard(now, link, stamp);
                 self.act_on_exchange(actions);
             }
@@ -267,6 +274,7 @@
         let follow =
             if is_watcher(&self.parts.own, &instances) { Follow::Watch } else { Follow::Poll };
         self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
+        self.parts.observed.fleet().listed(self.parts.clock.now().unix_ms, &instances);
         for Probe { link, address, .. } in
             self.parts.gate.listed(self.parts.clock.now(), &instances)
         {
@@ -281,6 +289,7 @@
                 ExchangeAction::Adopted { stamp, document } => {
                     self.parts.view.update(|status| status.stamp = stamp);
                     self.parts.catalog.adopt(Arc::clone(&document));
+                    self.parts.observed.adopt(stamp, Arc::clone(&document));
                     self.export.adopt(&document);
                     self.handle(EntryEvent::Adopted { stamp, document });
                 }
--- a/crates/entry/tests/command_line.rs
+++ b/crates/entry/tests/command_line.rs
@@ -222,7 +222,7 @@
 fn a_broken_audit_trail_is_reported() {
     let record = |sequence: u64, operator: &str| {
         format!(
-            r#"{{"sequence":{sequence},"hash":"00","record":{{"at":1000,
+            r#"{{"sequence":{sequence},"hash":"00","record":{{"at":1000,"actor":{{"operator":"{operator}"}},
             "stamp":{{"revision":1,"digest":0}},
             "change":{{"kind":"sign_in","operator":"{operator}","accepted":true}}}}}}"#
         )
--- a/crates/runtime/src/command/audit.rs
+++ b/crates/runtime/src/command/audit.rs
@@ -5,6 +5,7 @@
 use super::status::{json_argument, url, url_argument};
 use crate::trail::{self, Break, Entry};
 use clap::{Arg, ArgMatches, Command, value_parser};
+use hickorycross_core::audit::Actor;
 use serde_json::Value;
 
 /// The command.
@@ -26,7 +27,7 @@
                 .help("First record to read"),
         )
         .arg(filter("kind", "KIND", "Only this kind, such as document_adopted"))
-        .arg(filter("actor", "NAME", "Only changes by this operator"))
+        .arg(filter("actor", "NAME", "Only changes by this operator, or by system or platform"))
         .arg(filter("text", "TEXT", "Only records that contain this text"))
         .arg(json_argument())
 }
@@ -97,7 +98,16 @@
             wanted.is_none_or(|wanted| change[name].as_str() == Some(wanted))
         };
         let contains = self.text.is_none_or(|text| change.to_string().contains(text.as_str()));
-        is("kind", self.kind) && is("operator", self.actor) && contains
+        is("kind", self.kind) && self.is_by(&entry.record.actor) && contains
+    }
+}
+
+impl Filter<'_> {
+    fn is_by(&self, actor: &Actor) -> bool {
+        self.actor.is_none_or(|wanted| match actor {
+            Actor::Operator(name) => name == wanted,
+            Actor::System | Actor::Platform => actor.to_string() == *wanted,
+        })
     }
 }
 
@@ -107,10 +117,11 @@
     let fields = change.as_object().into_iter().flatten().filter(|(name, _)| *name != "kind");
     let fields = fields.map(|(name, value)| format!(" {name}={}", shown(value)));
     format!(
-        "{:>6}  {}  revision {}  {kind}{}",
+        "{:>6}  {}  revision {}  {}  {kind}{}",
         entry.sequence,
         moment(entry.record.at.0),
         entry.record.stamp.revision,
+        entry.record.actor,
         fields.collect::<String>()
     )
 }
