fix(link): less room made for attempts when a connection opens

Larger receive buffers were ruled out: an agent has one socket for all its links and grew as much.

No test: memory of a process depends on its allocator; docs/CAPACITY.md names the command that shows it.

--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -160,8 +160,11 @@
 
 /// Bounds of every connection.
 fn transport() -> quinn::TransportConfig {
-    /// Attempts that may be open on one link.
-    const MAX_STREAMS: u32 = 16_384;
+    /// Attempts that may be open on one link; more wait until one has ended.
+    ///
+    /// Both ends make room for all of them when the connection opens, about 90 bytes each: at
+    /// 16,384 a process with 200 links held 300 MB for streams that it never opened.
+    const MAX_STREAMS: u32 = 2_048;
     /// A connection that hears nothing for so long is dropped.
     const MAX_IDLE_MS: u32 = 40_000;
     let mut transport = quinn::TransportConfig::default();
