fix(entry): find the successor of an agent that was restarted in place

Ruled out: clearing the mark after a while, which sends work to an agent that still drains. A link is tried now and then while the list names the instance as live. an_agent_restarted_in_place_gets_work_again is red without it.

fix(agent): an agent whose engine hosts no ranks stays out of its group

--- a/crates/agent/src/group/engine.rs
+++ b/crates/agent/src/group/engine.rs
@@ -18,6 +18,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause between two readings of the engine's state.
 const STATE_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before an engine that gave no state is read again.
+const ABSENT_PAUSE: Duration = Duration::from_secs(1);
 /// Pause between two readings of the engine's load.
 const LOAD_PAUSE: Duration = Duration::from_millis(500);
 
@@ -172,25 +174,34 @@
 
 async fn watch_state(calls: Calls, events: UnboundedSender<EngineEvent>) {
     loop {
-        if let Ok(report) = calls.ranks().await
-            && events.send(EngineEvent::Ranks(report)).is_err()
-        {
-            return;
-        }
-        tokio::time::sleep(STATE_PAUSE).await;
+        let pause = match calls.ranks().await {
+            Ok(report) => {
+                if events.send(EngineEvent::Ranks(report)).is_err() {
+                    return;
+                }
+                STATE_PAUSE
+            }
+            Err(_) => ABSENT_PAUSE,
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
 async fn watch_load(calls: Calls, events: UnboundedSender<EngineEvent>) {
     let mut reported = 0;
     loop {
-        if let Ok(Some(load)) = calls.load(reported).await {
-            // An engine that starts anew counts its steps anew.
-            reported = load.last_step;
-            if events.send(EngineEvent::Load(load)).is_err() {
-                return;
+        let pause = match calls.load(reported).await {
+            Ok(Some(load)) => {
+                // An engine that starts anew counts its steps anew.
+                reported = load.last_step;
+                if events.send(EngineEvent::Load(load)).is_err() {
+                    return;
+                }
+                LOAD_PAUSE
             }
-        }
-        tokio::time::sleep(LOAD_PAUSE).await;
+            Ok(None) => LOAD_PAUSE,
+            Err(_) => ABSENT_PAUSE,
+        };
+        tokio::time::sleep(pause).await;
     }
 }
--- a/crates/agent/src/group/member.rs
+++ b/crates/agent/src/group/member.rs
@@ -33,6 +33,8 @@
 
 struct Running {
     group: ModelGroup,
+    /// Whether the engine has ever said that it hosts ranks.
+    hosts_ranks: bool,
     member: GroupMember,
     engine: Engine,
     balancer: Option<Balancer>,
@@ -96,6 +98,7 @@
         };
         Running {
             group: group.clone(),
+            hosts_ranks: false,
             member: GroupMember::new(now, settings),
             engine: Engine::start(&self.ground.backend_url, self.ground.events.clone()),
             balancer: Balancer::new(group, document.balance, self.ground.events.clone()),
@@ -132,7 +135,17 @@
 
     /// A message of another member.
     pub(crate) fn received(&mut self, now: Now, message: GroupMessage, audit: &mut Vec<Change>) {
-        self.handle(now, GroupEvent::Received(message), audit);
+        if self.takes_part() {
+            self.handle(now, GroupEvent::Received(message), audit);
+        }
+    }
+
+    /// Whether the engine hosts ranks.
+    ///
+    /// An engine that steps by itself takes no orders. Its agent's campaigns would fail for ever,
+    /// and one would see idle agents that keep the links of their group busy.
+    fn takes_part(&self) -> bool {
+        self.running.as_ref().is_some_and(|running| running.hosts_ranks)
     }
 
     /// Load that another member reports to this one.
@@ -144,7 +157,7 @@
 
     /// Time has passed.
     pub(crate) fn tick(&mut self, now: Now, audit: &mut Vec<Change>) {
-        if self.running.is_none() {
+        if !self.takes_part() {
             return;
         }
         self.peers.tick(now);
@@ -183,6 +196,9 @@
     }
 
     fn on_ranks(&mut self, now: Now, report: RanksReport, audit: &mut Vec<Change>) {
+        if let Some(running) = &mut self.running {
+            running.hosts_ranks = true;
+        }
         for step in report.steps {
             self.handle(now, GroupEvent::EngineReported(step), audit);
         }
--- a/crates/core/src/entry/peer.rs
+++ b/crates/core/src/entry/peer.rs
@@ -67,6 +67,11 @@
         self.listed_live && !self.leaving
     }
 
+    /// Whether it said that it leaves, and is still meant to be up.
+    pub(super) fn may_have_returned(&self) -> bool {
+        self.listed_live && self.leaving
+    }
+
     /// Links that it holds, in whatever state.
     pub(super) fn links(&self) -> impl Iterator<Item = LinkId> {
         [self.active, self.suspect, self.opening].into_iter().flatten()
--- a/crates/core/src/entry/timers.rs
+++ b/crates/core/src/entry/timers.rs
@@ -165,11 +165,18 @@
     }
 
     /// Agents that have attempts of ours but no link to them.
+    /// Opens the links that attempts need, and looks after agents that left.
+    ///
+    /// An agent that leaves may be restarted on its instance, as in an upgrade, and the list may
+    /// never show it. Nothing new is sent to an agent that leaves, so that no link would ever be
+    /// opened to its successor: one would see a backend server without work after its agent's
+    /// upgrade. A link now and then finds the successor by its incarnation.
     fn reopen_links(&mut self, turn: &mut Turn<'_>) {
         let needed: Vec<InstanceId> = self
             .peers
             .iter()
-            .filter(|(_, peer)| !peer.requests.is_empty() && peer.active.is_none())
+            .filter(|(_, peer)| peer.active.is_none())
+            .filter(|(_, peer)| !peer.requests.is_empty() || peer.may_have_returned())
             .map(|(instance, _)| instance.clone())
             .collect();
         for instance in needed {
--- a/crates/core/tests/entry_rules.rs
+++ b/crates/core/tests/entry_rules.rs
@@ -455,3 +455,28 @@
     let links: Vec<LinkId> = rig.links.keys().copied().collect();
     links.iter().map(|link| rig.links[link].clone()).collect()
 }
+
+/// Symptom: a backend server gets no work after its agent's upgrade.
+/// Sequence: the agent says that it leaves, finishes and ends; another incarnation starts on the
+/// same instance, which the list has named as live all the while.
+/// Cause: nothing is sent to an agent that leaves, so that no link finds its successor.
+#[gtest]
+fn an_agent_restarted_in_place_gets_work_again() {
+    let mut rig = Rig::of(Mechanisms::ALL, &["s-1"]);
+    let first = rig.ask(LODGE);
+    let (old, submit) = rig.submission(first).expect("it was submitted");
+    rig.head(old, submit.attempt);
+    rig.end(old, submit.attempt, 0, 0);
+    rig.say(old, ToEntry::Leaving);
+    let instance = rig.links[&old].clone();
+    rig.unreachable.insert(instance.clone());
+    rig.event(EntryEvent::LinkClosed { link: old });
+    rig.wait(3_000);
+    rig.unreachable.swap_remove(&instance);
+    rig.lives.insert(instance, Incarnation(200));
+    rig.wait(10_000);
+    let second = rig.ask(LODGE);
+    let (link, again) = rig.submission(second).expect("it was submitted");
+    expect_that!(link, not(eq(old)));
+    expect_that!(again.agent, eq(Incarnation(200)));
+}
