--- a/crates/core/tests/whole_system.rs
+++ b/crates/core/tests/whole_system.rs
@@ -26,8 +26,9 @@
         (None, Some(count)) => 0..count,
         (None, None) => 0..SEEDS,
     };
+    println!("seeds {seeds:?}");
     let outcomes = world::run_all(seeds.clone(), Switches::default());
-    println!("seeds {seeds:?}: {:?}", outcomes.sums);
+    println!("{:?}", outcomes.sums);
     for failure in &outcomes.failures {
         println!("{failure}");
     }
--- a/crates/core/tests/whole_system/mod.rs
+++ b/crates/core/tests/whole_system/mod.rs
@@ -48,6 +48,9 @@
 /// One seed in so many has clocks beyond their bound.
 const BEYOND_EVERY: u64 = 8;
 
+/// One seed in so many has callers that fill the queues.
+const BUSY_EVERY: u64 = 3;
+
 /// What happens at a moment.
 pub(crate) enum What {
     Tick { place: usize, life: u64 },
@@ -84,6 +87,7 @@
     operations: Vec<Operation>,
     next_request: u64,
     callers_stopped: bool,
+    busy: bool,
     storm: Storm,
     switches: Switches,
     trace: bool,
@@ -114,6 +118,7 @@
             operations: Vec::new(),
             next_request: 1,
             callers_stopped: false,
+            busy: seed % BUSY_EVERY == 0,
             storm: Storm::default(),
             switches,
             trace: std::env::var_os("HICKORYCROSS_TRACE").is_some(),
@@ -174,6 +179,7 @@
         }
         let salt = self.random.random::<u64>() << 16;
         self.places[place].start(self.now_ms, salt, self.switches);
+        self.places[place].floor = self.lowest_at_agents();
         self.observer.tally.lives += 1;
         self.list_changed();
         let life = self.places[place].life;
@@ -216,11 +222,41 @@
             let row = &mut self.places[place];
             let local = row.local(self.now_ms);
             let ready = row.node.as_ref().is_some_and(|node| node.is_ready(local));
-            row.ready = row.backend.is_none() && ready && row.leaving_since_ms.is_none();
+            let serves = row.backend.is_none() && ready && row.leaving_since_ms.is_none();
+            let begins = serves && !std::mem::replace(&mut row.ready, serves);
+            row.ready = serves;
+            if begins {
+                self.check_floor(place);
+            }
         }
         self.agenda.set(self.now_ms + frozen_ms + TICK_MS, What::Tick { place, life });
     }
 
+    /// The lowest revision in force at an agent; none while some cannot be heard.
+    fn lowest_at_agents(&self) -> Option<u64> {
+        let heard = |place: &Place| {
+            place.node.is_some() && !place.is_frozen(self.now_ms) && place.side == 0
+        };
+        let fair = self.weather.loss_permille == 0;
+        let agents = &self.places[ENTRIES..];
+        let all = fair && self.places.iter().all(|place| place.side == 0);
+        (all && agents.iter().all(heard))
+            .then(|| agents.iter().map(|place| place.revision).min())
+            .flatten()
+    }
+
+    /// A process that begins to serve must not be behind all the peers that it could hear.
+    fn check_floor(&mut self, place: usize) {
+        let now = self.lowest_at_agents();
+        let row = &self.places[place];
+        let Some(floor) = row.floor.filter(|_| now.is_some()) else { return };
+        if row.revision < floor {
+            let detail = format!("(g) place {place} serves on {} below {floor}", row.revision);
+            self.observer.fault(self.now_ms, &detail);
+        }
+        self.observer.tally.floors += 1;
+    }
+
     fn thaw(&mut self, place: usize, life: u64) {
         if self.places[place].life != life || self.places[place].is_frozen(self.now_ms) {
             return;
--- a/crates/core/tests/whole_system/place.rs
+++ b/crates/core/tests/whole_system/place.rs
@@ -38,6 +38,8 @@
     pub(crate) ready: bool,
     /// The revision in force at its process.
     pub(crate) revision: u64,
+    /// The lowest revision that a new process may serve on, where that can be told.
+    pub(crate) floor: Option<u64>,
     /// What its process last got from the platform.
     pub(crate) read: Option<Published>,
     pub(crate) listed_last: Vec<Instance>,
@@ -63,6 +65,7 @@
             leaving_since_ms: None,
             ready: false,
             revision: 0,
+            floor: None,
             read: None,
             listed_last: Vec::new(),
             ended_ms: IndexMap::new(),
