fix(adoption): a process without a document watches the platform

It was not among the watchers, so its next read came with the poll after 30 s; without a document it opens no link, so no peer could tell it either.

Now it watches until it has a document, then as the instance list says. Ruled out: probing peers again from the start gate, which costs links at every process of a fleet whose platform is wrong. Shown by the whole-system run alone, whose adapter does what the drivers do; the drivers have no test of it.

--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -55,6 +55,8 @@
 pub(crate) struct Driver {
     parts: Parts,
     exchange: Exchange,
+    /// Whether it is among the few that watch the platform's service.
+    watches: bool,
     backend_events: UnboundedSender<AgentEvent>,
     runs: IndexMap<AttemptId, AbortHandle>,
     export: Export,
@@ -70,6 +72,7 @@
         let driver = Self {
             parts,
             exchange: Exchange::default(),
+            watches: true,
             backend_events,
             runs: IndexMap::new(),
             export,
@@ -271,6 +274,17 @@
         self.settle_gate();
     }
 
+    /// Chooses how to follow the platform.
+    ///
+    /// A process without a document watches too. It may have started behind a cut, or beside an
+    /// invalid document, and have no link on which a peer could tell it of a change: one would see
+    /// it stay out of service until its next poll, half a minute after all else is well.
+    fn choose_follow(&self) {
+        let watches = self.watches || self.exchange.in_force().is_none();
+        let follow = if watches { Follow::Watch } else { Follow::Poll };
+        self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
+    }
+
     /// Closes the links of the start gate from which nothing newer is to come.
     fn settle_gate(&mut self) {
         for link in self.parts.gate.settle(|link| self.exchange.awaits(link)) {
@@ -293,9 +307,8 @@
     }
 
     fn on_instances(&mut self, instances: &[Instance]) {
-        let follow =
-            if is_watcher(&self.parts.own, instances) { Follow::Watch } else { Follow::Poll };
-        self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
+        self.watches = is_watcher(&self.parts.own, instances);
+        self.choose_follow();
         self.parts.group.listed(instances);
         for Probe { link, address, .. } in self.parts.gate.listed(self.parts.clock.now(), instances)
         {
@@ -307,6 +320,7 @@
         for action in actions {
             match action {
                 ExchangeAction::Adopted { stamp, document } => {
+                    self.choose_follow();
                     self.parts.view.update(|status| status.stamp = stamp);
                     self.export.adopt(&document);
                     let now = self.parts.clock.now();
--- a/crates/core/tests/whole_system/mod.rs
+++ b/crates/core/tests/whole_system/mod.rs
@@ -224,8 +224,7 @@
         if self.places[place].life != life || self.places[place].node.is_none() {
             return;
         }
-        let frozen_ms = self.places[place].frozen_until_ms.saturating_sub(self.now_ms);
-        if frozen_ms == 0 {
+        if !self.places[place].is_frozen(self.now_ms) {
             self.input(place, Input::Tick);
             let row = &mut self.places[place];
             let local = row.local(self.now_ms);
@@ -237,7 +236,7 @@
                 self.check_floor(place);
             }
         }
-        self.agenda.set(self.now_ms + frozen_ms + TICK_MS, What::Tick { place, life });
+        self.agenda.set(self.now_ms + TICK_MS, What::Tick { place, life });
     }
 
     /// The lowest revision in force at an agent; none while some cannot be heard.
@@ -382,7 +381,8 @@
                     self.input(place, Input::Config(served));
                 }
                 let instances = self.platform.list(self.now_ms);
-                let watches = is_watcher(&self.places[place].instance(), &instances);
+                let row = &self.places[place];
+                let watches = is_watcher(&row.instance(), &instances) || row.revision == 0;
                 if watches { WATCH_PAUSE_MS } else { POLL_PAUSE_MS }
             }
         };
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -50,6 +50,8 @@
 pub(crate) struct Driver {
     parts: Parts,
     exchange: Exchange,
+    /// Whether it is among the few that watch the platform's service.
+    watches: bool,
     answers: IndexMap<RequestId, UnboundedSender<Part>>,
     /// Backend servers at the other ends of links, for logs.
     backends: IndexMap<LinkId, BackendServerId>,
@@ -63,6 +65,7 @@
             export: Export::new(&parts.own),
             parts,
             exchange: Exchange::default(),
+            watches: true,
             answers: IndexMap::new(),
             backends: IndexMap::new(),
             drained: false,
@@ -235,6 +238,17 @@
         self.settle_gate();
     }
 
+    /// Chooses how to follow the platform.
+    ///
+    /// A process without a document watches too. It may have started behind a cut, or beside an
+    /// invalid document, and have no link on which a peer could tell it of a change: one would see
+    /// it stay out of service until its next poll, half a minute after all else is well.
+    fn choose_follow(&self) {
+        let watches = self.watches || self.exchange.in_force().is_none();
+        let follow = if watches { Follow::Watch } else { Follow::Poll };
+        self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
+    }
+
     /// Closes the links of the start gate from which nothing newer is to come.
     fn settle_gate(&mut self) {
         for link in self.parts.gate.settle(|link| self.exchange.awaits(link)) {
@@ -257,9 +271,8 @@
     }
 
     fn on_instances(&mut self, instances: Vec<Instance>) {
-        let follow =
-            if is_watcher(&self.parts.own, &instances) { Follow::Watch } else { Follow::Poll };
-        self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
+        self.watches = is_watcher(&self.parts.own, &instances);
+        self.choose_follow();
         for Probe { link, address, .. } in
             self.parts.gate.listed(self.parts.clock.now(), &instances)
         {
@@ -272,6 +285,7 @@
         for action in actions {
             match action {
                 ExchangeAction::Adopted { stamp, document } => {
+                    self.choose_follow();
                     self.parts.view.update(|status| status.stamp = stamp);
                     self.parts.catalog.adopt(Arc::clone(&document));
                     self.export.adopt(&document);
