--- a/crates/entry/src/demo/stage.rs
+++ b/crates/entry/src/demo/stage.rs
@@ -255,6 +255,7 @@
         body_timeout_ms: 20_000,
         balancer_notice_ms: 3_000,
         open_requests: 8192,
+        operators: Vec::new(),
         log_filter: options.log_filter.clone(),
     }
 }
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -3,12 +3,13 @@
 use crate::catalog::Catalog;
 use crate::export::Export;
 use crate::inbox::{Inbound, Part};
+use crate::observed::Observed;
 use hickorycross_config::BackendServerId;
 use hickorycross_core::adoption::{Exchange, ExchangeAction, Probe, StartGate, is_watcher};
 use hickorycross_core::entry::{EntryAction, EntryCore, EntryEvent};
 use hickorycross_core::message::{ToAgent, ToEntry};
 use hickorycross_core::{Instance, InstanceId, LinkId, Now, RequestId};
-use hickorycross_protocol::{ConfigOffer, Frame, Hello, PeerRole};
+use hickorycross_protocol::{ConfigOffer, Frame, Hello, OfferCache, PeerRole};
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::link::{LinkEvent, Links};
 use hickorycross_runtime::operators::Inspect;
@@ -42,6 +43,7 @@
     pub(crate) view: Arc<View>,
     pub(crate) trail: Arc<Trail>,
     pub(crate) catalog: Arc<Catalog>,
+    pub(crate) observed: Arc<Observed>,
     pub(crate) clock: SteadyClock,
     pub(crate) follow: watch::Sender<Follow>,
 }
@@ -52,6 +54,7 @@
     exchange: Exchange,
     /// Whether it is among the few that watch the platform's service.
     watches: bool,
+    offers: OfferCache,
     answers: IndexMap<RequestId, UnboundedSender<Part>>,
     /// Backend servers at the other ends of links, for logs.
     backends: IndexMap<LinkId, BackendServerId>,
@@ -66,6 +69,7 @@
             parts,
             exchange: Exchange::default(),
             watches: true,
+            offers: OfferCache::default(),
             answers: IndexMap::new(),
             backends: IndexMap::new(),
             drained: false,
@@ -108,6 +112,7 @@
             let snapshot = self.parts.core.snapshot(now);
             let detail = serde_json::to_value(&snapshot).unwrap_or_default();
             self.parts.view.update(|status| status.detail = detail);
+            self.parts.observed.show(now.unix_ms, snapshot.clone());
             self.export.run(&self.parts.core.counters(), &snapshot, &self.parts.view.status());
         }
     }
@@ -181,6 +186,7 @@
             LinkEvent::Closed { link, reason } => {
                 log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
                 self.backends.swap_remove(&link);
+                self.parts.observed.fleet().closed(link);
                 self.parts.gate.settled(link);
                 let actions = self.exchange.closed(self.parts.clock.now(), link);
                 self.act_on_exchange(actions);
@@ -193,6 +199,7 @@
 
     fn on_opened(&mut self, link: LinkId, hello: Hello) {
         let now = self.parts.clock.now();
+        self.parts.observed.fleet().greeted(now.unix_ms, link, &hello);
         let actions = self.exchange.heard(now, link, hello.stamp);
         self.act_on_exchange(actions);
         if self.parts.gate.owns(link) {
@@ -211,12 +218,14 @@
         match frame {
             Frame::ToEntry(message) => {
                 if let ToEntry::HeartbeatAck { stamp, .. } = &message {
+                    self.parts.observed.fleet().heard(now.unix_ms, link, *stamp);
                     let actions = self.exchange.heard(now, link, *stamp);
                     self.act_on_exchange(actions);
                 }
                 self.handle(EntryEvent::Message { link, message });
             }
             Frame::Announce(stamp) => {
+                self.parts.observed.fleet().heard(now.unix_ms, link, stamp);
                 let actions = self.exchange.heard(now, link, stamp);
                 self.act_on_exchange(actions);
             }
@@ -233,8 +242,13 @@
 
     fn on_offer(&mut self, offer: &ConfigOffer) {
         let now = self.parts.clock.now();
-        let actions = self.exchange.peer_offer(now, offer.stamp, &offer.document);
-        self.act_on_exchange(actions);
+        match offer.document() {
+            Ok(document) => {
+                let actions = self.exchange.peer_offer(now, offer.stamp, &document);
+                self.act_on_exchange(actions);
+            }
+            Err(error) => log::warn!(target: "link", error:% = error; "unusable offer"),
+        }
         self.settle_gate();
     }
 
@@ -273,6 +287,7 @@
     fn on_instances(&mut self, instances: Vec<Instance>) {
         self.watches = is_watcher(&self.parts.own, &instances);
         self.choose_follow();
+        self.parts.observed.fleet().listed(self.parts.clock.now().unix_ms, &instances);
         for Probe { link, address, .. } in
             self.parts.gate.listed(self.parts.clock.now(), &instances)
         {
@@ -288,6 +303,7 @@
                     self.choose_follow();
                     self.parts.view.update(|status| status.stamp = stamp);
                     self.parts.catalog.adopt(Arc::clone(&document));
+                    self.parts.observed.adopt(stamp, Arc::clone(&document));
                     self.export.adopt(&document);
                     self.handle(EntryEvent::Adopted { stamp, document });
                 }
@@ -301,9 +317,8 @@
                     self.parts.links.send(link, Frame::ConfigRequest);
                 }
                 ExchangeAction::Offer { link, stamp, bytes } => {
-                    let document = bytes.to_vec();
-                    let offer = Frame::ConfigOffer(ConfigOffer { stamp, document });
-                    self.parts.links.send(link, offer);
+                    let offer = self.offers.offer(stamp, &bytes);
+                    self.parts.links.send(link, Frame::ConfigOffer(offer));
                 }
                 ExchangeAction::Audit(record) => self.parts.trail.write(record),
             }
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -2,11 +2,12 @@
 
 use crate::callers::{Bounds, Callers, catchers};
 use crate::catalog::Catalog;
+use crate::console::{self, Console};
 use crate::driver::{Driver, Inputs, Parts};
-use crate::policies;
+use crate::observed::Observed;
 use crate::settings::Settings;
 use hickorycross_core::adoption::StartGate;
-use hickorycross_core::entry::{EntryCore, EntryIdentity};
+use hickorycross_core::entry::{EntryCore, EntryIdentity, EntryPolicies};
 use hickorycross_core::{Incarnation, LinkId};
 use hickorycross_protocol::PeerRole;
 use hickorycross_runtime::clock::SteadyClock;
@@ -74,6 +75,7 @@
             Arc::new(View::new(clock, settings.instance.clone(), incarnation, PeerRole::Entry));
         let trail = Arc::new(Trail::default());
         let catalog = Arc::new(Catalog::default());
+        let observed = Arc::new(Observed::default());
         let keys = LinkKeys::load(&settings.link_security)?;
         let (links, link_events) = Links::new(keys, view.clone());
         let (inbound, caller_events) = unbounded_channel();
@@ -84,6 +86,9 @@
         let caller_server = server::start(settings.caller_address, server).await?;
         let views = Views { inspect: view.clone(), trail: trail.clone(), exposition };
         let server = operators::mount(server::build(settings.operator_address), views);
+        let console =
+            Console::new(&settings.operators, clock, view.clone(), trail.clone(), observed.clone());
+        let server = console::mount(server, console);
         let operators = server::start(settings.operator_address, server).await?;
         let surroundings = Surroundings { trail: trail.clone(), inspect: view.clone(), clock };
         let renewal = renewal::follow(
@@ -98,13 +103,14 @@
             EntryIdentity { incarnation, failure_domain: settings.failure_domain.clone() };
         let seed = rand::random();
         let driver = Driver::new(Parts {
-            core: EntryCore::new(identity, policies::production(seed), seed),
+            core: EntryCore::new(identity, EntryPolicies::production(seed), seed),
             gate: StartGate::new(settings.instance.clone(), FIRST_GATE_LINK),
             own: settings.instance.clone(),
             links,
             view: view.clone(),
             trail,
             catalog,
+            observed,
             clock,
             follow,
         });
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry.
 
+use crate::console::OperatorCredential;
 use hickorycross_config::FailureDomainId;
 use hickorycross_core::InstanceId;
 use hickorycross_runtime::logs;
@@ -52,6 +53,9 @@
     /// Requests that may be open at once.
     #[serde(default = "default_open_requests")]
     pub open_requests: u32,
+    /// Who may sign in to the console; without any, its forms are off.
+    #[serde(default)]
+    pub operators: Vec<OperatorCredential>,
     /// Time from the failing of the readiness check until nothing new is taken.
     #[serde(default = "default_balancer_notice_ms")]
     pub balancer_notice_ms: u64,
@@ -160,6 +164,12 @@
              milliseconds",
             "0 to 60000",
         ),
+        Field::optional::<Vec<OperatorCredential>>(
+            "operators",
+            Kind::Structure,
+            "Who may sign in to the console; without any, its forms are off",
+            "a list of {name, password_hash}",
+        ),
         Field::optional::<String>(
             "log_filter",
             Kind::Text,
@@ -193,6 +203,8 @@
             ),
             ("log_filter", format!("{:?}", self.log_filter), logs::is_filter(&self.log_filter)),
         ];
-        settings::failed::<Self, _>(checks)
+        let mut faults = settings::failed::<Self, _>(checks);
+        faults.extend(OperatorCredential::faults(&self.operators));
+        faults
     }
 }
--- a/crates/runtime/src/security/renewal.rs
+++ b/crates/runtime/src/security/renewal.rs
@@ -98,11 +98,8 @@
 
     fn record(&self, subject: String) {
         let Surroundings { trail, inspect, clock } = &self.surroundings;
-        trail.write(AuditRecord {
-            at: clock.now().unix_ms,
-            stamp: inspect.status().stamp,
-            change: Change::KeyRenewed { subject },
-        });
+        let change = Change::KeyRenewed { subject };
+        trail.write(AuditRecord::new(clock.now().unix_ms, inspect.status().stamp, change));
     }
 }
 
