--- a/crates/core/tests/whole_system/callers.rs
+++ b/crates/core/tests/whole_system/callers.rs
@@ -15,6 +15,11 @@
 /// A caller repeats a key no longer than this, which is within the key's horizon.
 const REPEAT_WITHIN_MS: u64 = 25_000;
 const PAUSE_MS: u64 = 120;
+/// The pause in busy runs, in which queues form.
+const BUSY_PAUSE_MS: u64 = 30;
+/// One request in so many carries the key of another one.
+const REUSED_ONE_IN: u32 = 40;
+const KEYS_IN_REACH: usize = 20;
 const NOBODY_READY_PAUSE_MS: u64 = 500;
 
 /// One thing that a caller wants done, over however many requests.
@@ -53,15 +58,30 @@
     /// A new operation comes, and the next one is set.
     pub(crate) fn new_operation(&mut self) {
         if !self.callers_stopped {
-            let pause_ms = self.random.random_range(1..2 * PAUSE_MS);
+            let mean_ms = if self.busy { BUSY_PAUSE_MS } else { PAUSE_MS };
+            let pause_ms = self.random.random_range(1..2 * mean_ms);
             self.agenda.set(self.now_ms + pause_ms, What::NewOperation);
-            let operation = self.draw_operation();
+            let mut operation = self.draw_operation();
+            self.maybe_reuse_key(&mut operation);
             let index = self.operations.len();
             self.operations.push(operation);
             self.arrive(index);
         }
     }
 
+    /// A few callers send a key again with another request.
+    fn maybe_reuse_key(&mut self, operation: &mut Operation) {
+        let recent = self.operations.len().saturating_sub(KEYS_IN_REACH);
+        let earlier = self.operations[recent..].choose(&mut self.random);
+        if let Some(earlier) = earlier.filter(|earlier| earlier.key.is_some())
+            && self.random.random_range(0..REUSED_ONE_IN) == 0
+        {
+            operation.key.clone_from(&earlier.key);
+            (operation.path, operation.model) = (earlier.path, earlier.model);
+            (operation.team, operation.idempotent) = (earlier.team, earlier.idempotent);
+        }
+    }
+
     fn draw_operation(&mut self) -> Operation {
         let random = &mut self.random;
         let kind = random.random_range(0..10);
--- a/crates/core/tests/whole_system/faults.rs
+++ b/crates/core/tests/whole_system/faults.rs
@@ -78,10 +78,18 @@
 /// Stops and changes that are planned: nothing may suffer from them.
 const PLANNED: [Kind; 3] = [Kind::DrainAgent, Kind::DrainEntry, Kind::Publish];
 
+/// Both sides of a cut serve while documents change.
+const DIVIDED: [Kind; 2] = [Kind::Partition, Kind::Publish];
+
+/// Longer than the time in which a document should be in force everywhere, by far.
+const LONG_CUT_MS: u64 = 44_000;
+
 /// Where the run stands.
 #[derive(Default)]
 pub(crate) struct Storm {
     stormy: bool,
+    /// Every spell is one long cut during which documents change.
+    pub(crate) divided: bool,
     spell: u32,
     ends_ms: u64,
     /// When all was in order again; none during a spell.
@@ -117,7 +125,8 @@
         let plain = operation.patient && operation.key.is_none();
         // A deadline means nothing to processes whose clocks differ by more than the bound.
         let clocks = !self.observer.excuses_clocks;
-        settled && plain && clocks && operation.allowed_ms() >= COMFORTABLE_MS
+        // Callers that fill every queue are refused for it.
+        settled && plain && clocks && !self.busy && operation.allowed_ms() >= COMFORTABLE_MS
     }
 
     pub(crate) fn storm_step(&mut self, step: Step) {
@@ -142,11 +151,13 @@
 
     fn begin_spell(&mut self) {
         self.storm.spell += 1;
-        let planned = self.random.random_range(0..4) == 0;
-        let kinds: Vec<Kind> = match planned {
-            true => PLANNED.to_vec(),
-            false => {
-                let count = self.random.random_range(1..=3);
+        let roll = if self.storm.divided { 2 } else { self.random.random_range(0..8) };
+        let planned = roll < 2;
+        let kinds: Vec<Kind> = match roll {
+            0..2 => PLANNED.to_vec(),
+            2 => DIVIDED.to_vec(),
+            _ => {
+                let count = [1, 1, 2, 2, 3, 5].choose(&mut self.random).copied().unwrap_or(1);
                 KINDS.sample(&mut self.random, count).copied().collect()
             }
         };
@@ -155,7 +166,11 @@
         if !planned {
             self.observer.storm();
         }
-        let span_ms = self.random.random_range(5_000..16_000);
+        let longest_ms = [16_000, 16_000, 45_000].choose(&mut self.random).copied();
+        let span_ms = match self.storm.divided {
+            true => LONG_CUT_MS,
+            false => self.random.random_range(5_000..longest_ms.unwrap_or(16_000)),
+        };
         self.storm.ends_ms = self.now_ms + span_ms;
         for kind in kinds {
             let wait_ms = self.random.random_range(0..2_000);
@@ -169,7 +184,11 @@
             return;
         }
         self.blow(kind);
-        let wait_ms = self.random.random_range(500..6_000);
+        let longest_ms = match kind {
+            Kind::Partition | Kind::Publish => 40_000,
+            _ => 6_000,
+        };
+        let wait_ms = self.random.random_range(500..longest_ms);
         self.agenda.set(self.now_ms + wait_ms, What::Storm(Step::Blow(kind)));
     }
 
--- a/crates/core/tests/whole_system/observer.rs
+++ b/crates/core/tests/whole_system/observer.rs
@@ -74,6 +74,7 @@
     pub(crate) drains: u64,
     pub(crate) adoptions: u64,
     pub(crate) lives: u64,
+    pub(crate) floors: u64,
 }
 
 impl Tally {
@@ -90,6 +91,7 @@
         self.drains += other.drains;
         self.adoptions += other.adoptions;
         self.lives += other.lives;
+        self.floors += other.floors;
     }
 }
 
