fix(routing): no refusal beside a backend server with little to do

Cause, two parts: attempts sent since the latest report counted as waiting although they had ended, for as long as no newer report came; and the share that higher tiers take of a server that is never idle was applied to servers without a queue, so that one waiting request looked like seconds.

--- a/crates/core/src/routing/margin.rs
+++ b/crates/core/src/routing/margin.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 /// Factor on projected waits before anything is learnt.
-const FIRST: f64 = 1.5;
+const FIRST: f64 = 1.75;
 
 /// Highest factor.
 const HIGHEST: f64 = 8.0;
--- a/crates/core/src/routing/projection.rs
+++ b/crates/core/src/routing/projection.rs
@@ -24,6 +24,9 @@
     }
 }
 
+/// Queue, as a part of the slots, from which on a backend server counts as never idle.
+const SATURATED: f64 = 1.0;
+
 /// Largest difference between two processes' clocks that is taken for normal.
 const CLOCK_SKEW_MS: u64 = 500;
 
@@ -40,7 +43,16 @@
     let counted = f64::from(load.running + waiting_ahead(load, rank));
     let weight = report_weight(now, candidate, fading);
     let reported = counted * weight + own * (1.0 - weight);
-    reported + f64::from(candidate.sent_since_report)
+    reported + f64::from(open_since_report(candidate))
+}
+
+/// Attempts sent since the report that are still open.
+///
+/// Those that have ended since wait nowhere. Were they counted, a backend server that answers
+/// everything but reports rarely would look ever fuller; one would see requests refused while it
+/// is idle.
+fn open_since_report(candidate: &Candidate<'_>) -> u32 {
+    candidate.sent_since_report.min(candidate.outstanding)
 }
 
 /// Age of the latest report of the candidate; none without a report.
@@ -91,12 +103,25 @@
         return 0.0;
     }
     let start_every_ms = f64::from(load.service_ms) / slots;
-    let by_order_ms = queued * start_every_ms * 1000.0 / starts.free_permille.max(1.0);
-    let in_tier = f64::from(waiting_of(load, rank) + candidate.sent_since_report) + 1.0;
+    let by_order_ms = queued * start_every_ms * 1000.0 / free_permille(load, starts);
+    let in_tier = f64::from(waiting_of(load, rank) + open_since_report(candidate)) + 1.0;
     let by_floor_ms = in_tier * start_every_ms * 1000.0 / starts.floor_permille;
     by_order_ms.min(by_floor_ms)
 }
 
+/// What higher tiers leave of a backend server's starts.
+///
+/// The mix of tiers tells what they would take of a server that is never idle. They take that much
+/// only while they keep a queue full; without the correction an entry that happened to send few
+/// requests, most of them of a high tier, would refuse all others beside servers without a queue.
+fn free_permille(load: &Load, starts: Starts) -> f64 {
+    let waiting: u32 = load.waiting.iter().map(|tier| tier.requests).sum();
+    let queue_of_slots = f64::from(waiting) / f64::from(load.slots.max(1));
+    let saturation = (queue_of_slots / SATURATED).min(1.0);
+    let taken_permille = (1000.0 - starts.free_permille) * saturation;
+    (1000.0 - taken_permille).max(1.0)
+}
+
 /// Requests that the candidate runs at once, at least one.
 pub(super) fn slots(candidate: &Candidate<'_>) -> f64 {
     let slots = candidate.load.map_or(candidate.slots, |load| load.slots);
