fix(agent): a map that was read settles its order

Cause: the answer to ReadMap carried no order id, so the core counted the order as on its way for ever. An agent that had restarted reads its engine's maps once it has promised; it then took the engine for busy, passed no grant on, and the group stood still.

Ruled out: the member in the core; its own tests report every order answered.

Conclusion: every order that the agent gives is answered or reported failed.

--- a/crates/agent/src/group/engine.rs
+++ b/crates/agent/src/group/engine.rs
@@ -30,7 +30,7 @@
     /// It refused an order for its old fencing token.
     Refused { id: OrderId, seen: Fencing },
     /// It gave the content of a map.
-    MapRead(Arc<ExpertMap>),
+    MapRead { id: OrderId, map: Arc<ExpertMap> },
     /// What its ranks have done.
     Ranks(RanksReport),
     /// Load of its ranks in the latest window of steps.
@@ -118,7 +118,9 @@
     async fn carry_out(&self, order: &FencedOrder) -> Result<EngineEvent, reqwest::Error> {
         let id = order.id;
         if let EngineOrder::ReadMap { map } = order.order {
-            return Ok(self.read_map(map).await?.unwrap_or(EngineEvent::Failed { id }));
+            let found = self.read_map(map).await?;
+            let read = |map| EngineEvent::MapRead { id, map };
+            return Ok(found.map_or(EngineEvent::Failed { id }, read));
         }
         let call = OrderCall { fencing: order.fencing, order: &order.order };
         let url = format!("{}/v1/orders", self.base_url);
@@ -133,11 +135,11 @@
         }
     }
 
-    async fn read_map(&self, wanted: MapRef) -> Result<Option<EngineEvent>, reqwest::Error> {
+    async fn read_map(&self, wanted: MapRef) -> Result<Option<Arc<ExpertMap>>, reqwest::Error> {
         let url = format!("{}/v1/ranks/maps", self.base_url);
         let maps: Maps = self.client.get(url).send().await?.json().await?;
         let found = maps.maps.into_iter().find(|map| map.reference() == wanted);
-        Ok(found.map(|map| EngineEvent::MapRead(Arc::new(map))))
+        Ok(found.map(Arc::new))
     }
 
     async fn ranks(&self) -> Result<RanksReport, reqwest::Error> {
--- a/crates/agent/src/group/member.rs
+++ b/crates/agent/src/group/member.rs
@@ -175,7 +175,12 @@
             EngineEvent::Refused { id, seen } => {
                 self.handle(now, GroupEvent::EngineRefused { id, seen }, audit);
             }
-            EngineEvent::MapRead(map) => self.handle(now, GroupEvent::EngineMapRead(map), audit),
+            EngineEvent::MapRead { id, map } => {
+                self.handle(now, GroupEvent::EngineMapRead(map), audit);
+                // A reading tells nothing of the engine's state. Unless its order is settled, the
+                // core takes the engine for busy and passes no grants on: the group stands still.
+                self.handle(now, GroupEvent::EngineFailed { id }, audit);
+            }
             EngineEvent::Ranks(report) => self.on_ranks(now, report, audit),
             EngineEvent::Load(load) => self.pass_on_load(now, load),
             EngineEvent::Decided(decision) => self.decided(now, *decision, audit),
