feat(agent): loads of a change wait for the agent's share of the weight store

Cause: the agent gave the engine its Stage order at once, so the document's rate of the weight store bound nothing, and a load that failed ended the change without a further try.

StageGate (core) has Loader take a turn for each expert that local ranks lack and lets the order pass with the last turn; a failed load backs off with jitter until the change's deadline. The order is reported held and, in its place in the queue, failed; the core orders it anew when due. Maps that a grant names, engines without a map and orders that load nothing never wait. A proposal has no server load more than its share pays for in a third of the deadline, and is priced at one agent's share.

Ruled out: holding the order in the queue to the engine (grants would wait behind it); having the coordinator repeat it (the map's content would be sent again each second).

Conclusion: loads keep to the share on average; an order's experts are still read in one burst.

--- a/crates/agent/src/group/balance.rs
+++ b/crates/agent/src/group/balance.rs
@@ -1,6 +1,7 @@
 //! The coordinator's decision when to move experts.
 
 use super::engine::EngineEvent;
+use super::loading::StorePace;
 use hickorycross_config::{Balance, ModelGroup};
 use hickorycross_core::group::{self, GroupMember};
 use hickorycross_core::placement::{
@@ -41,10 +42,17 @@
     pub(crate) fn new(
         group: &ModelGroup,
         balance: Balance,
+        pace: StorePace,
         events: UnboundedSender<EngineEvent>,
     ) -> Option<Self> {
         let shape = GroupShape::of(group).ok()?;
-        let settings = WeightedSettings { balance, max_loads_per_layer: MAX_LOADS_PER_LAYER };
+        // Loads go no faster than one agent's share: that is what a change costs here.
+        let weight_store_bytes_per_s = pace.share_bytes_per_s();
+        let settings = WeightedSettings {
+            balance: Balance { weight_store_bytes_per_s, ..balance },
+            max_loads_per_layer: MAX_LOADS_PER_LAYER,
+            server_cap: Some(pace.server_cap()),
+        };
         Some(Self {
             policy: Some(Box::new(Weighted::new(shape, &settings))),
             collector: LoadCollector::new(shape.ranks),
--- a/crates/agent/src/group/engine.rs
+++ b/crates/agent/src/group/engine.rs
@@ -39,6 +39,12 @@
     Decided(Box<Decision>),
 }
 
+/// A place in the queue of orders.
+enum Queued {
+    Give(FencedOrder),
+    Withhold(OrderId),
+}
+
 /// An order on the wire.
 #[derive(Serialize)]
 struct OrderCall<'a> {
@@ -70,7 +76,7 @@
 /// The engine beside this agent.
 #[derive(Debug)]
 pub(crate) struct Engine {
-    orders: UnboundedSender<FencedOrder>,
+    orders: UnboundedSender<Queued>,
     tasks: [AbortHandle; 3],
 }
 
@@ -88,7 +94,14 @@
 
     /// Gives an order after those given before.
     pub(crate) fn order(&self, order: FencedOrder) {
-        let _ = self.orders.send(order);
+        let _ = self.orders.send(Queued::Give(order));
+    }
+
+    /// Reports an order failed without giving it, after those given before are answered.
+    ///
+    /// Reported at once, it would make the core believe that earlier orders are answered too.
+    pub(crate) fn withhold(&self, id: OrderId) {
+        let _ = self.orders.send(Queued::Withhold(id));
     }
 }
 
@@ -161,11 +174,16 @@
 /// Gives one order at a time, so that the answer to an inspection covers every order before it.
 async fn give_orders(
     calls: Calls,
-    mut orders: UnboundedReceiver<FencedOrder>,
+    mut orders: UnboundedReceiver<Queued>,
     events: UnboundedSender<EngineEvent>,
 ) {
     while let Some(order) = orders.recv().await {
-        let event = calls.carry_out(&order).await.unwrap_or(EngineEvent::Failed { id: order.id });
+        let event = match order {
+            Queued::Give(order) => {
+                calls.carry_out(&order).await.unwrap_or(EngineEvent::Failed { id: order.id })
+            }
+            Queued::Withhold(id) => EngineEvent::Failed { id },
+        };
         if events.send(event).is_err() {
             return;
         }
--- a/crates/agent/src/group/member.rs
+++ b/crates/agent/src/group/member.rs
@@ -2,17 +2,19 @@
 
 use super::balance::{Balancer, Decision};
 use super::engine::{Engine, EngineEvent, RanksReport};
+use super::loading::{Loading, StorePace};
 use super::peers::Peers;
 use hickorycross_config::{BackendServerId, Document, ModelGroup, Stamp};
 use hickorycross_core::audit::Change;
 use hickorycross_core::group::{
-    GroupAction, GroupEvent, GroupMember, GroupMessage, GroupRecord, MapRef, Mechanisms,
-    MemberSettings, Membership,
+    EngineOrder, FencedOrder, GroupAction, GroupEvent, GroupMember, GroupMessage, GroupRecord,
+    MapRef, Mechanisms, MemberSettings, Membership, StageVerdict,
 };
 use hickorycross_core::placement::{ChangeOutcome, RankLoad};
 use hickorycross_core::{Incarnation, Instance, LinkId, Now};
 use hickorycross_protocol::Frame;
 use hickorycross_runtime::link::Links;
+use std::collections::VecDeque;
 use tokio::sync::mpsc::UnboundedSender;
 
 /// What stays the same while groups come and go.
@@ -36,6 +38,8 @@
     member: GroupMember,
     engine: Engine,
     balancer: Option<Balancer>,
+    pace: StorePace,
+    loading: Loading,
     last_map: Option<MapRef>,
     resident: Vec<MapRef>,
     stage_failed: Option<MapRef>,
@@ -66,10 +70,13 @@
         let membership = Membership::of(stamp, group);
         match &mut self.running {
             Some(running) if running.group.id == group.id => {
-                if running.group != *group {
+                let pace = StorePace::of(document, group);
+                if running.group != *group || running.pace != pace {
                     running.balancer =
-                        Balancer::new(group, document.balance, self.ground.events.clone());
+                        Balancer::new(group, document.balance, pace, self.ground.events.clone());
                 }
+                running.loading.adopt(now, pace, group, own);
+                running.pace = pace;
                 running.group = group.clone();
                 self.handle(now, GroupEvent::MembershipRead(membership), audit);
             }
@@ -87,6 +94,8 @@
         let server = self.ground.own.clone();
         let checks_fencing =
             document.backend(server.as_str()).is_some_and(|server| server.checks_fencing);
+        let pace = StorePace::of(document, group);
+        let loading = Loading::new(pace, group, &server, self.ground.incarnation.0);
         let settings = MemberSettings {
             server,
             incarnation: self.ground.incarnation,
@@ -98,7 +107,9 @@
             group: group.clone(),
             member: GroupMember::new(now, settings),
             engine: Engine::start(&self.ground.backend_url, self.ground.events.clone()),
-            balancer: Balancer::new(group, document.balance, self.ground.events.clone()),
+            balancer: Balancer::new(group, document.balance, pace, self.ground.events.clone()),
+            pace,
+            loading,
             last_map: None,
             resident: Vec::new(),
             stage_failed: None,
@@ -149,6 +160,10 @@
         }
         self.peers.tick(now);
         self.handle(now, GroupEvent::Tick, audit);
+        let news = self.running.as_mut().and_then(|running| running.loading.tick(now));
+        if let Some(event) = news {
+            self.handle(now, event, audit);
+        }
         if let Some(running) = &mut self.running
             && let Some(balancer) = &mut running.balancer
         {
@@ -195,15 +210,47 @@
         let before = std::mem::replace(&mut running.resident, report.resident.clone());
         let failed_before = std::mem::replace(&mut running.stage_failed, report.stage_failed);
         for map in report.resident.into_iter().filter(|map| !before.contains(map)) {
-            self.handle(now, GroupEvent::EngineStaged(map), audit);
+            self.staged(now, map, audit);
         }
         if let Some(map) = report.stage_failed
             && failed_before != Some(map)
         {
-            self.handle(now, GroupEvent::EngineStageFailed(map), audit);
+            self.stage_failed(now, map, audit);
         }
     }
 
+    fn staged(&mut self, now: Now, map: MapRef, audit: &mut Vec<Change>) {
+        let Some(running) = &mut self.running else { return };
+        running.loading.staged(map);
+        self.handle(now, GroupEvent::EngineStaged(map), audit);
+    }
+
+    fn stage_failed(&mut self, now: Now, map: MapRef, audit: &mut Vec<Change>) {
+        let Some(running) = &mut self.running else { return };
+        let event = running.loading.failed(now, map);
+        self.handle(now, event, audit);
+    }
+
+    /// Gives the engine an order, or keeps a load back until the weight store's rate allows it.
+    fn order(&mut self, now: Now, order: FencedOrder) -> Option<GroupEvent> {
+        let running = self.running.as_mut()?;
+        let EngineOrder::Stage { map } = &order.order else {
+            running.engine.order(order);
+            return None;
+        };
+        let reference = map.reference();
+        let event = match running.loading.ask(now, &running.member, map) {
+            StageVerdict::Give => {
+                running.engine.order(order);
+                return None;
+            }
+            StageVerdict::Hold => GroupEvent::EngineStageHeld(reference),
+            StageVerdict::Refuse => GroupEvent::EngineStageFailed(reference),
+        };
+        running.engine.withhold(order.id);
+        Some(event)
+    }
+
     /// Load goes to the coordinator, wherever it is.
     fn pass_on_load(&mut self, now: Now, load: RankLoad) {
         let Some(running) = &mut self.running else { return };
@@ -216,30 +263,38 @@
     }
 
     fn handle(&mut self, now: Now, event: GroupEvent, audit: &mut Vec<Change>) {
-        let Some(running) = &mut self.running else { return };
-        let mut actions = Vec::new();
-        running.member.handle(now, event, &mut actions);
-        for action in actions {
-            self.act(now, action, audit);
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let Some(running) = &mut self.running else { return };
+            let mut actions = Vec::new();
+            running.member.handle(now, event, &mut actions);
+            for action in actions {
+                events.extend(self.act(now, action, audit));
+            }
         }
     }
 
-    fn act(&mut self, now: Now, action: GroupAction, audit: &mut Vec<Change>) {
+    /// Carries out an action; gives what the member has to learn after all of its actions.
+    ///
+    /// Told in between, it might give orders that overtake those it has given before.
+    fn act(
+        &mut self,
+        now: Now,
+        action: GroupAction,
+        audit: &mut Vec<Change>,
+    ) -> Option<GroupEvent> {
         match action {
             GroupAction::Send { to, message } => {
                 self.peers.send(now, &to, Frame::Group(Box::new(message)));
             }
-            GroupAction::Order(order) => {
-                if let Some(running) = &self.running {
-                    running.engine.order(order);
-                }
-            }
+            GroupAction::Order(order) => return self.order(now, order),
             GroupAction::Alarm(violation) => {
                 log::error!(target: "group", violation = violation.to_string().as_str(); "halted");
                 audit.push(Change::InvariantViolated { detail: violation.to_string() });
             }
             GroupAction::Audit(record) => self.record(now, record, audit),
         }
+        None
     }
 
     fn record(&mut self, now: Now, record: GroupRecord, audit: &mut Vec<Change>) {
--- a/crates/agent/src/group/mod.rs
+++ b/crates/agent/src/group/mod.rs
@@ -4,10 +4,12 @@
 //!   `hickorycross_core::group` and carries out its actions.
 //! - `peers` keeps links to the agents of the other members.
 //! - `engine` gives orders and reads the engine's state and load.
+//! - `loading` keeps loads within the agent's share of the weight store.
 //! - `balance` lets the coordinator decide when to propose another map.
 
 mod balance;
 mod engine;
+mod loading;
 mod member;
 mod peers;
 
--- a/crates/core/src/group/border.rs
+++ b/crates/core/src/group/border.rs
@@ -38,6 +38,11 @@
     },
     /// A rank has completed a step. Reports may come late and with gaps.
     EngineReported(StepReport),
+    /// An order to load a map was kept back until the weight store's rate allows it. The order is
+    /// reported failed as well, so that other orders do not wait for it.
+    EngineStageHeld(MapRef),
+    /// The map whose load was kept back may be loaded now.
+    EngineStageDue(MapRef),
     /// The engine has loaded a map.
     EngineStaged(MapRef),
     /// The engine could not load a map.
--- a/crates/core/src/group/engine.rs
+++ b/crates/core/src/group/engine.rs
@@ -4,7 +4,8 @@
 //! awaits its answer or failure before the next, so that the answer to an inspection covers every
 //! earlier order of this process; it reports either to the core. It sends orders only while it holds the loopback port that
 //! excludes a second agent on the same instance. It never sends an order twice by itself: the core
-//! repeats what still matters at each heartbeat.
+//! repeats what still matters at each heartbeat. A `Stage` may be kept back by reporting it held and
+//! failed; the core orders it anew, under the fencing token of that moment, when it is reported due.
 //!
 //! Of the engines it is asked that a step is made by all ranks together, each on the map that it is
 //! granted for the step, and only on grants of equal epochs. The next step is the one after the
--- a/crates/core/src/group/engine_view.rs
+++ b/crates/core/src/group/engine_view.rs
@@ -15,6 +15,8 @@
 pub(crate) struct EngineView {
     pub(crate) state: EngineState,
     pub(crate) stage_failed: Option<MapRef>,
+    /// The map whose load is kept back.
+    pub(crate) held: Option<MapRef>,
     last_step: Option<StepReport>,
     last_order: OrderId,
     /// The latest order answered.
@@ -46,6 +48,7 @@
             EngineOrder::Stage { map } => {
                 self.state.staging = Some(map.reference());
                 self.stage_failed = None;
+                self.held = None;
             }
             EngineOrder::Discard { map } => self.state.resident.retain(|held| held != map),
             EngineOrder::Inspect | EngineOrder::ReadMap { .. } => {}
@@ -105,11 +108,13 @@
             self.state.resident.push(map);
         }
         self.state.staging = self.state.staging.filter(|&staging| staging != map);
+        self.held = self.held.filter(|&held| held != map);
     }
 
     /// Notes that a map could not be loaded.
     pub(crate) fn stage_failed(&mut self, map: MapRef) {
         self.state.staging = self.state.staging.filter(|&staging| staging != map);
+        self.held = self.held.filter(|&held| held != map);
         self.stage_failed = Some(map);
     }
 
@@ -136,9 +141,17 @@
         self.state.resident.contains(&map)
     }
 
+    /// Whether a map is being loaded, or will be when its turn comes.
+    pub(crate) fn is_staging(&self, map: MapRef) -> bool {
+        self.state.staging == Some(map) || self.held == Some(map)
+    }
+
+    /// A map whose load is kept back counts as being loaded: the coordinator would otherwise send
+    /// its content anew every second.
     pub(crate) fn member_state(&self, is_halted: bool) -> MemberState {
+        let staging = self.held.or(self.state.staging);
         MemberState {
-            engine: self.state.clone(),
+            engine: EngineState { staging, ..self.state.clone() },
             stage_failed: self.stage_failed,
             last_step: self.last_step,
             is_halted,
--- a/crates/core/src/group/follower.rs
+++ b/crates/core/src/group/follower.rs
@@ -148,6 +148,20 @@
         self.use_heartbeat();
     }
 
+    pub(crate) fn engine_stage_held(&mut self, map: MapRef) {
+        self.engine.held = Some(map);
+    }
+
+    /// Orders a load that was kept back, unless the coordinator has given it up meanwhile.
+    pub(crate) fn engine_stage_due(&mut self, map: MapRef) {
+        if self.engine.held.take_if(|held| *held == map).is_none() {
+            return;
+        }
+        if let Some(map) = self.shelf.get(map).cloned() {
+            self.order(EngineOrder::Stage { map });
+        }
+    }
+
     pub(crate) fn engine_stage_failed(&mut self, map: MapRef) {
         self.engine.stage_failed(map);
         self.report();
@@ -171,9 +185,22 @@
         promised.heartbeat = Some(heartbeat);
         self.failed_campaigns = 0;
         self.campaign_after(now, LEASE_MS);
+        self.hasten_held();
         self.use_heartbeat();
     }
 
+    /// Ends the wait of a load that a grant has come to need.
+    ///
+    /// A map may arrive before the heartbeat that grants it. Kept back until its turn, it would
+    /// stop the group for so long.
+    fn hasten_held(&mut self) {
+        if let Some(map) = self.engine.held
+            && self.is_needed_now(map)
+        {
+            self.engine_stage_due(map);
+        }
+    }
+
     /// Gives the engine what the latest heartbeat grants and reports back.
     fn use_heartbeat(&mut self) {
         let Some(promised) = &self.promised else {
@@ -248,6 +275,7 @@
             self.order(EngineOrder::Discard { map });
         }
         self.shelf.retain(named);
+        self.engine.held = self.engine.held.filter(|&map| named(map));
     }
 
     fn report(&mut self) {
@@ -270,8 +298,7 @@
             return;
         }
         let reference = self.shelf.put(map.clone());
-        let is_loading = self.engine.state.staging == Some(reference);
-        if !is_loading && !self.engine.is_resident(reference) {
+        if !self.engine.is_staging(reference) && !self.engine.is_resident(reference) {
             self.order(EngineOrder::Stage { map });
         }
     }
--- a/crates/core/src/group/member.rs
+++ b/crates/core/src/group/member.rs
@@ -4,6 +4,7 @@
 use super::border::{GroupAction, GroupEvent};
 use super::engine::{EngineOrder, OrderId};
 use super::engine_view::EngineView;
+use super::map::{ExpertMap, MapRef};
 use super::mechanisms::Mechanisms;
 use super::membership::{Membership, Place};
 use super::message::{GroupBody, GroupMessage};
@@ -14,6 +15,7 @@
 use crate::{Fencing, Incarnation, Now, UnixMs};
 use hickorycross_config::BackendServerId;
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 /// What a member knows of itself when it starts.
 #[derive(Clone, Debug)]
@@ -116,6 +118,20 @@
         self.is_halted
     }
 
+    /// Whether a map's load must not be kept back: the engine holds none, or a grant names it.
+    #[must_use]
+    pub fn is_needed_now(&self, map: MapRef) -> bool {
+        let heartbeat = self.promised.as_ref().and_then(|promised| promised.heartbeat.as_ref());
+        let granted = heartbeat.into_iter().flat_map(|heartbeat| &heartbeat.grants);
+        self.engine.state.resident.is_empty() || granted.into_iter().any(|one| one.map == map)
+    }
+
+    /// Contents, as far as known, of the maps that the engine holds.
+    pub fn loaded_maps(&self) -> impl Iterator<Item = &ExpertMap> + Clone {
+        let resident = self.engine.state.resident.iter();
+        resident.filter_map(|&map| self.shelf.get(map)).map(Arc::as_ref)
+    }
+
     fn dispatch(&mut self, now: Now, event: GroupEvent) {
         match event {
             GroupEvent::Tick => self.tick(now),
@@ -124,6 +140,8 @@
             GroupEvent::EngineFailed { id } => self.engine_failed(id),
             GroupEvent::EngineRefused { id, seen } => self.engine_refused(id, seen),
             GroupEvent::EngineReported(report) => self.engine_reported(report),
+            GroupEvent::EngineStageHeld(map) => self.engine_stage_held(map),
+            GroupEvent::EngineStageDue(map) => self.engine_stage_due(map),
             GroupEvent::EngineStaged(map) => self.engine_staged(map),
             GroupEvent::EngineStageFailed(map) => self.engine_stage_failed(map),
             GroupEvent::EngineMapRead(map) => self.take_content(now, map),
--- a/crates/core/src/group/mod.rs
+++ b/crates/core/src/group/mod.rs
@@ -25,6 +25,7 @@
 mod pace;
 mod role;
 mod shelf;
+mod stage_gate;
 mod term;
 pub mod timing;
 
@@ -38,3 +39,6 @@
 pub use member::{GroupMember, MemberSettings};
 pub use membership::{Epoch, Membership, Place};
 pub use message::{GroupBody, GroupMessage, Heartbeat, MemberState};
+pub use stage_gate::{
+    PAID_WITHIN_MS, StageGate, StageNews, StageVerdict, lacking_experts, loads_within,
+};
--- a/crates/core/src/placement/loading.rs
+++ b/crates/core/src/placement/loading.rs
@@ -30,6 +30,21 @@
     pub expert_bytes: u64,
 }
 
+impl LoaderSettings {
+    /// Bytes a second that each agent may load.
+    #[must_use]
+    pub fn share_bytes_per_s(&self) -> u64 {
+        self.store_bytes_per_s / u64::from(self.agents.max(1))
+    }
+
+    /// The span in which the agent's fair share of the store's rate pays for one load.
+    #[must_use]
+    pub fn turn_ms(&self) -> u64 {
+        let share = self.share_bytes_per_s().max(1);
+        self.expert_bytes.saturating_mul(MS_PER_S).div_ceil(share)
+    }
+}
+
 /// Names one load of one change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LoadKey {
@@ -223,10 +238,8 @@
         }
     }
 
-    /// The span in which the agent's fair share of the store's rate pays for one load.
     fn turn_ms(&self) -> u64 {
-        let rate = self.settings.store_bytes_per_s / u64::from(self.settings.agents.max(1));
-        self.settings.expert_bytes.saturating_mul(MS_PER_S).div_ceil(rate.max(1))
+        self.settings.turn_ms()
     }
 
     fn overdue(&self, now: Now) -> Option<AbandonCause> {
--- a/crates/core/src/placement/weighted.rs
+++ b/crates/core/src/placement/weighted.rs
@@ -9,6 +9,7 @@
 use crate::placement::realised::Realised;
 use crate::placement::report::{LoadReport, ReportFault};
 use crate::placement::search::{LayerSearch, Trial};
+use crate::placement::server_loads::ServerLoads;
 use crate::placement::shape::GroupShape;
 use crate::time::Now;
 use hickorycross_config::Balance;
@@ -26,6 +27,20 @@
     pub balance: Balance,
     /// Experts loaded in one change at most, on average for each layer.
     pub max_loads_per_layer: u32,
+    /// What one server may load in one change; none where nothing bounds it.
+    pub server_cap: Option<ServerLoadCap>,
+}
+
+/// Bounds the loads of one server in one change.
+///
+/// A change whose loads one agent cannot pay for in time is abandoned, and would be proposed again
+/// as soon as the cool-down ends; one would notice weights read for maps that never come into use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLoadCap {
+    /// Ranks on each server, in rank order.
+    pub ranks_per_server: u16,
+    /// Experts that its ranks may load in one change.
+    pub max_loads: u32,
 }
 
 impl WeightedSettings {
@@ -35,7 +50,7 @@
     /// Settings for a document's weights.
     #[must_use]
     pub const fn new(balance: Balance) -> Self {
-        Self { balance, max_loads_per_layer: Self::MAX_LOADS_PER_LAYER }
+        Self { balance, max_loads_per_layer: Self::MAX_LOADS_PER_LAYER, server_cap: None }
     }
 }
 
@@ -45,6 +60,7 @@
     estimator: LoadEstimator,
     cost: CostModel,
     max_loads: u32,
+    server_cap: Option<ServerLoadCap>,
     cool_down: CoolDown,
     judged: Option<Realised>,
 }
@@ -57,6 +73,7 @@
             estimator: LoadEstimator::new(shape),
             cost: CostModel::new(settings.balance, &shape),
             max_loads: settings.max_loads_per_layer.saturating_mul(u32::from(shape.layers)),
+            server_cap: settings.server_cap,
             cool_down: CoolDown::new(),
             judged: None,
         }
@@ -81,7 +98,12 @@
         let mut layers = self.layer_searches(present);
         let mut best: Vec<_> = layers.iter_mut().map(|layer| layer.best(worth)).collect();
         let (mut loads, mut total_worth) = (0, 0.0);
+        let mut servers = ServerLoads::new(self.server_cap);
         while let Some((layer, trial)) = most_worth(&best, worth) {
+            if !servers.take(&trial) {
+                best[layer] = None;
+                continue;
+            }
             loads += trial.loads;
             if loads > self.max_loads {
                 break;
--- a/crates/core/tests/group_faults.rs
+++ b/crates/core/tests/group_faults.rs
@@ -344,6 +344,37 @@
     }
 }
 
+#[test]
+fn loads_kept_back_stop_nothing_else() {
+    // Symptom: a group stands still, or floods its links, while a load waits for the weight store.
+    // Sequence: every agent keeps back the load of a change; it lets it pass later, some before
+    // and some after the coordinator has given the change up.
+    // Cause: grants wait behind the load, the map is handed out anew all the time, or a load that
+    // nobody wants any more is ordered all the same.
+    type Expected = fn(&GroupRecord) -> bool;
+    let cases: [(&str, u64, Expected); 2] = [
+        ("in time", 10_000, |record| matches!(record, GroupRecord::ChangeFinished { .. })),
+        ("too late", 31_000, |record| {
+            let reason = AbandonReason::StageDeadline;
+            matches!(record, GroupRecord::ChangeAbandoned { reason: found, .. } if *found == reason)
+        }),
+    ];
+    for (name, held_ms, expected) in cases {
+        let mut fleet = start_fleet(15, MEMBERS, Mechanisms::ALL);
+        fleet.run_for(3_000);
+        fleet.longest_gap_ms = 0;
+        fleet.holds_loads = true;
+        let proposed_ms = fleet.now_ms;
+        fleet.propose();
+        fleet.run_for(held_ms);
+        assert_eq!(fleet.release_loads(), MEMBERS, "{name}: each load is ordered once");
+        fleet.run_for(10_000);
+        assert!(fleet.has_record(proposed_ms, expected), "{name}");
+        assert_eq!(fleet.longest_gap_ms, fleet.weather.step_ms, "{name}");
+        assert!(fleet.findings.is_empty(), "{name}: {:?}", fleet.findings);
+    }
+}
+
 #[test]
 fn a_grant_that_was_lost_with_its_engines() {
     // Symptom: a sound group stops with an alarm.
--- a/crates/core/tests/placement_map.rs
+++ b/crates/core/tests/placement_map.rs
@@ -5,8 +5,8 @@
 use hickorycross_core::Now;
 use hickorycross_core::placement::{
     Change, ChangeOutcome, ExpertMap, GroupShape, LayerPlacement, LoadReport, MapFault,
-    PeriodicFull, PlainThreshold, RebalancePolicy, ShapeFault, Weighted, WeightedSettings,
-    pack_layer, refine_layer,
+    PeriodicFull, PlainThreshold, RebalancePolicy, ServerLoadCap, ShapeFault, Weighted,
+    WeightedSettings, pack_layer, refine_layer,
 };
 use proptest::prelude::{Strategy, any, proptest};
 use proptest::test_runner::Config;
@@ -103,6 +103,47 @@
     }
 }
 
+struct CapCase {
+    name: &'static str,
+    max_loads: u32,
+    proposes: bool,
+}
+
+// Symptom: changes are abandoned again and again, after their weights have been read.
+// Sequence: demand shifts to experts of few ranks; the change that fits best has one server load
+// more than its share of the weight store pays for in time.
+// Cause: a change is bounded as a whole, not by server.
+#[gtest]
+fn no_server_is_to_load_more_than_it_can() {
+    let cases = [
+        CapCase { name: "nothing", max_loads: 0, proposes: false },
+        CapCase { name: "one", max_loads: 1, proposes: true },
+        CapCase { name: "two", max_loads: 2, proposes: true },
+        CapCase { name: "plenty", max_loads: 100, proposes: true },
+    ];
+    let shape = shape(8, 32, 6);
+    let even = pack_layer(&shape, &[1.0; 32]);
+    let map = ExpertMap { layers: vec![even; 2] };
+    let demand: Vec<f32> = (0..32).map(|expert| if expert < 4 { 9e4 } else { 1e4 }).collect();
+    let mut most = Vec::new();
+    for CapCase { name, max_loads, proposes } in cases {
+        let cap = ServerLoadCap { ranks_per_server: 2, max_loads };
+        let settings = WeightedSettings { server_cap: Some(cap), ..WeightedSettings::new(BALANCE) };
+        let mut policy = Weighted::new(shape, &settings);
+        let change = (0..60).find_map(|index| {
+            policy.observe(&report(index, &demand, shape.layers)).expect("well-formed");
+            policy.decide(Now::at(index * 1000), &map)
+        });
+        expect_that!(change.is_some(), eq(proposes), "{name}");
+        let loads = change.map_or_else(Vec::new, |change| change.loads);
+        let of = |server| loads.iter().filter(|load| load.rank / 2 == server).count();
+        let server_most = (0..4).map(of).max().unwrap_or(0);
+        expect_that!(server_most, le(max_loads as usize), "{name}");
+        most.push(server_most);
+    }
+    expect_that!(most[3], gt(2), "the caps bind: {most:?}");
+}
+
 fn policies(shape: GroupShape) -> Vec<Box<dyn RebalancePolicy>> {
     vec![
         Box::new(PeriodicFull::new(shape, 1000, Now::at(0).unix_ms)),
--- a/crates/core/tests/support/group_fleet.rs
+++ b/crates/core/tests/support/group_fleet.rs
@@ -121,6 +121,9 @@
     pub(crate) joining_engines_keep_grants: bool,
     /// An engine reports every so many steps.
     pub(crate) report_every: u64,
+    /// Agents keep loads back until [`Fleet::release_loads`].
+    pub(crate) holds_loads: bool,
+    held_loads: Vec<(BackendServerId, MapRef)>,
     /// Share of started agents that know an old membership at first.
     pub(crate) stale_starts_permille: u32,
     old_memberships: Vec<Membership>,
@@ -177,6 +180,8 @@
             engines_match_epochs: true,
             joining_engines_keep_grants: false,
             report_every: 1,
+            holds_loads: false,
+            held_loads: Vec::new(),
             stale_starts_permille: 0,
             old_memberships: Vec::new(),
             servers: IndexMap::new(),
@@ -412,6 +417,16 @@
         }
     }
 
+    /// Lets every load pass that was kept back; gives how many those were.
+    pub(crate) fn release_loads(&mut self) -> usize {
+        self.holds_loads = false;
+        let held = std::mem::take(&mut self.held_loads);
+        for (id, map) in &held {
+            self.handle(id, GroupEvent::EngineStageDue(*map));
+        }
+        held.len()
+    }
+
     /// The bound of this fleet's stalls, for the present weather.
     pub(crate) fn stall_bound_ms(&self) -> u64 {
         let members = self.membership.servers.len() as u64;
@@ -550,7 +565,13 @@
         let server = &mut self.servers[&to];
         let FencedOrder { id, fencing, order } = fenced;
         let mut events = Vec::new();
-        if server.engine.life != life {
+        if let EngineOrder::Stage { map } = &order
+            && self.holds_loads
+        {
+            self.held_loads.push((to.clone(), map.reference()));
+            events.push(GroupEvent::EngineStageHeld(map.reference()));
+            events.push(GroupEvent::EngineFailed { id });
+        } else if server.engine.life != life {
             events.push(GroupEvent::EngineFailed { id });
         } else {
             let is_old = server.checks_fencing && fencing < server.engine.seen;
