--- a/crates/agent/src/group/engine.rs
+++ b/crates/agent/src/group/engine.rs
@@ -32,7 +32,7 @@
     /// It refused an order for its old fencing token.
     Refused { id: OrderId, seen: Fencing },
     /// It gave the content of a map.
-    MapRead(Arc<ExpertMap>),
+    MapRead { id: OrderId, map: Arc<ExpertMap> },
     /// What its ranks have done.
     Ranks(RanksReport),
     /// Load of its ranks in the latest window of steps.
@@ -41,6 +41,12 @@
     Decided(Box<Decision>),
 }
 
+/// A place in the queue of orders.
+enum Queued {
+    Give(FencedOrder),
+    Withhold(OrderId),
+}
+
 /// An order on the wire.
 #[derive(Serialize)]
 struct OrderCall<'a> {
@@ -72,7 +78,7 @@
 /// The engine beside this agent.
 #[derive(Debug)]
 pub(crate) struct Engine {
-    orders: UnboundedSender<FencedOrder>,
+    orders: UnboundedSender<Queued>,
     tasks: [AbortHandle; 3],
 }
 
@@ -90,7 +96,14 @@
 
     /// Gives an order after those given before.
     pub(crate) fn order(&self, order: FencedOrder) {
-        let _ = self.orders.send(order);
+        let _ = self.orders.send(Queued::Give(order));
+    }
+
+    /// Reports an order failed without giving it, after those given before are answered.
+    ///
+    /// Reported at once, it would make the core believe that earlier orders are answered too.
+    pub(crate) fn withhold(&self, id: OrderId) {
+        let _ = self.orders.send(Queued::Withhold(id));
     }
 }
 
@@ -120,7 +133,9 @@
     async fn carry_out(&self, order: &FencedOrder) -> Result<EngineEvent, reqwest::Error> {
         let id = order.id;
         if let EngineOrder::ReadMap { map } = order.order {
-            return Ok(self.read_map(map).await?.unwrap_or(EngineEvent::Failed { id }));
+            let found = self.read_map(map).await?;
+            let read = |map| EngineEvent::MapRead { id, map };
+            return Ok(found.map_or(EngineEvent::Failed { id }, read));
         }
         let call = OrderCall { fencing: order.fencing, order: &order.order };
         let url = format!("{}/v1/orders", self.base_url);
@@ -135,11 +150,11 @@
         }
     }
 
-    async fn read_map(&self, wanted: MapRef) -> Result<Option<EngineEvent>, reqwest::Error> {
+    async fn read_map(&self, wanted: MapRef) -> Result<Option<Arc<ExpertMap>>, reqwest::Error> {
         let url = format!("{}/v1/ranks/maps", self.base_url);
         let maps: Maps = self.client.get(url).send().await?.json().await?;
         let found = maps.maps.into_iter().find(|map| map.reference() == wanted);
-        Ok(found.map(|map| EngineEvent::MapRead(Arc::new(map))))
+        Ok(found.map(Arc::new))
     }
 
     async fn ranks(&self) -> Result<RanksReport, reqwest::Error> {
@@ -161,11 +176,16 @@
 /// Gives one order at a time, so that the answer to an inspection covers every order before it.
 async fn give_orders(
     calls: Calls,
-    mut orders: UnboundedReceiver<FencedOrder>,
+    mut orders: UnboundedReceiver<Queued>,
     events: UnboundedSender<EngineEvent>,
 ) {
     while let Some(order) = orders.recv().await {
-        let event = calls.carry_out(&order).await.unwrap_or(EngineEvent::Failed { id: order.id });
+        let event = match order {
+            Queued::Give(order) => {
+                calls.carry_out(&order).await.unwrap_or(EngineEvent::Failed { id: order.id })
+            }
+            Queued::Withhold(id) => EngineEvent::Failed { id },
+        };
         if events.send(event).is_err() {
             return;
         }
