fix(placement): spans of load that all agents of a group cut alike

Cause: each agent passed on the latest window that it found at its engine every half second; windows are 100 ms, the collector needs the same window from all engines, and the three were seldom the same, so that the group was hardly ever weighed. Engines now give all windows after a step, and agents sum them up to spans that end at multiples of 200 steps.

--- a/crates/agent/src/group/engine.rs
+++ b/crates/agent/src/group/engine.rs
@@ -7,7 +7,7 @@
 use hickorycross_core::group::{
     EngineOrder, EngineState, ExpertMap, FencedOrder, MapRef, OrderId, StepReport,
 };
-use hickorycross_core::placement::RankLoad;
+use hickorycross_core::placement::{RankLoad, SpanBuilder};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,7 +35,7 @@
     MapRead { id: OrderId, map: Arc<ExpertMap> },
     /// What its ranks have done.
     Ranks(RanksReport),
-    /// Load of its ranks in the latest window of steps.
+    /// Load of its ranks over a span of steps.
     Load(RankLoad),
     /// A decision about the map has been made.
     Decided(Box<Decision>),
@@ -59,6 +59,11 @@
     highest: Fencing,
 }
 
+#[derive(Deserialize)]
+struct Loads {
+    windows: Vec<RankLoad>,
+}
+
 #[derive(Deserialize)]
 struct Maps {
     maps: Vec<ExpertMap>,
@@ -162,14 +167,10 @@
         self.client.get(url).send().await?.error_for_status()?.json().await
     }
 
-    /// The latest window that ends after a step; none when there is none yet.
-    async fn load(&self, after_step: u64) -> Result<Option<RankLoad>, reqwest::Error> {
+    /// The windows that end after a step, oldest first.
+    async fn loads(&self, after_step: u64) -> Result<Loads, reqwest::Error> {
         let url = format!("{}/v1/ranks/load?after={after_step}", self.base_url);
-        let response = self.client.get(url).send().await?.error_for_status()?;
-        if response.status().as_u16() == 204 {
-            return Ok(None);
-        }
-        response.json().await.map(Some)
+        self.client.get(url).send().await?.error_for_status()?.json().await
     }
 }
 
@@ -208,18 +209,20 @@
 }
 
 async fn watch_load(calls: Calls, events: UnboundedSender<EngineEvent>) {
-    let mut reported = 0;
+    let mut read_through = 0;
+    let mut spans = SpanBuilder::default();
     loop {
-        let pause = match calls.load(reported).await {
-            Ok(Some(load)) => {
-                // An engine that starts anew counts its steps anew.
-                reported = load.last_step;
-                if events.send(EngineEvent::Load(load)).is_err() {
-                    return;
+        let pause = match calls.loads(read_through).await {
+            Ok(loads) => {
+                for window in loads.windows {
+                    read_through = window.last_step;
+                    let Some(span) = spans.push(window) else { continue };
+                    if events.send(EngineEvent::Load(span)).is_err() {
+                        return;
+                    }
                 }
                 LOAD_PAUSE
             }
-            Ok(None) => LOAD_PAUSE,
             Err(_) => ABSENT_PAUSE,
         };
         tokio::time::sleep(pause).await;
--- a/crates/core/src/placement/collect.rs
+++ b/crates/core/src/placement/collect.rs
@@ -23,6 +23,53 @@
     pub layer_loads_tokens: Vec<Vec<u32>>,
 }
 
+/// Steps over which an agent sums up its engine's windows, at least.
+///
+/// Every engine of a group ends its windows at the same steps, but agents read them at different
+/// moments. Were each to pass on the latest window that it finds, windows of distinct engines would
+/// seldom be the same, and one would see no report of the group for minutes. Spans end at multiples
+/// of this number of steps, whoever reads when.
+pub const SPAN_STEPS: u64 = 200;
+
+/// Sums up the windows of one engine into spans that all agents of the group cut alike.
+#[derive(Debug, Default)]
+pub struct SpanBuilder {
+    open: Option<RankLoad>,
+}
+
+impl SpanBuilder {
+    /// Takes the next window; gives the span that it completes.
+    pub fn push(&mut self, window: RankLoad) -> Option<RankLoad> {
+        let ends_span = window.first_step / SPAN_STEPS != (window.last_step + 1) / SPAN_STEPS;
+        let is_next = self.open.as_ref().is_some_and(|open| {
+            open.last_step + 1 == window.first_step && open.first_rank == window.first_rank
+        });
+        let span = match self.open.take().filter(|_| is_next) {
+            Some(mut open) => {
+                open.last_step = window.last_step;
+                add_layers(&mut open.layer_loads_tokens, &window.layer_loads_tokens);
+                open
+            }
+            None => window,
+        };
+        if ends_span {
+            return Some(span);
+        }
+        self.open = Some(span);
+        None
+    }
+}
+
+fn add_layers(sums: &mut Vec<Vec<u32>>, layers: &[Vec<u32>]) {
+    sums.resize_with(sums.len().max(layers.len()), Vec::new);
+    for (sum, tokens) in sums.iter_mut().zip(layers) {
+        sum.resize(sum.len().max(tokens.len()), 0);
+        for (sum, tokens) in sum.iter_mut().zip(tokens) {
+            *sum = sum.saturating_add(*tokens);
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Window {
     first_step: u64,
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -27,7 +27,7 @@
 mod threshold;
 mod weighted;
 
-pub use collect::{LoadCollector, RankLoad};
+pub use collect::{LoadCollector, RankLoad, SPAN_STEPS, SpanBuilder};
 pub use cost::{CostModel, HORIZON_MS, STALL_STEPS_PER_CHANGE};
 pub use estimate::LoadEstimator;
 pub use layer::{ExpertLoad, ExpertMap, LayerPlacement, MapFault};
--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -4,6 +4,7 @@
 use crate::group::{OrderCall, RankHost};
 use crate::reply::{MAX_BODY_BYTES, Reply};
 use hickorycross_core::group::ExpertMap;
+use hickorycross_core::placement::RankLoad;
 use rocket::data::{Data, ToByteUnit as _};
 use rocket::http::Status;
 use rocket::{Route, get, post};
@@ -47,13 +48,13 @@
 
 #[get("/v1/ranks/load?<after>")]
 fn load(state: &Shared, after: u64) -> Reply {
-    let Some(ranks) = &state.ranks else {
-        return Reply::empty(Status::NotFound);
-    };
-    match ranks.load(after) {
-        Some(load) => Reply::json(Status::Ok, &load),
-        None => Reply::empty(Status::NoContent),
-    }
+    reply(state, |ranks| Loads { windows: ranks.loads(after) })
+}
+
+/// Body of `GET /v1/ranks/load`.
+#[derive(Serialize)]
+struct Loads {
+    windows: Vec<RankLoad>,
 }
 
 /// Body of `GET /v1/ranks/maps`: the maps in use, granted or staged.
--- a/crates/standins/src/group/host.rs
+++ b/crates/standins/src/group/host.rs
@@ -14,6 +14,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Windows whose load can still be read.
+const MAX_KEPT_WINDOWS: usize = 256;
+
 /// Which ranks an engine hosts, and how.
 #[derive(Clone, Debug)]
 pub struct RankOptions {
@@ -109,8 +112,7 @@
     pub(super) fn publish(&self, load: RankLoad, readable: Instant) {
         let mut table = self.lock();
         table.windows.push_back(Published { readable, load });
-        let now = Instant::now();
-        while table.windows.get(1).is_some_and(|next| next.readable <= now) {
+        while table.windows.len() > MAX_KEPT_WINDOWS {
             table.windows.pop_front();
         }
     }
@@ -211,11 +213,12 @@
         }
     }
 
-    /// The latest readable window that ends after a step.
-    pub(crate) fn load(&self, after_step: u64) -> Option<RankLoad> {
+    /// The readable windows that end after a step, oldest first.
+    pub(crate) fn loads(&self, after_step: u64) -> Vec<RankLoad> {
         let now = Instant::now();
         let table = self.lock();
-        let readable = table.windows.iter().rev().find(|published| published.readable <= now)?;
-        (readable.load.last_step > after_step).then(|| readable.load.clone())
+        let readable = table.windows.iter().filter(|published| published.readable <= now);
+        let loads = readable.map(|published| &published.load);
+        loads.filter(|load| load.last_step > after_step).cloned().collect()
     }
 }
--- a/crates/standins/tests/group.rs
+++ b/crates/standins/tests/group.rs
@@ -122,9 +122,17 @@
     }
 }
 
+#[derive(serde::Deserialize)]
+struct Loads {
+    windows: Vec<RankLoad>,
+}
+
 async fn load(engine: &EngineStandIn) -> RankLoad {
     let url = format!("http://{}/v1/ranks/load?after=0", engine.address());
-    reqwest::get(url).await.unwrap().json().await.unwrap()
+    let loads: Loads = reqwest::get(url).await.unwrap().json().await.unwrap();
+    let windows = loads.windows;
+    assert!(windows.windows(2).all(|pair| pair[0].last_step < pair[1].first_step));
+    windows.into_iter().next_back().unwrap()
 }
 
 async fn report(engine: &EngineStandIn) -> RanksReport {
