--- a/crates/entry/src/callers/body.rs
+++ b/crates/entry/src/callers/body.rs
@@ -8,6 +8,7 @@
 use rocket::http::{Method, Status};
 use rocket::{Data, Request};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Rocket looks for a method in so many bytes of a form.
 const METHOD_FIELD_BYTES: usize = "_method=delete".len();
@@ -16,12 +17,13 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct BodyRules {
     limit: ByteUnit,
-    timeout: Duration,
+    /// A span as the settings give it; each read turns it into a deadline.
+    timeout_ms: u64,
 }
 
 impl BodyRules {
-    pub(super) fn new(limit_bytes: u64, timeout: Duration) -> Self {
-        Self { limit: ByteUnit::Byte(limit_bytes), timeout }
+    pub(super) fn new(limit_bytes: u64, timeout_ms: u64) -> Self {
+        Self { limit: ByteUnit::Byte(limit_bytes), timeout_ms }
     }
 
     /// Reads a body whole. One whose announced length is too large is refused unread.
@@ -36,8 +38,8 @@
             return Err(self.too_large());
         }
         let reading = data.open(self.limit).into_bytes();
-        let read =
-            tokio::time::timeout(self.timeout, reading).await.map_err(|_| self.too_slow())?;
+        let deadline = Instant::now() + Duration::from_millis(self.timeout_ms);
+        let read = tokio::time::timeout_at(deadline, reading).await.map_err(|_| self.too_slow())?;
         let body =
             read.map_err(|error| Rejected::bad_request(format!("the body broke off: {error}")))?;
         if !body.is_complete() {
@@ -50,7 +52,7 @@
         Rejected {
             status: Status::RequestTimeout,
             code: RefusalCode::DeadlinePassed,
-            detail: format!("the body took longer than {} ms", self.timeout.as_millis()),
+            detail: format!("the body took longer than {} ms", self.timeout_ms),
             retry_at: None,
         }
     }
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -25,7 +25,6 @@
 use std::io::Cursor;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -48,7 +47,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Bounds {
     pub(crate) body_limit_bytes: u64,
-    pub(crate) body_timeout: Duration,
+    pub(crate) body_timeout_ms: u64,
     pub(crate) open_requests: u32,
 }
 
@@ -82,7 +81,7 @@
             next: AtomicU64::new(1),
             driver,
             clock,
-            body: BodyRules::new(bounds.body_limit_bytes, bounds.body_timeout),
+            body: BodyRules::new(bounds.body_limit_bytes, bounds.body_timeout_ms),
             open: Arc::new(Semaphore::new(bounds.open_requests as usize)),
             open_requests: bounds.open_requests,
             catalog,
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -24,6 +24,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
 
 /// Numbers of links from here on belong to the start gate; the core counts from one.
 const FIRST_GATE_LINK: LinkId = LinkId(1 << 62);
@@ -49,7 +50,8 @@
     operators: Running,
     /// The platform's balancer needs a few checks to notice that the readiness check fails; until
     /// then it sends new requests, and they are served.
-    balancer_notice: Duration,
+    /// A span as the settings give it; a drain turns it into a deadline.
+    balancer_notice_ms: u64,
     _renewal: Renewal,
 }
 
@@ -118,7 +120,6 @@
         let inputs =
             Inputs { callers: caller_events, links: link_events, platform, drain: drain_asked };
         let driver = tokio::spawn(driver.run(inputs));
-        let balancer_notice = Duration::from_millis(settings.balancer_notice_ms);
         Ok(Self {
             driver,
             drain: Some(drain),
@@ -126,7 +127,7 @@
             callers,
             server: caller_server,
             operators,
-            balancer_notice,
+            balancer_notice_ms: settings.balancer_notice_ms,
             _renewal: renewal,
         })
     }
@@ -135,7 +136,8 @@
     /// stops.
     pub async fn drain(mut self) {
         self.view.update(|status| status.draining = true);
-        tokio::time::sleep(self.balancer_notice).await;
+        let noticed = Instant::now() + Duration::from_millis(self.balancer_notice_ms);
+        tokio::time::sleep_until(noticed).await;
         if let Some(drain) = self.drain.take() {
             let _ = drain.send(());
         }
@@ -149,7 +151,7 @@
 fn bounds(settings: &Settings) -> Bounds {
     Bounds {
         body_limit_bytes: settings.body_limit_bytes,
-        body_timeout: Duration::from_millis(settings.body_timeout_ms),
+        body_timeout_ms: settings.body_timeout_ms,
         open_requests: settings.open_requests,
     }
 }
