refactor(runtime): one follower of the configuration for both drivers

Cause: the agent's driver and the entry's repeated how a process follows the configuration: the exchange's actions, the start gate, offers, announcements and requests, the mode of following the platform, the refused stamp in the view. Each change of that logic had to be made twice and alike.

ConfigFollower in the runtime now owns the exchange, the start gate, the offer cache and the mode of following. It returns the document that an event put in force; the driver hands it to its core and then lets the follower announce it.

Ruled out: announcing before the document is returned. Frames that the core or the group sends on adoption would then follow the announcement on a link; they went before it and still do.

The order changes in two places. After a document of the platform the links of the gate are settled at once, where the next tick did it, 20 ms later at most. The refused stamp in the view follows the stamp in force before the core adopts the document, where it followed after.

--- a/crates/agent/src/driver.rs
+++ b/crates/agent/src/driver.rs
@@ -4,23 +4,23 @@
 use crate::export::Export;
 use crate::group::{EngineEvent, Group};
 use hickorycross_config::BackendServerId;
-use hickorycross_core::adoption::{Exchange, ExchangeAction, Probe, StartGate, is_watcher};
 use hickorycross_core::agent::{AgentAction, AgentCore, AgentEvent};
 use hickorycross_core::audit::{AuditRecord, Change};
 use hickorycross_core::message::ToAgent;
-use hickorycross_core::{AttemptId, Instance, InstanceId, LinkId, Verdict};
-use hickorycross_protocol::{ConfigOffer, Frame, Hello, OfferCache, PeerRole};
+use hickorycross_core::{AttemptId, InstanceId, LinkId, Verdict};
+use hickorycross_protocol::{Frame, Hello, PeerRole};
 use hickorycross_runtime::clock::SteadyClock;
+use hickorycross_runtime::follower::{Adopted, ConfigFollower};
 use hickorycross_runtime::link::{LinkEvent, Links};
 use hickorycross_runtime::operators::Inspect;
-use hickorycross_runtime::platform::{Follow, PlatformEvent};
+use hickorycross_runtime::platform::PlatformEvent;
 use hickorycross_runtime::trail::Trail;
 use hickorycross_runtime::view::View;
 use indexmap::IndexMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::MissedTickBehavior;
 
@@ -41,23 +41,18 @@
 pub(crate) struct Parts {
     pub(crate) core: AgentCore,
     pub(crate) group: Group,
-    pub(crate) gate: StartGate,
+    pub(crate) follower: ConfigFollower,
     pub(crate) own: InstanceId,
     pub(crate) links: Links,
     pub(crate) backend: Backend,
     pub(crate) view: Arc<View>,
     pub(crate) trail: Arc<Trail>,
     pub(crate) clock: SteadyClock,
-    pub(crate) follow: watch::Sender<Follow>,
 }
 
 /// Runs an agent until it has drained.
 pub(crate) struct Driver {
     parts: Parts,
-    exchange: Exchange,
-    /// Whether it is among the few that watch the platform's service.
-    watches: bool,
-    offers: OfferCache,
     backend_events: UnboundedSender<AgentEvent>,
     runs: IndexMap<AttemptId, AbortHandle>,
     export: Export,
@@ -72,9 +67,6 @@
         let export = Export::new(&parts.own);
         let driver = Self {
             parts,
-            exchange: Exchange::default(),
-            watches: true,
-            offers: OfferCache::default(),
             backend_events,
             runs: IndexMap::new(),
             export,
@@ -116,10 +108,9 @@
         self.handle(AgentEvent::Tick);
         let now = self.parts.clock.now();
         self.with_group(|group, audit| group.tick(now, audit));
-        let actions = self.exchange.tick(now);
-        self.act_on_exchange(actions);
-        self.settle_gate();
-        let ready = self.exchange.in_force().is_some();
+        let adopted = self.parts.follower.tick(now);
+        self.adopt(adopted);
+        let ready = self.parts.follower.has_document();
         self.parts.view.update(|status| status.ready = ready);
         self.show();
     }
@@ -180,7 +171,7 @@
         let mut changes = Vec::new();
         job(&mut self.parts.group, &mut changes);
         let at = self.parts.clock.now().unix_ms;
-        let stamp = self.exchange.stamp();
+        let stamp = self.parts.follower.stamp();
         for change in changes {
             self.parts.trail.write(AuditRecord::new(at, stamp, change));
         }
@@ -206,11 +197,10 @@
             LinkEvent::Frame { link, frame } => self.on_frame(link, frame),
             LinkEvent::Closed { link, reason } => {
                 log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
-                self.parts.gate.settled(link);
                 self.parts.group.closed(link);
                 self.agents.swap_remove(&link);
-                let actions = self.exchange.closed(self.parts.clock.now(), link);
-                self.act_on_exchange(actions);
+                let adopted = self.parts.follower.closed(self.parts.clock.now(), link);
+                self.adopt(adopted);
                 self.handle(AgentEvent::LinkClosed { link });
             }
         }
@@ -229,12 +219,8 @@
                 }
             }
         }
-        let actions = self.exchange.heard(now, link, hello.stamp);
-        self.act_on_exchange(actions);
-        if self.parts.gate.owns(link) {
-            self.parts.gate.heard(link);
-            self.settle_gate();
-        }
+        let adopted = self.parts.follower.greeted(now, link, hello.stamp);
+        self.adopt(adopted);
     }
 
     fn on_frame(&mut self, link: LinkId, frame: Frame) {
@@ -249,113 +235,34 @@
             Frame::RankLoad(load) => self.parts.group.load(now, *load),
             Frame::ToAgent(message) => {
                 if let ToAgent::Heartbeat { stamp, .. } = &message {
-                    let actions = self.exchange.heard(now, link, *stamp);
-                    self.act_on_exchange(actions);
+                    let adopted = self.parts.follower.heard(now, link, *stamp);
+                    self.adopt(adopted);
                 }
                 self.handle(AgentEvent::Message { link, message });
             }
-            Frame::Announce(stamp) => {
-                let actions = self.exchange.heard(now, link, stamp);
-                self.act_on_exchange(actions);
-            }
-            Frame::ConfigRequest => {
-                let actions = self.exchange.requested(link).into_iter().collect();
-                self.act_on_exchange(actions);
-            }
-            Frame::ConfigOffer(offer) => self.on_offer(&offer),
-            Frame::Hello(_) | Frame::ToEntry(_) => {
-                log::warn!(target: "link", link = link.0; "unexpected frame");
-            }
-        }
-    }
-
-    fn on_offer(&mut self, offer: &ConfigOffer) {
-        let now = self.parts.clock.now();
-        match offer.document() {
-            Ok(document) => {
-                let actions = self.exchange.peer_offer(now, offer.stamp, &document);
-                self.act_on_exchange(actions);
+            other => {
+                let adopted = self.parts.follower.frame(now, link, &other);
+                self.adopt(adopted);
             }
-            Err(error) => log::warn!(target: "link", error:% = error; "unusable offer"),
-        }
-        self.settle_gate();
-    }
-
-    /// Chooses how to follow the platform.
-    ///
-    /// A process without a document watches too. It may have started behind a cut, or beside an
-    /// invalid document, and have no link on which a peer could tell it of a change: one would see
-    /// it stay out of service until its next poll, half a minute after all else is well.
-    fn choose_follow(&self) {
-        let watches = self.watches || self.exchange.in_force().is_none();
-        let follow = if watches { Follow::Watch } else { Follow::Poll };
-        self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
-    }
-
-    /// Closes the links of the start gate from which nothing newer is to come.
-    fn settle_gate(&mut self) {
-        for link in self.parts.gate.settle(|link| self.exchange.awaits(link)) {
-            self.parts.links.close(link);
         }
     }
 
     fn on_platform(&mut self, event: PlatformEvent) {
-        let now = self.parts.clock.now();
-        match event {
-            PlatformEvent::Config(offer) => {
-                let actions = self.exchange.offer(now, &offer);
-                self.act_on_exchange(actions);
-            }
-            PlatformEvent::Instances(instances) => self.on_instances(&instances),
-            PlatformEvent::Unreachable { detail } => {
-                log::warn!(target: "platform", detail = detail.as_str(); "unreachable");
-            }
-        }
-    }
-
-    fn on_instances(&mut self, instances: &[Instance]) {
-        self.watches = is_watcher(&self.parts.own, instances);
-        self.choose_follow();
-        self.parts.group.listed(instances);
-        for Probe { link, address, .. } in self.parts.gate.listed(self.parts.clock.now(), instances)
-        {
-            self.parts.links.open(link, address);
-        }
-    }
-
-    fn act_on_exchange(&mut self, actions: Vec<ExchangeAction>) {
-        for action in actions {
-            match action {
-                ExchangeAction::Adopted { stamp, document } => {
-                    self.choose_follow();
-                    self.parts.view.update(|status| status.stamp = stamp);
-                    self.export.adopt(&document);
-                    let now = self.parts.clock.now();
-                    self.with_group(|group, audit| group.adopt(now, stamp, &document, audit));
-                    self.handle(AgentEvent::Adopted { stamp, document });
-                }
-                ExchangeAction::Announce { link, stamp } => {
-                    self.parts.links.send(link, Frame::Announce(stamp));
-                }
-                ExchangeAction::AnnounceToAll(stamp) => {
-                    self.parts.links.broadcast(&Frame::Announce(stamp));
-                }
-                ExchangeAction::Request { link } => {
-                    self.parts.links.send(link, Frame::ConfigRequest);
-                }
-                ExchangeAction::Offer { link, stamp, bytes } => {
-                    let offer = self.offers.offer(stamp, &bytes);
-                    self.parts.links.send(link, Frame::ConfigOffer(offer));
-                }
-                ExchangeAction::Audit(record) => self.write(record),
-            }
+        if let PlatformEvent::Instances(instances) = &event {
+            self.parts.group.listed(instances);
         }
-        let refused = self.exchange.refused();
-        self.parts.view.update(|status| status.refused = refused);
+        let adopted = self.parts.follower.platform(self.parts.clock.now(), &event);
+        self.adopt(adopted);
     }
 
-    fn write(&self, record: AuditRecord) {
-        self.parts.trail.write(record);
+    /// Hands an adopted document to the export, the group and the core, then tells the peers.
+    fn adopt(&mut self, adopted: Option<Adopted>) {
+        let Some(Adopted { stamp, document }) = adopted else { return };
+        self.export.adopt(&document);
+        let now = self.parts.clock.now();
+        self.with_group(|group, audit| group.adopt(now, stamp, &document, audit));
+        self.handle(AgentEvent::Adopted { stamp, document });
+        self.parts.follower.announce();
     }
 }
 
--- a/crates/agent/src/program.rs
+++ b/crates/agent/src/program.rs
@@ -4,12 +4,12 @@
 use crate::driver::{Driver, Inputs, Parts};
 use crate::group::{Ground, Group};
 use crate::settings::Settings;
-use hickorycross_core::adoption::StartGate;
 use hickorycross_core::agent::{AgentCore, AgentIdentity};
 use hickorycross_core::{Incarnation, LinkId};
 use hickorycross_protocol::PeerRole;
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::exposition::Exposition;
+use hickorycross_runtime::follower::{ConfigFollower, FollowerParts};
 use hickorycross_runtime::link::{Links, Listener};
 use hickorycross_runtime::operators::{self, Views};
 use hickorycross_runtime::platform::{self, Follow};
@@ -118,17 +118,24 @@
             backend_url: settings.backend_url.clone(),
             events: engine_events,
         };
+        let follower = ConfigFollower::new(FollowerParts {
+            own: settings.instance.clone(),
+            first_gate_link: LinkId(0),
+            links: links.clone(),
+            view: view.clone(),
+            trail: trail.clone(),
+            follow,
+        });
         let (driver, backend_events) = Driver::new(Parts {
             group: Group::new(ground, links.clone()),
             core: AgentCore::new(identity, rand::random()),
-            gate: StartGate::new(settings.instance.clone(), LinkId(0)),
+            follower,
             own: settings.instance.clone(),
             links,
             backend,
             view,
             trail,
             clock,
-            follow,
         });
         let (drain, drain_asked) = oneshot::channel();
         let inputs = Inputs { links: link_events, platform, engine, drain: drain_asked };
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -5,22 +5,22 @@
 use crate::inbox::{Inbound, Part};
 use crate::observed::Observed;
 use hickorycross_config::BackendServerId;
-use hickorycross_core::adoption::{Exchange, ExchangeAction, Probe, StartGate, is_watcher};
 use hickorycross_core::entry::{EntryAction, EntryCore, EntryEvent};
 use hickorycross_core::message::{ToAgent, ToEntry};
-use hickorycross_core::{Instance, InstanceId, LinkId, Now, RequestId};
-use hickorycross_protocol::{ConfigOffer, Frame, Hello, OfferCache, PeerRole};
+use hickorycross_core::{InstanceId, LinkId, Now, RequestId};
+use hickorycross_protocol::{Frame, Hello, PeerRole};
 use hickorycross_runtime::clock::SteadyClock;
+use hickorycross_runtime::follower::{Adopted, ConfigFollower};
 use hickorycross_runtime::link::{LinkEvent, Links};
 use hickorycross_runtime::operators::Inspect;
-use hickorycross_runtime::platform::{Follow, PlatformEvent};
+use hickorycross_runtime::platform::PlatformEvent;
 use hickorycross_runtime::trail::Trail;
 use hickorycross_runtime::view::View;
 use indexmap::IndexMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
 
 /// Pause between two ticks of the core.
@@ -37,7 +37,7 @@
 /// What the driver acts on.
 pub(crate) struct Parts {
     pub(crate) core: EntryCore,
-    pub(crate) gate: StartGate,
+    pub(crate) follower: ConfigFollower,
     pub(crate) own: InstanceId,
     pub(crate) links: Links,
     pub(crate) view: Arc<View>,
@@ -45,16 +45,11 @@
     pub(crate) catalog: Arc<Catalog>,
     pub(crate) observed: Arc<Observed>,
     pub(crate) clock: SteadyClock,
-    pub(crate) follow: watch::Sender<Follow>,
 }
 
 /// Runs an entry until it has drained.
 pub(crate) struct Driver {
     parts: Parts,
-    exchange: Exchange,
-    /// Whether it is among the few that watch the platform's service.
-    watches: bool,
-    offers: OfferCache,
     answers: IndexMap<RequestId, UnboundedSender<Part>>,
     /// Backend servers at the other ends of links, for logs.
     backends: IndexMap<LinkId, BackendServerId>,
@@ -67,9 +62,6 @@
         Self {
             export: Export::new(&parts.own),
             parts,
-            exchange: Exchange::default(),
-            watches: true,
-            offers: OfferCache::default(),
             answers: IndexMap::new(),
             backends: IndexMap::new(),
             drained: false,
@@ -97,11 +89,11 @@
 
     fn tick(&mut self) {
         self.handle(EntryEvent::Tick);
-        let actions = self.exchange.tick(self.parts.clock.now());
-        self.act_on_exchange(actions);
-        self.settle_gate();
+        let adopted = self.parts.follower.tick(self.parts.clock.now());
+        self.adopt(adopted);
         let now = self.parts.clock.now();
-        let ready = self.exchange.in_force().is_some() && self.parts.gate.is_open(now);
+        let follower = &self.parts.follower;
+        let ready = follower.has_document() && follower.is_gate_open(now);
         self.parts.view.update(|status| status.ready = ready);
         self.show(now);
     }
@@ -187,10 +179,9 @@
                 log::debug!(target: "link", link = link.0, reason = reason.as_str(); "closed");
                 self.backends.swap_remove(&link);
                 self.parts.observed.fleet().closed(link);
-                self.parts.gate.settled(link);
-                let actions = self.exchange.closed(self.parts.clock.now(), link);
-                self.act_on_exchange(actions);
-                if !self.parts.gate.owns(link) {
+                let adopted = self.parts.follower.closed(self.parts.clock.now(), link);
+                self.adopt(adopted);
+                if !self.parts.follower.owns(link) {
                     self.handle(EntryEvent::LinkClosed { link });
                 }
             }
@@ -200,11 +191,10 @@
     fn on_opened(&mut self, link: LinkId, hello: Hello) {
         let now = self.parts.clock.now();
         self.parts.observed.fleet().greeted(now.unix_ms, link, &hello);
-        let actions = self.exchange.heard(now, link, hello.stamp);
-        self.act_on_exchange(actions);
-        if self.parts.gate.owns(link) {
-            self.parts.gate.heard(link);
-            return self.settle_gate();
+        let adopted = self.parts.follower.greeted(now, link, hello.stamp);
+        self.adopt(adopted);
+        if self.parts.follower.owns(link) {
+            return;
         }
         if let PeerRole::Agent { backend_server } = hello.role {
             let incarnation = hello.incarnation;
@@ -215,115 +205,44 @@
 
     fn on_frame(&mut self, link: LinkId, frame: Frame) {
         let now = self.parts.clock.now();
+        if let Frame::Announce(stamp) = &frame {
+            self.parts.observed.fleet().heard(now.unix_ms, link, *stamp);
+        }
         match frame {
             Frame::ToEntry(message) => {
                 if let ToEntry::HeartbeatAck { stamp, .. } = &message {
                     self.parts.observed.fleet().heard(now.unix_ms, link, *stamp);
-                    let actions = self.exchange.heard(now, link, *stamp);
-                    self.act_on_exchange(actions);
+                    let adopted = self.parts.follower.heard(now, link, *stamp);
+                    self.adopt(adopted);
                 }
                 self.handle(EntryEvent::Message { link, message });
             }
-            Frame::Announce(stamp) => {
-                self.parts.observed.fleet().heard(now.unix_ms, link, stamp);
-                let actions = self.exchange.heard(now, link, stamp);
-                self.act_on_exchange(actions);
-            }
-            Frame::ConfigRequest => {
-                let actions = self.exchange.requested(link).into_iter().collect();
-                self.act_on_exchange(actions);
+            other => {
+                let adopted = self.parts.follower.frame(now, link, &other);
+                self.adopt(adopted);
             }
-            Frame::ConfigOffer(offer) => self.on_offer(&offer),
-            Frame::Hello(_) | Frame::ToAgent(_) | Frame::Group(_) | Frame::RankLoad(_) => {
-                log::warn!(target: "link", link = link.0; "unexpected frame");
-            }
-        }
-    }
-
-    fn on_offer(&mut self, offer: &ConfigOffer) {
-        let now = self.parts.clock.now();
-        match offer.document() {
-            Ok(document) => {
-                let actions = self.exchange.peer_offer(now, offer.stamp, &document);
-                self.act_on_exchange(actions);
-            }
-            Err(error) => log::warn!(target: "link", error:% = error; "unusable offer"),
-        }
-        self.settle_gate();
-    }
-
-    /// Chooses how to follow the platform.
-    ///
-    /// A process without a document watches too. It may have started behind a cut, or beside an
-    /// invalid document, and have no link on which a peer could tell it of a change: one would see
-    /// it stay out of service until its next poll, half a minute after all else is well.
-    fn choose_follow(&self) {
-        let watches = self.watches || self.exchange.in_force().is_none();
-        let follow = if watches { Follow::Watch } else { Follow::Poll };
-        self.parts.follow.send_if_modified(|mode| std::mem::replace(mode, follow) != follow);
-    }
-
-    /// Closes the links of the start gate from which nothing newer is to come.
-    fn settle_gate(&mut self) {
-        for link in self.parts.gate.settle(|link| self.exchange.awaits(link)) {
-            self.parts.links.close(link);
         }
     }
 
     fn on_platform(&mut self, event: PlatformEvent) {
         let now = self.parts.clock.now();
-        match event {
-            PlatformEvent::Config(offer) => {
-                let actions = self.exchange.offer(now, &offer);
-                self.act_on_exchange(actions);
-            }
-            PlatformEvent::Instances(instances) => self.on_instances(instances),
-            PlatformEvent::Unreachable { detail } => {
-                log::warn!(target: "platform", detail = detail.as_str(); "unreachable");
-            }
+        if let PlatformEvent::Instances(instances) = &event {
+            self.parts.observed.fleet().listed(now.unix_ms, instances);
         }
-    }
-
-    fn on_instances(&mut self, instances: Vec<Instance>) {
-        self.watches = is_watcher(&self.parts.own, &instances);
-        self.choose_follow();
-        self.parts.observed.fleet().listed(self.parts.clock.now().unix_ms, &instances);
-        for Probe { link, address, .. } in
-            self.parts.gate.listed(self.parts.clock.now(), &instances)
-        {
-            self.parts.links.open(link, address);
+        let adopted = self.parts.follower.platform(now, &event);
+        self.adopt(adopted);
+        if let PlatformEvent::Instances(instances) = event {
+            self.handle(EntryEvent::Instances(instances));
         }
-        self.handle(EntryEvent::Instances(instances));
     }
 
-    fn act_on_exchange(&mut self, actions: Vec<ExchangeAction>) {
-        for action in actions {
-            match action {
-                ExchangeAction::Adopted { stamp, document } => {
-                    self.choose_follow();
-                    self.parts.view.update(|status| status.stamp = stamp);
-                    self.parts.catalog.adopt(Arc::clone(&document));
-                    self.parts.observed.adopt(stamp, Arc::clone(&document));
-                    self.export.adopt(&document);
-                    self.handle(EntryEvent::Adopted { stamp, document });
-                }
-                ExchangeAction::Announce { link, stamp } => {
-                    self.parts.links.send(link, Frame::Announce(stamp));
-                }
-                ExchangeAction::AnnounceToAll(stamp) => {
-                    self.parts.links.broadcast(&Frame::Announce(stamp));
-                }
-                ExchangeAction::Request { link } => {
-                    self.parts.links.send(link, Frame::ConfigRequest);
-                }
-                ExchangeAction::Offer { link, stamp, bytes } => {
-                    let offer = self.offers.offer(stamp, &bytes);
-                    self.parts.links.send(link, Frame::ConfigOffer(offer));
-                }
-                ExchangeAction::Audit(record) => self.parts.trail.write(record),
-            }
-        }
-        let refused = self.exchange.refused();
-        self.parts.view.update(|status| status.refused = refused);
+    /// Hands an adopted document to all that reads it and to the core, then tells the peers.
+    fn adopt(&mut self, adopted: Option<Adopted>) {
+        let Some(Adopted { stamp, document }) = adopted else { return };
+        self.parts.catalog.adopt(Arc::clone(&document));
+        self.parts.observed.adopt(stamp, Arc::clone(&document));
+        self.export.adopt(&document);
+        self.handle(EntryEvent::Adopted { stamp, document });
+        self.parts.follower.announce();
     }
 }
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -6,12 +6,12 @@
 use crate::driver::{Driver, Inputs, Parts};
 use crate::observed::Observed;
 use crate::settings::Settings;
-use hickorycross_core::adoption::StartGate;
 use hickorycross_core::entry::{EntryCore, EntryIdentity, EntryPolicies};
 use hickorycross_core::{Incarnation, LinkId};
 use hickorycross_protocol::PeerRole;
 use hickorycross_runtime::clock::SteadyClock;
 use hickorycross_runtime::exposition::Exposition;
+use hickorycross_runtime::follower::{ConfigFollower, FollowerParts};
 use hickorycross_runtime::link::Links;
 use hickorycross_runtime::operators::{self, Views};
 use hickorycross_runtime::platform::{self, Follow};
@@ -102,9 +102,17 @@
         let identity =
             EntryIdentity { incarnation, failure_domain: settings.failure_domain.clone() };
         let seed = rand::random();
+        let follower = ConfigFollower::new(FollowerParts {
+            own: settings.instance.clone(),
+            first_gate_link: FIRST_GATE_LINK,
+            links: links.clone(),
+            view: view.clone(),
+            trail: trail.clone(),
+            follow,
+        });
         let driver = Driver::new(Parts {
             core: EntryCore::new(identity, EntryPolicies::production(seed), seed),
-            gate: StartGate::new(settings.instance.clone(), FIRST_GATE_LINK),
+            follower,
             own: settings.instance.clone(),
             links,
             view: view.clone(),
@@ -112,7 +120,6 @@
             catalog,
             observed,
             clock,
-            follow,
         });
         let (drain, drain_asked) = oneshot::channel();
         let inputs =
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`view`] holds the state that peers and operators see, [`fleet`] what was heard of others.
 //! - [`command`] holds the commands that both programs have.
 //! - [`server`] sets up HTTP servers; [`operators`] shows a process to its operators.
-//! - [`platform`] reads the platform's configuration service and instance list.
+//! - [`platform`] reads the platform's configuration service and instance list; [`follower`]
+//!   follows the configuration with it and with the peers.
 
 pub mod clock;
 pub mod command;
 pub mod exposition;
 pub mod fleet;
+pub mod follower;
 pub mod link;
 pub mod logs;
 pub mod operators;
