refactor(runtime): one handshake for both ends of a link

The end that opens and the end that accepts judged greetings in two copies. The accepting end now judges before it greets. Shown by tls, processes_fail and whole_path, all green.

--- a/crates/runtime/src/link/dial.rs
+++ b/crates/runtime/src/link/dial.rs
@@ -1,20 +1,16 @@
 //! Opens links.
 
 use super::connection::{Command, ConnectionTask};
-use super::stream::{read_frame, write_frame};
+use super::handshake::{Control, HANDSHAKE_TIMEOUT, greet};
 use super::{LinkEvent, Shared, transport};
-use crate::security::{AGENT_NAME, certificate_names};
+use crate::security::AGENT_NAME;
 use hickorycross_core::LinkId;
-use hickorycross_protocol::{Frame, Hello, PeerRole, VERSIONS, negotiate};
-use quinn::{Connection, Endpoint, RecvStream, SendStream};
+use hickorycross_protocol::Hello;
+use quinn::{Connection, Endpoint};
 use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
-/// A handshake that takes longer has failed.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Opens a link in a task of its own.
 pub(super) fn open(shared: Arc<Shared>, link: LinkId, address: SocketAddr) {
     let (sender, receiver) = shared.enter(link);
@@ -64,30 +60,9 @@
     shared: &Shared,
     endpoint: &Endpoint,
     address: SocketAddr,
-) -> Result<(Connection, (SendStream, RecvStream), Hello), String> {
+) -> Result<(Connection, Control, Hello), String> {
     let connecting = endpoint.connect(address, AGENT_NAME).map_err(|error| error.to_string())?;
     let connection = connecting.await.map_err(|error| error.to_string())?;
-    let (mut send, mut recv) = connection.open_bi().await.map_err(|error| error.to_string())?;
-    let own = Frame::Hello(shared.greet.hello());
-    write_frame(&mut send, &own).await.map_err(|error| error.to_string())?;
-    let answer = read_frame(&mut recv).await.map_err(|error| error.to_string())?;
-    let hello = judge(shared, &connection, answer)?;
-    Ok((connection, (send, recv), hello))
-}
-
-fn judge(shared: &Shared, connection: &Connection, answer: Frame) -> Result<Hello, String> {
-    let Frame::Hello(hello) = answer else {
-        return Err("the first frame was no greeting".to_owned());
-    };
-    if negotiate(VERSIONS, hello.versions).is_none() {
-        return Err(format!("no common version with {:?}", hello.versions));
-    }
-    let is_agent = matches!(hello.role, PeerRole::Agent { .. });
-    if !is_agent {
-        return Err("the other end is no agent".to_owned());
-    }
-    if shared.keys().checks_roles && !certificate_names(connection, AGENT_NAME) {
-        return Err("the certificate is not an agent's".to_owned());
-    }
-    Ok(hello)
+    let (control, hello) = greet(shared, &connection).await?;
+    Ok((connection, control, hello))
 }
--- /dev/null
+++ b/crates/runtime/src/link/handshake.rs
@@ -0,0 +1,67 @@
+//! The first words on a link: who is there, and whether its certificate agrees.
+
+use super::Shared;
+use super::stream::{read_frame, write_frame};
+use crate::security::{AGENT_NAME, ENTRY_NAME, certificate_names};
+use hickorycross_protocol::{Frame, Hello, PeerRole, VERSIONS, negotiate};
+use quinn::{Connection, RecvStream, SendStream};
+use std::time::Duration;
+
+/// A handshake that takes longer has failed.
+pub(super) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The control stream of a link, both directions.
+pub(super) type Control = (SendStream, RecvStream);
+
+/// Greets the other end of a connection that this end opened.
+pub(super) async fn greet(
+    shared: &Shared,
+    connection: &Connection,
+) -> Result<(Control, Hello), String> {
+    let (mut send, mut recv) = connection.open_bi().await.map_err(|error| error.to_string())?;
+    say_hello(shared, &mut send).await?;
+    let hello = hear_hello(shared, connection, &mut recv).await?;
+    if matches!(hello.role, PeerRole::Agent { .. }) {
+        Ok(((send, recv), hello))
+    } else {
+        Err("the other end is no agent".to_owned())
+    }
+}
+
+/// Answers the greeting of the end that opened a connection.
+pub(super) async fn answer(
+    shared: &Shared,
+    connection: &Connection,
+) -> Result<(Control, Hello), String> {
+    let (mut send, mut recv) = connection.accept_bi().await.map_err(|error| error.to_string())?;
+    let hello = hear_hello(shared, connection, &mut recv).await?;
+    say_hello(shared, &mut send).await?;
+    Ok(((send, recv), hello))
+}
+
+async fn say_hello(shared: &Shared, send: &mut SendStream) -> Result<(), String> {
+    let own = Frame::Hello(shared.greet.hello());
+    write_frame(send, &own).await.map_err(|error| error.to_string())
+}
+
+async fn hear_hello(
+    shared: &Shared,
+    connection: &Connection,
+    recv: &mut RecvStream,
+) -> Result<Hello, String> {
+    let first = read_frame(recv).await.map_err(|error| error.to_string())?;
+    let Frame::Hello(hello) = first else {
+        return Err("the first frame was no greeting".to_owned());
+    };
+    if negotiate(VERSIONS, hello.versions).is_none() {
+        return Err(format!("no common version with {:?}", hello.versions));
+    }
+    let name = match hello.role {
+        PeerRole::Entry => ENTRY_NAME,
+        PeerRole::Agent { .. } => AGENT_NAME,
+    };
+    if shared.keys().checks_roles && !certificate_names(connection, name) {
+        return Err(format!("the certificate is not for {name}"));
+    }
+    Ok(hello)
+}
--- a/crates/runtime/src/link/listen.rs
+++ b/crates/runtime/src/link/listen.rs
@@ -1,17 +1,12 @@
 //! Accepts links.
 
 use super::connection::ConnectionTask;
-use super::stream::{read_frame, write_frame};
+use super::handshake::{Control, HANDSHAKE_TIMEOUT, answer};
 use super::{LinkEvent, Shared, transport};
-use crate::security::{AGENT_NAME, ENTRY_NAME, certificate_names};
-use hickorycross_protocol::{Frame, Hello, PeerRole, VERSIONS, negotiate};
-use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
+use hickorycross_protocol::Hello;
+use quinn::{Connection, Endpoint, Incoming};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
-
-/// A handshake that takes longer has failed.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// An address on which links are accepted until this is dropped.
 pub struct Listener {
@@ -79,29 +74,8 @@
 async fn shake_hands(
     shared: &Shared,
     incoming: Incoming,
-) -> Result<(Connection, (SendStream, RecvStream), Hello), String> {
+) -> Result<(Connection, Control, Hello), String> {
     let connection = incoming.await.map_err(|error| error.to_string())?;
-    let (mut send, mut recv) = connection.accept_bi().await.map_err(|error| error.to_string())?;
-    let first = read_frame(&mut recv).await.map_err(|error| error.to_string())?;
-    let own = Frame::Hello(shared.greet.hello());
-    write_frame(&mut send, &own).await.map_err(|error| error.to_string())?;
-    let hello = judge(shared, &connection, first)?;
-    Ok((connection, (send, recv), hello))
-}
-
-fn judge(shared: &Shared, connection: &Connection, first: Frame) -> Result<Hello, String> {
-    let Frame::Hello(hello) = first else {
-        return Err("the first frame was no greeting".to_owned());
-    };
-    if negotiate(VERSIONS, hello.versions).is_none() {
-        return Err(format!("no common version with {:?}", hello.versions));
-    }
-    let name = match hello.role {
-        PeerRole::Entry => ENTRY_NAME,
-        PeerRole::Agent { .. } => AGENT_NAME,
-    };
-    if shared.keys().checks_roles && !certificate_names(connection, name) {
-        return Err(format!("the certificate is not for {name}"));
-    }
-    Ok(hello)
+    let (control, hello) = answer(shared, &connection).await?;
+    Ok((connection, control, hello))
 }
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -5,6 +5,7 @@
 
 mod connection;
 mod dial;
+mod handshake;
 mod listen;
 mod stream;
 
