--- a/crates/core/tests/whole_system.rs
+++ b/crates/core/tests/whole_system.rs
@@ -12,6 +12,9 @@
 const SEEDS: u64 = 16;
 /// Seeds of the run with long cuts.
 const DIVIDED_SEEDS: u64 = 4;
+/// Seeds of the known faults.
+const SEED_OF_A_DOUBLED_KEY: u64 = 886;
+const SEED_OF_A_REFUSAL: u64 = 403;
 /// How many seeds to try instead.
 const WIDEN: &str = "HICKORYCROSS_SEEDS";
 /// The one seed to replay.
@@ -59,3 +62,20 @@
         assert_eq!(outcome, Ok(()), "seed {seed}");
     }
 }
+
+// Symptom: a non-idempotent request runs twice although its caller sent the same key both times.
+// Sequence: seed 886 of the run; a cut, documents that move homes, and restarts behind the cut.
+// Cause: not traced. Likely a new home that restarts, forgets that the home has moved, and takes a
+// key at once that tells its moment of creation.
+#[test]
+fn known_fault_a_key_runs_twice_around_a_cut() {
+    assert_eq!(World::new(SEED_OF_A_DOUBLED_KEY, Switches::default()).run(), Ok(()));
+}
+
+// Symptom: a request with 6 s to go is refused while backend servers have little to do.
+// Sequence: seed 403 of the run; an entry with few requests sends a short burst of a high tier.
+// Cause: the share of starts that a high tier takes is learnt from few requests, as if it lasted.
+#[test]
+fn known_fault_a_low_tier_is_refused_after_a_burst() {
+    assert_eq!(World::new(SEED_OF_A_REFUSAL, Switches::default()).run(), Ok(()));
+}
