--- a/crates/entry/tests/processes_fail.rs
+++ b/crates/entry/tests/processes_fail.rs
@@ -268,3 +268,31 @@
     expect_that!(agent.ended().or_fail()?.code(), some(eq(0)));
     Ok(())
 }
+
+// Symptom: callers get 503 although every agent is ready.
+// Sequence: an agent is drained and started again on its instance, which the list names all the
+// while; then the only other backend server of the route goes away.
+// Cause: an entry that sends nothing to an agent that left, and so never meets its successor.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_upgraded_in_place_gets_work_again() -> googletest::Result<()> {
+    let mut fleet = Fleet::start(&small_document(), 1, Knobs::default()).await;
+    for number in 0..4 {
+        let asked = fleet.post(0, "clerks", "/cases/applications", &json!({"case": number}));
+        expect_that!(asked.send().await.or_fail()?.status().is_success(), eq(true));
+    }
+    let settings = fleet.stage.agents.iter().find(|one| one.backend_server.as_str() == "cases-1");
+    let settings = settings.or_fail()?.clone();
+    let agent = fleet.agents.get_mut("cases-1").or_fail()?;
+    agent.terminate();
+    wait_for("the agent's end", async || agent.ended().is_some()).await;
+    *agent = fleet::Process::spawn(&fleet::agent_program(), &settings.instance, &settings);
+    fleet.wait_until_ready(settings.operator_address).await;
+    fleet.agents.get_mut("cases-2").or_fail()?.terminate();
+    wait_for("work for the successor", async || {
+        let asked = fleet.post(0, "clerks", "/cases/applications", &json!({"case": "next"}));
+        asked.send().await.is_ok_and(|answer| answer.status().is_success())
+    })
+    .await;
+    Ok(())
+}
