--- a/crates/entry/examples/capacity_processes/load.rs
+++ b/crates/entry/examples/capacity_processes/load.rs
@@ -15,8 +15,8 @@
     pub(crate) requests_per_s: u32,
     /// Tokens of each answer.
     pub(crate) tokens: u32,
-    /// How long.
-    pub(crate) span: Duration,
+    /// How long; the run turns it into a deadline.
+    pub(crate) span_ms: u64,
 }
 
 /// What a load cost.
@@ -36,7 +36,7 @@
     let mut tasks = Vec::new();
     let mut pace = interval(Duration::from_secs(1) / load.requests_per_s.max(1));
     pace.set_missed_tick_behavior(MissedTickBehavior::Burst);
-    let end = Instant::now() + load.span;
+    let end = Instant::now() + Duration::from_millis(load.span_ms);
     let mut number = 0_u32;
     while Instant::now() < end {
         pace.tick().await;
--- a/crates/entry/examples/capacity_processes/main.rs
+++ b/crates/entry/examples/capacity_processes/main.rs
@@ -32,7 +32,7 @@
 const QUIET: Duration = Duration::from_secs(15);
 const RATES_PER_S: [u32; 4] = [5, 10, 20, 40];
 const TOKENS: [u32; 4] = [8, 32, 64, 128];
-const SPAN: Duration = Duration::from_secs(8);
+const SPAN_MS: u64 = 8_000;
 /// Requests that open the links of every entry.
 const OPENING_REQUESTS_PER_ENTRY: u32 = 32;
 const CHANGES: u32 = 2;
@@ -169,8 +169,8 @@
 async fn open_links(fleet: &Fleet) {
     let per_s = 10 * u32::from(fleet.size.entries);
     let requests = OPENING_REQUESTS_PER_ENTRY * u32::from(fleet.size.entries);
-    let span = Duration::from_secs(1) * requests / per_s;
-    let cost = load::run(fleet, Load { requests_per_s: per_s, tokens: 4, span }).await;
+    let span_ms = u64::from(1_000 * requests / per_s);
+    let cost = load::run(fleet, Load { requests_per_s: per_s, tokens: 4, span_ms }).await;
     println!("opened links with {} requests, {} failed", cost.requests, cost.failed);
 }
 
@@ -181,13 +181,13 @@
     open_links(&fleet).await;
     for trial in 0..2 {
         for requests_per_s in RATES_PER_S {
-            let load = Load { requests_per_s, tokens: 8, span: SPAN };
+            let load = Load { requests_per_s, tokens: 8, span_ms: SPAN_MS };
             let varied = "requests_per_s";
             // Per process the requests are a share of all.
             add_cost(points, &fleet, load, trial, varied, f64::from(requests_per_s)).await;
         }
         for tokens in TOKENS {
-            let load = Load { requests_per_s: 20, tokens, span: SPAN };
+            let load = Load { requests_per_s: 20, tokens, span_ms: SPAN_MS };
             add_cost(points, &fleet, load, trial, "tokens_per_request", f64::from(tokens)).await;
         }
     }
--- a/crates/lab/examples/decision_time.rs
+++ b/crates/lab/examples/decision_time.rs
@@ -3,7 +3,7 @@
 
 use hickorycross_core::placement::{ChangeOutcome, RebalancePolicy, Weighted, WeightedSettings};
 use hickorycross_lab::rebalance::{Bound, Experiment, Trace, experiments};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Layers of the full size.
 const LAYERS: u16 = 60;
@@ -32,23 +32,23 @@
 /// Times of one kind of call.
 #[derive(Default)]
 struct Times {
-    sum: Duration,
-    longest: Duration,
+    sum_ms: f64,
+    longest_ms: f64,
 }
 
 impl Times {
     fn measure<T>(&mut self, call: impl FnOnce() -> T) -> T {
         let started = Instant::now();
         let result = call();
-        let elapsed = started.elapsed();
-        self.sum += elapsed;
-        self.longest = self.longest.max(elapsed);
+        let elapsed_ms = started.elapsed().as_secs_f64() * 1e3;
+        self.sum_ms += elapsed_ms;
+        self.longest_ms = self.longest_ms.max(elapsed_ms);
         result
     }
 
     fn print(&self, name: &str) {
-        let mean_ms = self.sum.as_secs_f64() * 1e3 / LENGTH_S as f64;
-        let longest_ms = self.longest.as_secs_f64() * 1e3;
+        let mean_ms = self.sum_ms / LENGTH_S as f64;
+        let longest_ms = self.longest_ms;
         println!("  {name:<8} mean {mean_ms:.2} ms a second, longest {longest_ms:.2} ms");
     }
 }
@@ -73,6 +73,6 @@
     println!("{} with {LAYERS} layers, {LENGTH_S} s, {changes} changes", experiment.name);
     observe.print("observe");
     decide.print("decide");
-    let share = (observe.sum + decide.sum).as_secs_f64() / LENGTH_S as f64;
+    let share = (observe.sum_ms + decide.sum_ms) / 1e3 / LENGTH_S as f64;
     println!("  share of a core: {:.2}%", share * 100.0);
 }
--- a/crates/standins/src/group/clock.rs
+++ b/crates/standins/src/group/clock.rs
@@ -208,10 +208,10 @@
             if works.first().is_some_and(|first| first.granted.epoch != granted.epoch) {
                 return None;
             }
-            let latency = f64::from(host.latency_permille()) / NORMAL_PERMILLE;
+            let latency_factor = f64::from(host.latency_permille()) / NORMAL_PERMILLE;
             for rank in host.ranks() {
                 let tokens = demand.of_rank(&granted.map, rank);
-                works.push(Work { rank, granted: granted.clone(), tokens, latency });
+                works.push(Work { rank, granted: granted.clone(), tokens, latency_factor });
             }
         }
         Some(works)
@@ -224,7 +224,7 @@
         let us_per_token = if mean > 0.0 { even_us / mean } else { 0.0 };
         let mut step_us = 0.0;
         for layer in 0..usize::from(self.options.layers) {
-            let slowest = works.iter().map(|work| work.layer_tokens(layer) * work.latency);
+            let slowest = works.iter().map(|work| work.layer_tokens(layer) * work.latency_factor);
             step_us += slowest.fold(0.0, f64::max) * us_per_token;
         }
         let ranks = works.iter().map(|work| work.record(us_per_token)).collect();
--- a/crates/standins/src/group/work.rs
+++ b/crates/standins/src/group/work.rs
@@ -9,7 +9,7 @@
     pub(super) rank: u16,
     pub(super) granted: Granted,
     pub(super) tokens: Vec<Vec<f64>>,
-    pub(super) latency: f64,
+    pub(super) latency_factor: f64,
 }
 
 impl Work {
@@ -22,7 +22,7 @@
         RankStep {
             rank: self.rank,
             map: self.granted.map.reference,
-            rank_us: (tokens * us_per_token * self.latency) as u64,
+            rank_us: (tokens * us_per_token * self.latency_factor) as u64,
         }
     }
 }
