--- /dev/null
+++ b/crates/core/src/direct/admission.rs
@@ -0,0 +1,78 @@
+//! How many requests an entry keeps open at the backend servers of a group.
+
+use super::BootMs;
+use indexmap::IndexMap;
+
+/// Bounds of [`Admission`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmissionSettings {
+    /// Requests that are always let through, at this entry and for each service.
+    pub least_requests: f64,
+    /// Share by which the bound shrinks when an answer paused for too long.
+    pub shrink: f64,
+    /// Requests by which the bound grows with each answer that kept its pace.
+    pub grow_requests: f64,
+    /// Pause after a shrink in which no further one is made, so that one slow moment counts once.
+    pub settle_ms: u64,
+}
+
+/// An adaptive bound on open requests, by service.
+///
+/// A group's ranks advance together: each further request makes every event of every answer later.
+/// Past the pace that callers were promised, one more request makes all of them late instead of one
+/// refused. The bound grows by a little while answers keep their pace and shrinks by a share when
+/// they do not.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    services: IndexMap<String, Bound>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bound {
+    requests: f64,
+    settled_at: BootMs,
+}
+
+impl Admission {
+    /// Begins without bounds.
+    #[must_use]
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self { settings, services: IndexMap::new() }
+    }
+
+    /// Whether one more request may be sent while `open` are open and `most` would fill the slots
+    /// that this entry counts on.
+    pub fn admits(&mut self, service: &str, open: u32, most: f64) -> bool {
+        let least = self.settings.least_requests;
+        let bound = self.bound(service, most);
+        bound.requests = bound.requests.clamp(least, most.max(least));
+        f64::from(open) < bound.requests
+    }
+
+    /// Notes how an answer kept its pace.
+    pub fn note_pace(&mut self, service: &str, kept: bool, now: BootMs) {
+        let AdmissionSettings { shrink, grow_requests, settle_ms, .. } = self.settings;
+        let Some(bound) = self.services.get_mut(service) else { return };
+        if kept {
+            bound.requests += grow_requests;
+        } else if bound.settled_at <= now {
+            bound.requests *= 1.0 - shrink;
+            bound.settled_at = now.after(settle_ms);
+        }
+    }
+
+    /// The present bound of a service, in requests.
+    #[must_use]
+    pub fn bound_requests(&self, service: &str) -> Option<f64> {
+        self.services.get(service).map(|bound| bound.requests)
+    }
+
+    fn bound(&mut self, service: &str, most: f64) -> &mut Bound {
+        let fresh = Bound { requests: most, settled_at: BootMs(0) };
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), fresh);
+        }
+        &mut self.services[service]
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/backend_table.rs
@@ -0,0 +1,302 @@
+//! The backend servers that this entry reaches, and the choice among them.
+
+use super::BootMs;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Time after the store's return for which an entry that lapsed meanwhile stays usable.
+///
+/// Entries of live backend servers are back within about two seconds of the store's return; dropping
+/// them at once would leave requests without a backend server after every outage.
+const LAPSE_GRACE_MS: u64 = 2_200;
+
+/// First pause of a backend server that failed; doubles with each further failure in a row.
+const FIRST_PAUSE_MS: u64 = 400;
+
+/// Longest pause of a backend server that keeps failing.
+///
+/// Well under the shortest faults that were seen to end by themselves (4 s), so that capacity is
+/// missed for at most half of that after the fault.
+const LONGEST_PAUSE_MS: u64 = 2_000;
+
+/// Failures in a row before the first pause. One broken connection is no sign of a bad server.
+const FAILURES_BEFORE_PAUSE: u32 = 2;
+
+/// Weight of the newest outcome in the running share of failures, for about the last ten outcomes.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// Requests that a share of failures of 1 is worth when loads are compared.
+const FAILURE_PENALTY_REQUESTS: f64 = 12.0;
+
+/// Requests that being in another failure domain is worth: it only settles ties.
+const OTHER_DOMAIN_PENALTY_REQUESTS: f64 = 0.3;
+
+/// Requests that one waiting request reported by a backend server is worth.
+const WAITING_PENALTY_REQUESTS: f64 = 2.0;
+
+/// Whether a backend server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BackendState {
+    /// It does.
+    Ready,
+    /// It finishes what runs and takes nothing new.
+    Leaving,
+}
+
+/// One incarnation of a backend server, as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendServer {
+    /// Names this incarnation and no other.
+    pub id: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: BackendState,
+}
+
+/// Where a row of the table comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// The store lists it.
+    Listed,
+    /// It vanished while the store was away, and is usable until then.
+    LapsedUntil(BootMs),
+}
+
+/// A backend server with what this entry saw of it.
+#[derive(Clone, Debug)]
+struct Row {
+    server: BackendServer,
+    listing: Listing,
+    outstanding: u32,
+    failures_in_row: u32,
+    failure_share: f64,
+    paused_until: BootMs,
+    waiting: u32,
+}
+
+/// A chosen backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The backend server.
+    pub server: BackendServer,
+    /// Its load as compared, in requests.
+    pub load_requests: f64,
+    /// How many others were open to choice.
+    pub others: usize,
+}
+
+/// All backend servers, by incarnation.
+#[derive(Clone, Debug, Default)]
+pub struct BackendTable {
+    rows: IndexMap<String, Row>,
+    own_failure_domain: String,
+}
+
+impl BackendTable {
+    /// An empty table of an entry in `own_failure_domain`.
+    #[must_use]
+    pub fn new(own_failure_domain: &str) -> Self {
+        Self { rows: IndexMap::new(), own_failure_domain: own_failure_domain.to_owned() }
+    }
+
+    /// Takes over what the platform says of one backend server. Returns whether anything changed.
+    pub fn put(&mut self, server: BackendServer) -> bool {
+        match self.rows.get_mut(&server.id) {
+            Some(row) => {
+                let changed = row.server != server || row.listing != Listing::Listed;
+                let left = row.server.state == BackendState::Leaving;
+                row.listing = Listing::Listed;
+                row.server = server;
+                // A stale replica may show an older entry; who has said that it leaves never
+                // comes back as the same incarnation.
+                if left {
+                    row.server.state = BackendState::Leaving;
+                }
+                changed
+            }
+            None => {
+                self.rows.insert(server.id.clone(), Row::new(server));
+                true
+            }
+        }
+    }
+
+    /// Drops an incarnation that the platform no longer lists. Returns whether it was known.
+    pub fn remove(&mut self, id: &str) -> bool {
+        self.rows.swap_remove(id).is_some()
+    }
+
+    /// Takes over a whole listing made at `now`, `returned_at` being when the store came back.
+    ///
+    /// Returns the incarnations that were dropped.
+    pub fn replace_all(
+        &mut self,
+        servers: Vec<BackendServer>,
+        now: BootMs,
+        returned_at: Option<BootMs>,
+    ) -> Vec<String> {
+        let listed: Vec<String> = servers.iter().map(|server| server.id.clone()).collect();
+        for server in servers {
+            self.put(server);
+        }
+        let missing = self.rows.keys().filter(|id| !listed.contains(id)).cloned();
+        let missing: Vec<String> = missing.collect();
+        missing.into_iter().filter(|id| self.lapse(id, now, returned_at)).collect()
+    }
+
+    /// An incarnation is no longer listed. Returns whether it was dropped at once.
+    ///
+    /// Entries may lapse only because the store was away; they stay usable for a short time after
+    /// its return. At any other time a missing entry means that the backend server is gone.
+    pub fn lapse(&mut self, id: &str, now: BootMs, returned_at: Option<BootMs>) -> bool {
+        let until = returned_at.map(|at| at.after(LAPSE_GRACE_MS)).filter(|until| *until > now);
+        match (until, self.rows.get_mut(id)) {
+            (Some(until), Some(row)) => {
+                if row.listing == Listing::Listed {
+                    row.listing = Listing::LapsedUntil(until);
+                }
+                false
+            }
+            (None, Some(_)) => self.remove(id),
+            (_, None) => false,
+        }
+    }
+
+    /// Drops lapsed incarnations whose time is over; returns them.
+    pub fn expire(&mut self, now: BootMs) -> Vec<String> {
+        let is_over = |row: &Row| matches!(row.listing, Listing::LapsedUntil(at) if at <= now);
+        let over = self.rows.values().filter(|row| is_over(row)).map(|row| row.server.id.clone());
+        let over: Vec<String> = over.collect();
+        self.rows.retain(|_, row| !is_over(row));
+        over
+    }
+
+    /// Notes that a backend server itself says that it leaves.
+    pub fn note_leaving(&mut self, id: &str) -> bool {
+        let Some(row) = self.rows.get_mut(id) else { return false };
+        let was_ready = row.server.state == BackendState::Ready;
+        row.server.state = BackendState::Leaving;
+        was_ready
+    }
+
+    /// Whether an incarnation is known and takes new work.
+    #[must_use]
+    pub fn takes_work(&self, id: &str) -> bool {
+        self.rows.get(id).is_some_and(|row| row.server.state == BackendState::Ready)
+    }
+
+    /// Notes how many requests wait at the backend server that listens at `address`.
+    pub fn note_waiting(&mut self, address: SocketAddr, waiting: u32) {
+        for row in self.rows.values_mut().filter(|row| row.server.address == address) {
+            row.waiting = waiting;
+        }
+    }
+
+    /// Chooses a backend server of a service, passing over those in `tried`.
+    ///
+    /// The least loaded goes first, counted by this entry's own open requests, what it reported of
+    /// its queue, and recent failures. Paused ones are used only when no other is left: all may be
+    /// paused by a fault that was not theirs.
+    #[must_use]
+    pub fn choose(&self, service: &str, tried: &[String], now: BootMs) -> Option<Choice> {
+        let open: Vec<&Row> = self.open(service).filter(|row| !tried.contains(&row.server.id)).collect();
+        let awake: Vec<&Row> = open.iter().copied().filter(|row| row.paused_until <= now).collect();
+        let rows = if awake.is_empty() { open } else { awake };
+        let least = rows.iter().min_by(|left, right| self.load(left).total_cmp(&self.load(right)))?;
+        let load_requests = self.load(least);
+        Some(Choice { server: least.server.clone(), load_requests, others: rows.len() - 1 })
+    }
+
+    fn open(&self, service: &str) -> impl Iterator<Item = &Row> {
+        let ready = |row: &&Row| row.server.state == BackendState::Ready;
+        self.rows.values().filter(move |row| row.server.service == service).filter(ready)
+    }
+
+    fn load(&self, row: &Row) -> f64 {
+        let is_near = row.server.failure_domain == self.own_failure_domain;
+        let distance = if is_near { 0.0 } else { OTHER_DOMAIN_PENALTY_REQUESTS };
+        f64::from(row.outstanding)
+            + distance
+            + row.failure_share * FAILURE_PENALTY_REQUESTS
+            + f64::from(row.waiting) * WAITING_PENALTY_REQUESTS
+    }
+
+    /// Counts a request sent to a backend server.
+    pub fn note_sent(&mut self, id: &str) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.outstanding += 1;
+        }
+    }
+
+    /// Counts the end of a request at a backend server.
+    pub fn note_ended(&mut self, id: &str) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.outstanding = row.outstanding.saturating_sub(1);
+        }
+    }
+
+    /// Notes an answer of a backend server.
+    pub fn note_success(&mut self, id: &str) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.failures_in_row = 0;
+            row.failure_share *= 1.0 - FAILURE_WEIGHT;
+        }
+    }
+
+    /// Notes a failure that a backend server is blamed for. Returns until when it is paused.
+    pub fn note_failure(&mut self, id: &str, now: BootMs) -> Option<BootMs> {
+        let row = self.rows.get_mut(id)?;
+        row.failures_in_row += 1;
+        row.failure_share = row.failure_share * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
+        let beyond = row.failures_in_row.checked_sub(FAILURES_BEFORE_PAUSE)?;
+        let pause_ms = (FIRST_PAUSE_MS << beyond.min(8)).min(LONGEST_PAUSE_MS);
+        row.paused_until = now.after(pause_ms);
+        Some(row.paused_until)
+    }
+
+    /// Backend servers of a service that take new work.
+    #[must_use]
+    pub fn ready_count(&self, service: &str) -> usize {
+        self.open(service).count()
+    }
+
+    /// This entry's open requests at all backend servers of a service.
+    #[must_use]
+    pub fn outstanding(&self, service: &str) -> u32 {
+        let of_service = self.rows.values().filter(|row| row.server.service == service);
+        of_service.map(|row| row.outstanding).sum()
+    }
+
+    /// Requests that the ready backend servers of a service run at once.
+    #[must_use]
+    pub fn slots(&self, service: &str) -> u32 {
+        self.open(service).map(|row| row.server.slots).sum()
+    }
+
+    /// All backend servers, in no order that means anything.
+    pub fn servers(&self) -> impl Iterator<Item = &BackendServer> {
+        self.rows.values().map(|row| &row.server)
+    }
+}
+
+impl Row {
+    fn new(server: BackendServer) -> Self {
+        Self {
+            server,
+            listing: Listing::Listed,
+            outstanding: 0,
+            failures_in_row: 0,
+            failure_share: 0.0,
+            paused_until: BootMs(0),
+            waiting: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/mod.rs
@@ -0,0 +1,35 @@
+//! Requests that go straight from an entry to a backend server, without an agent between them.
+//!
+//! A fleet may hold backend servers beside which no agent runs, or whose agents may all be lost at
+//! once. An entry then talks to the backend server itself and must judge alone what became of each
+//! attempt.
+//!
+//! - [`Catalog`] says what callers may ask for; [`CatalogBelief`] knows how old that word is.
+//! - [`BackendTable`] holds the backend servers and chooses among them.
+//! - [`RetryAllowance`] bounds second sends; [`judge_attempt`] tells what an attempt proves.
+//! - [`EventCutter`] cuts an event stream into whole events, so that it can be resumed.
+//! - [`PeerTable`] holds the other processes of the fleet.
+//!
+//! Moments are in [`BootMs`], which also counts the time in which the machine was suspended.
+
+mod admission;
+mod backend_table;
+mod belief;
+mod boot_time;
+mod catalog;
+mod event_cutter;
+mod outcome;
+mod peer_table;
+mod retry_allowance;
+
+pub use admission::{Admission, AdmissionSettings};
+pub use backend_table::{BackendServer, BackendState, BackendTable, Choice, Listing};
+pub use belief::{Adoption, CatalogBelief};
+pub use boot_time::BootMs;
+pub use catalog::{
+    BackendShare, CallerLimits, Catalog, GroupDimensions, RequestKind, Route, Service, Team,
+};
+pub use event_cutter::{EventCutter, StreamEvent};
+pub use outcome::{AttemptEnd, Judgement, judge_attempt};
+pub use peer_table::{Peer, PeerTable};
+pub use retry_allowance::{AllowanceSettings, RetryAllowance};
--- /dev/null
+++ b/crates/core/src/direct/peer_table.rs
@@ -0,0 +1,100 @@
+//! The other processes of the fleet, as far as they are known.
+
+use super::BootMs;
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+
+/// Span without word after which a peer is no longer named to others.
+///
+/// Five rounds of the exchange of members, which runs every 5 s: a machine that freezes for some
+/// seconds stays known, one that was taken away is forgotten before its address is used again.
+const FORGET_AFTER_MS: u64 = 25_000;
+
+/// Most peers kept: at 400 entries an exchange stays under 1.5 KB.
+const MOST_PEERS: usize = 64;
+
+/// One other process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// When it was last heard of, here or by whoever named it.
+    pub heard_at: BootMs,
+}
+
+/// Peers by address, beside the fixed seeds.
+#[derive(Clone, Debug, Default)]
+pub struct PeerTable {
+    seeds: Vec<SocketAddr>,
+    peers: IndexMap<SocketAddr, Peer>,
+    own: Option<SocketAddr>,
+    turn: usize,
+}
+
+impl PeerTable {
+    /// Begins with the seeds, of which `own` is this process's address, if it has one.
+    #[must_use]
+    pub fn new(seeds: &[SocketAddr], own: Option<SocketAddr>) -> Self {
+        Self { seeds: seeds.to_vec(), peers: IndexMap::new(), own, turn: 0 }
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.seeds = seeds.to_vec();
+    }
+
+    /// Notes that a peer lived at `heard_at`; returns whether it was not known.
+    pub fn note(&mut self, address: SocketAddr, heard_at: BootMs) -> bool {
+        if Some(address) == self.own {
+            return false;
+        }
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.heard_at = peer.heard_at.max(heard_at);
+            return false;
+        }
+        if self.peers.len() >= MOST_PEERS {
+            return false;
+        }
+        self.peers.insert(address, Peer { address, heard_at });
+        true
+    }
+
+    /// Drops peers without word; returns them.
+    pub fn expire(&mut self, now: BootMs) -> Vec<SocketAddr> {
+        let is_old = |peer: &Peer| now.since(peer.heard_at) > FORGET_AFTER_MS;
+        let old = self.peers.values().filter(|peer| is_old(peer)).map(|peer| peer.address);
+        let old: Vec<SocketAddr> = old.collect();
+        self.peers.retain(|_, peer| !is_old(peer));
+        old
+    }
+
+    /// Peers that were heard of.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Number of peers that were heard of.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Whether no peer was heard of.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// The peer to ask next: all known peers and seeds by turns.
+    pub fn next_to_ask(&mut self) -> Option<SocketAddr> {
+        let own = self.own;
+        let seeds = self.seeds.iter().copied().filter(|seed| Some(*seed) != own);
+        let unheard = seeds.filter(|seed| !self.peers.contains_key(seed));
+        let candidates: Vec<SocketAddr> = self.peers.keys().copied().chain(unheard).collect();
+        if candidates.is_empty() {
+            return None;
+        }
+        self.turn = (self.turn + 1) % candidates.len();
+        Some(candidates[self.turn])
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/retry_allowance.rs
@@ -0,0 +1,85 @@
+//! A bound on second sends that needs no exchange between entries.
+
+use super::BootMs;
+use indexmap::IndexMap;
+use std::collections::VecDeque;
+
+/// How much of the fleet's budget one entry takes by itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AllowanceSettings {
+    /// Span over which sends are counted.
+    pub window_ms: u64,
+    /// Second sends for each first send.
+    pub ratio: f64,
+    /// Second sends that need no first send, at this entry.
+    pub slack: f64,
+}
+
+/// Counts first and second sends by service.
+///
+/// The budget holds over all entries. Every entry keeps the ratio against its own first sends and a
+/// fixed part of the slack, so the sum holds also while entries cannot hear each other. Without it
+/// a fault that hits every request would multiply the load when capacity is short.
+#[derive(Clone, Debug)]
+pub struct RetryAllowance {
+    settings: AllowanceSettings,
+    services: IndexMap<String, Sends>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Sends {
+    first: VecDeque<BootMs>,
+    second: VecDeque<BootMs>,
+}
+
+impl RetryAllowance {
+    /// Begins without sends.
+    #[must_use]
+    pub fn new(settings: AllowanceSettings) -> Self {
+        Self { settings, services: IndexMap::new() }
+    }
+
+    /// Changes the part that this entry takes.
+    pub fn set(&mut self, settings: AllowanceSettings) {
+        self.settings = settings;
+    }
+
+    /// Counts a request for a service.
+    pub fn note_first(&mut self, now: BootMs, service: &str) {
+        let sends = self.sends(now, service);
+        sends.first.push_back(now);
+    }
+
+    /// Takes one second send out of the budget; says whether there was one left.
+    #[must_use]
+    pub fn take(&mut self, now: BootMs, service: &str) -> bool {
+        let AllowanceSettings { ratio, slack, .. } = self.settings;
+        let sends = self.sends(now, service);
+        let allowed = ratio * sends.first.len() as f64 + slack;
+        if sends.second.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        sends.second.push_back(now);
+        true
+    }
+
+    /// Second sends in the present window.
+    #[must_use]
+    pub fn spent(&self, service: &str) -> usize {
+        self.services.get(service).map_or(0, |sends| sends.second.len())
+    }
+
+    fn sends(&mut self, now: BootMs, service: &str) -> &mut Sends {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), Sends::default());
+        }
+        let begin = now.before(self.settings.window_ms);
+        let sends = &mut self.services[service];
+        for moments in [&mut sends.first, &mut sends.second] {
+            while moments.front().is_some_and(|at| *at < begin) {
+                moments.pop_front();
+            }
+        }
+        sends
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //!   each other.
 //! - [`routing`], [`limits`], [`health`] and [`retry`] are the policies that an entry consults.
 //! - [`group`] keeps one expert map in every step; [`placement`] decides when to change it.
+//! - [`direct`] holds what an entry decides when it reaches backend servers without agents.
 //! - [`adoption`] decides which document is in force.
 //! - [`audit`] holds the records of every change that defines behaviour.
 
@@ -23,6 +24,7 @@
 pub mod adoption;
 pub mod agent;
 pub mod audit;
+pub mod direct;
 pub mod entry;
 pub mod group;
 pub mod health;
--- /dev/null
+++ b/crates/direct/src/callers/head.rs
@@ -0,0 +1,105 @@
+//! What a caller asks for, judged by the catalog in force.
+
+use super::Refusal;
+use crate::clock::boot_now;
+use crate::state::EntryState;
+use hickorycross_core::direct::{BootMs, Catalog, Route};
+use http::header::{AUTHORIZATION, HOST};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Method, Uri};
+use std::sync::Arc;
+
+/// Time for which a caller is taken to wait that does not say so.
+const DEFAULT_DEADLINE_MS: u64 = 60_000;
+
+/// A caller's request that the catalog allows.
+#[derive(Clone, Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) method: Method,
+    /// Path and query as the caller sent them.
+    pub(crate) target: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) attempt_id: HeaderValue,
+    pub(crate) arrived_at: BootMs,
+    /// When the caller or the operator stops waiting, whichever is first.
+    pub(crate) limit_at: BootMs,
+    pub(crate) route: Route,
+    pub(crate) catalog: Arc<Catalog>,
+    /// Name of the team that holds the key; `None` on public routes.
+    pub(crate) team: Option<String>,
+    /// Urgency, 0 first.
+    pub(crate) urgency: u8,
+}
+
+impl CallerRequest {
+    /// The attempt's id for logs.
+    pub(crate) fn id(&self) -> &str {
+        self.attempt_id.to_str().unwrap_or("unreadable")
+    }
+
+    /// Judges a request's head.
+    pub(crate) fn judge(state: &EntryState, parts: Parts) -> Result<Self, Refusal> {
+        let now = boot_now();
+        let catalog = state.catalog.borrow().catalog().cloned().ok_or(Refusal::NoConfiguration)?;
+        let is_fresh = state.keys_are_fresh(now);
+        let attempt_id = parts.headers.get(&state.names.attempt_id).cloned();
+        let attempt_id = attempt_id.ok_or(Refusal::BadHead("the attempt id is missing"))?;
+        let deadline_ms = deadline_ms(state, &parts.headers)?;
+        let host = host(&parts).ok_or(Refusal::BadHead("the host is missing"))?;
+        // An entry that lost touch may lack a route or key that was just added; it must not say
+        // that there is none.
+        let unknown_route = if is_fresh { Refusal::UnknownRoute } else { Refusal::StaleConfiguration };
+        let route = catalog.route(host, parts.uri.path()).cloned().ok_or(unknown_route)?;
+        let mut team = None;
+        let mut urgency = route.priority;
+        if !route.public && !catalog.teams.is_empty() {
+            if !is_fresh {
+                return Err(Refusal::StaleConfiguration);
+            }
+            let key = api_key(state, &parts.headers).ok_or(Refusal::UnknownKey)?;
+            let holder = catalog.team_of_key(key).ok_or(Refusal::UnknownKey)?;
+            urgency = holder.priority.unwrap_or(urgency);
+            team = Some(holder.name.clone());
+        }
+        let deadline_at = now.after(deadline_ms);
+        let limit_at = deadline_at.min(now.after(route.timeout_ms));
+        let target = target(&parts.uri).ok_or(Refusal::BadHead("the target has no path"))?;
+        Ok(Self {
+            method: parts.method,
+            target,
+            headers: parts.headers,
+            attempt_id,
+            arrived_at: now,
+            limit_at,
+            route,
+            catalog,
+            team,
+            urgency,
+        })
+    }
+}
+
+fn deadline_ms(state: &EntryState, headers: &HeaderMap) -> Result<u64, Refusal> {
+    let Some(value) = headers.get(&state.names.deadline_ms) else { return Ok(DEFAULT_DEADLINE_MS) };
+    let text = value.to_str().ok().map(str::trim);
+    let number = text.and_then(|text| text.parse::<f64>().ok()).filter(|number| *number >= 0.0);
+    let bad = Refusal::BadHead("the deadline is not a number of milliseconds");
+    number.filter(|number| number.is_finite()).map(|number| number as u64).ok_or(bad)
+}
+
+fn host(parts: &Parts) -> Option<&str> {
+    let named = parts.uri.host();
+    let header = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = named.or(header)?;
+    Some(host.split(':').next().unwrap_or(host))
+}
+
+fn api_key<'a>(state: &EntryState, headers: &'a HeaderMap) -> Option<&'a str> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case(state.names.key_scheme).then_some(key.trim())
+}
+
+fn target(uri: &Uri) -> Option<Uri> {
+    Some(Uri::from(uri.path_and_query()?.clone()))
+}
--- /dev/null
+++ b/crates/direct/src/entry.rs
@@ -0,0 +1,144 @@
+//! A running entry.
+
+use crate::clock::boot_now;
+use crate::decision_log::DecisionLog;
+use crate::settings::{ProcessSettings, SettingsSource};
+use crate::state::EntryState;
+use crate::store::SharedStore;
+use crate::wire_names::WireNames;
+use crate::{callers, exchange, follow, operators};
+use hickorycross_runtime::exposition::Exposition;
+use hickorycross_runtime::signals::StopSignals;
+use miette::{Context, IntoDiagnostic};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Time after the request to stop in which callers' connections are still taken.
+///
+/// The balancer asks once a second and needs two bad answers; connections that it opens until then
+/// must not be refused.
+const ACCEPT_AFTER_STOP_MS: u64 = 2_600;
+
+/// Part of the grace that is left unused, so that the process ends by itself.
+const GRACE_MARGIN_MS: u64 = 400;
+
+/// Pause between looks for connections to backend servers that are past their time.
+const PRUNE_PAUSE_MS: u64 = 1_000;
+
+/// Pause between looks at what is still open.
+const DRAIN_LOOK_MS: u64 = 20;
+
+/// Pause between looks at the settings, which may change without a signal.
+const SETTINGS_PAUSE_MS: u64 = 2_000;
+
+/// Runs an entry until it is told to stop, then drains it.
+///
+/// # Errors
+///
+/// When an address cannot be listened at, or the system gives no signals or threads.
+pub async fn run_entry(
+    settings: ProcessSettings,
+    names: WireNames,
+    store: Rc<dyn SharedStore>,
+    source: Box<dyn SettingsSource>,
+) -> miette::Result<()> {
+    let exposition = Exposition::install().into_diagnostic()?;
+    let log = DecisionLog::start().into_diagnostic()?;
+    let mut signals = StopSignals::install().into_diagnostic()?;
+    let callers_at = settings.listen.callers.ok_or_else(|| miette::miette!("no callers' address"))?;
+    let line = DecisionLog::fields("start").with("instance", &settings.instance);
+    log.note(line.with("failure_domain", &settings.failure_domain).with("callers_at", callers_at));
+    let state = EntryState::new(settings, names, log);
+    listen_for_processes(&state, &exposition).await?;
+    let listener = bind(callers_at).await?;
+    tokio::task::spawn_local(follow::follow_catalog(Rc::clone(&state), Rc::clone(&store)));
+    tokio::task::spawn_local(follow::follow_backends(Rc::clone(&state), store));
+    tokio::task::spawn_local(exchange::follow_peers(Rc::clone(&state)));
+    tokio::task::spawn_local(prune_connections(Rc::clone(&state)));
+    tokio::task::spawn_local(follow_settings(Rc::clone(&state), source));
+    let accepting = tokio::task::spawn_local(callers::accept(Rc::clone(&state), listener));
+    signals.next().await;
+    drain(&state, &accepting).await;
+    state.log.note(DecisionLog::fields("stop").with("open_requests", state.open_requests.get()));
+    // The log's thread gets a moment for the last line.
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    Ok(())
+}
+
+async fn listen_for_processes(state: &Rc<EntryState>, exposition: &Exposition) -> miette::Result<()> {
+    let listen = state.settings.borrow().listen;
+    for address in [listen.ready, listen.control].into_iter().flatten() {
+        let listener = bind(address).await?;
+        let serving = operators::serve(Rc::clone(state), listener, exposition.clone());
+        tokio::task::spawn_local(serving);
+    }
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> miette::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot listen at {address}"))
+}
+
+/// Finishes what runs. Connections are still taken until the balancer has noticed.
+async fn drain(state: &EntryState, accepting: &tokio::task::JoinHandle<()>) {
+    let started_at = boot_now();
+    state.is_draining.set(true);
+    let open = state.open_requests.get();
+    state.log.note(DecisionLog::fields("drain").with("open_requests", open));
+    let grace_ms = state.settings.borrow().bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    let accept_until = started_at.after(ACCEPT_AFTER_STOP_MS);
+    let end_at = started_at.after(grace_ms);
+    while boot_now() < accept_until {
+        tokio::time::sleep(Duration::from_millis(DRAIN_LOOK_MS)).await;
+    }
+    accepting.abort();
+    state.closing.send_replace(true);
+    while state.open_connections.get() > 0 && boot_now() < end_at {
+        tokio::time::sleep(Duration::from_millis(DRAIN_LOOK_MS)).await;
+    }
+}
+
+/// Takes over changed settings, at a signal or when they are seen to differ.
+async fn follow_settings(state: Rc<EntryState>, mut source: Box<dyn SettingsSource>) {
+    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
+        state.log.note(DecisionLog::fields("reload").with("outcome", "no-signals"));
+        return;
+    };
+    loop {
+        tokio::select! {
+            _ = hangups.recv() => {}
+            () = tokio::time::sleep(Duration::from_millis(SETTINGS_PAUSE_MS)) => {}
+        }
+        match source.reload() {
+            Ok(Some(settings)) => take_settings(&state, settings),
+            Ok(None) => {}
+            Err(report) => {
+                let line = DecisionLog::fields("reload").with("fault", report);
+                state.log.note(line.with("outcome", "kept-what-is-in-force"));
+            }
+        }
+    }
+}
+
+fn take_settings(state: &EntryState, mut settings: ProcessSettings) {
+    // Listeners stay where they are for the life of the process.
+    settings.listen = state.settings.borrow().listen;
+    state.peers.borrow_mut().set_seeds(&settings.seeds);
+    *state.settings.borrow_mut() = settings;
+    state.split_slack();
+    state.log.note(DecisionLog::fields("reload").with("outcome", "adopted"));
+}
+
+/// Closes connections to backend servers that are past their time.
+async fn prune_connections(state: Rc<EntryState>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(PRUNE_PAUSE_MS)).await;
+        state.pool.prune(|id| state.backends.borrow().takes_work(id));
+    }
+}
--- /dev/null
+++ b/crates/direct/src/exchange.rs
@@ -0,0 +1,201 @@
+//! What processes of the fleet tell each other: the configuration with its age, the backend servers,
+//! and each other's addresses.
+//!
+//! An answer is about the moment at which the question was sent, so a question that travels or
+//! waits for long makes the answer look older than it is, never fresher.
+
+use crate::clock::boot_now;
+use crate::decision_log::DecisionLog;
+use crate::follow::offer;
+use crate::state::EntryState;
+use hickorycross_core::direct::{BackendServer, BootMs, Catalog};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Path of the exchange on the control address.
+pub(crate) const EXCHANGE_PATH: &str = "/exchange";
+
+/// Age of the configuration from which peers are asked for a fresher word.
+///
+/// A little over what the entry's own watch reaches while the store answers (2 s), so that nothing
+/// is asked for freshness on a calm day.
+const ASK_FROM_AGE_MS: u64 = 2_100;
+
+/// Pause between questions while the own word is old.
+const URGENT_PAUSE_MS: u64 = 400;
+
+/// Questions sent at the start of a process, so that seeds learn of it soon.
+const FIRST_QUESTIONS: u32 = 3;
+
+/// Pause between questions that only keep the members known.
+const CALM_PAUSE_MS: u64 = 5_000;
+
+/// Time for an answer: some times the way between failure domains and a peer's turn on a core.
+const ANSWER_TIMEOUT_MS: u64 = 500;
+
+/// Addresses of members in one answer. Sixteen a round reach 400 entries in a few rounds.
+const MOST_MEMBERS: usize = 16;
+
+/// A question to a peer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Question {
+    /// Where the asker answers, if it does.
+    pub(crate) from: Option<SocketAddr>,
+    /// Version of the configuration that the asker has.
+    pub(crate) version: u64,
+    /// The store's revision of the asker's list of backend servers.
+    pub(crate) backends_as_of: u64,
+}
+
+/// A peer's answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Answer {
+    /// Version in force at the peer.
+    pub(crate) version: u64,
+    /// Since when the peer's word is confirmed by the store, if ever.
+    pub(crate) age_ms: Option<u64>,
+    /// The configuration, when the asker has an older one.
+    pub(crate) catalog: Option<Catalog>,
+    /// The store's revision of the peer's list of backend servers.
+    pub(crate) backends_as_of: u64,
+    /// The list, when the asker has an older one.
+    pub(crate) backends: Option<Vec<BackendServer>>,
+    /// Members, each with the time since it was heard of.
+    pub(crate) members: Vec<(SocketAddr, u64)>,
+}
+
+/// Answers a peer's question.
+pub(crate) fn answer(state: &EntryState, question: &Question) -> Answer {
+    let now = boot_now();
+    if let Some(from) = question.from {
+        note_member(state, from, now);
+    }
+    let belief = state.catalog.borrow();
+    let newer = belief.catalog().filter(|catalog| catalog.version > question.version);
+    let backends_as_of = state.backends_as_of.get();
+    let is_newer = backends_as_of > question.backends_as_of;
+    let backends = is_newer.then(|| state.backends.borrow().servers().cloned().collect());
+    let peers = state.peers.borrow();
+    let members = peers.peers().map(|peer| (peer.address, now.since(peer.heard_at)));
+    Answer {
+        version: belief.version(),
+        age_ms: belief.age_ms(now),
+        catalog: newer.map(|catalog| Catalog::clone(catalog)),
+        backends_as_of,
+        backends,
+        members: members.take(MOST_MEMBERS).collect(),
+    }
+}
+
+/// Takes over a peer's answer to a question sent at `sent_at`.
+pub(crate) fn take_over(state: &EntryState, peer: SocketAddr, answer: Answer, sent_at: BootMs) {
+    note_member(state, peer, boot_now());
+    for (address, silent_ms) in answer.members {
+        note_member(state, address, sent_at.before(silent_ms));
+    }
+    let confirmed_at = answer.age_ms.map(|age_ms| sent_at.before(age_ms));
+    if let Some(catalog) = answer.catalog {
+        offer(state, catalog, confirmed_at.unwrap_or_default(), "peer");
+    }
+    if let Some(confirmed_at) = confirmed_at {
+        state.catalog.borrow_mut().confirm(answer.version, confirmed_at);
+    }
+    let Some(backends) = answer.backends else { return };
+    if answer.backends_as_of > state.backends_as_of.get() {
+        state.backends_as_of.set(answer.backends_as_of);
+        let gone = state.backends.borrow_mut().replace_all(backends, boot_now(), None);
+        let line = DecisionLog::fields("backend-servers-heard").with("peer", peer);
+        let line = line.with("as_of", answer.backends_as_of);
+        state.log.note(line.with("gone", gone.join(",")));
+    }
+}
+
+fn note_member(state: &EntryState, address: SocketAddr, heard_at: BootMs) {
+    if state.peers.borrow_mut().note(address, heard_at) {
+        state.log.note(DecisionLog::fields("member").with("peer", address).with("outcome", "seen"));
+        state.split_slack();
+    }
+}
+
+/// Asks peers for ever: often while the own word is old, now and then otherwise.
+pub(crate) async fn follow_peers(state: Rc<EntryState>) {
+    let client = client();
+    let mut asked = 0;
+    loop {
+        if let Some(peer) = state.peers.borrow_mut().next_to_ask() {
+            let asking = ask(Rc::clone(&state), client.clone(), peer);
+            tokio::task::spawn_local(asking);
+            asked += 1;
+        }
+        expire(&state);
+        pause(&state, asked).await;
+    }
+}
+
+async fn pause(state: &EntryState, asked: u32) {
+    for _ in 0..CALM_PAUSE_MS / URGENT_PAUSE_MS {
+        tokio::time::sleep(Duration::from_millis(URGENT_PAUSE_MS)).await;
+        let age_ms = state.catalog.borrow().age_ms(boot_now());
+        if asked < FIRST_QUESTIONS || age_ms.is_none_or(|age_ms| age_ms > ASK_FROM_AGE_MS) {
+            return;
+        }
+    }
+}
+
+fn expire(state: &EntryState) {
+    let gone = state.peers.borrow_mut().expire(boot_now());
+    for peer in &gone {
+        state.log.note(DecisionLog::fields("member").with("peer", peer).with("outcome", "gone"));
+    }
+    if !gone.is_empty() {
+        state.split_slack();
+    }
+}
+
+async fn ask(state: Rc<EntryState>, client: reqwest::Client, peer: SocketAddr) {
+    let question = Question {
+        from: state.settings.borrow().listen.control,
+        version: state.catalog.borrow().version(),
+        backends_as_of: state.backends_as_of.get(),
+    };
+    let sent_at = boot_now();
+    match call(&client, peer, &question).await {
+        Ok(answer) => take_over(&state, peer, answer, sent_at),
+        Err(error) => {
+            metrics::counter!("hickorycross_exchange_failures_total").increment(1);
+            let line = DecisionLog::fields("member").with("peer", peer).with("error", error);
+            state.log.note_ordinary(line.with("outcome", "silent"));
+        }
+    }
+}
+
+/// Why a peer's answer could not be had.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ExchangeError {
+    #[error("no answer: {0}")]
+    Unanswered(#[from] reqwest::Error),
+    #[error("unreadable: {0}")]
+    Unreadable(#[from] postcard::Error),
+}
+
+/// A client for questions to peers.
+pub(crate) fn client() -> reqwest::Client {
+    let builder = reqwest::Client::builder().no_proxy();
+    let builder = builder.timeout(Duration::from_millis(ANSWER_TIMEOUT_MS));
+    // A kept connection may have gone silent; a question every few seconds bears a fresh one.
+    builder.pool_max_idle_per_host(0).build().unwrap_or_default()
+}
+
+/// Asks one peer.
+pub(crate) async fn call(
+    client: &reqwest::Client,
+    peer: SocketAddr,
+    question: &Question,
+) -> Result<Answer, ExchangeError> {
+    let body = postcard::to_stdvec(question)?;
+    let request = client.post(format!("http://{peer}{EXCHANGE_PATH}")).body(body);
+    let response = request.send().await?.error_for_status()?;
+    Ok(postcard::from_bytes(&response.bytes().await?)?)
+}
--- /dev/null
+++ b/crates/direct/src/follow.rs
@@ -0,0 +1,199 @@
+//! Follows the store: the operators' configuration and the list of backend servers.
+
+use crate::clock::boot_now;
+use crate::decision_log::DecisionLog;
+use crate::state::EntryState;
+use crate::store::{SharedStore, StoreChange, StoreError};
+use hickorycross_core::direct::{Adoption, BootMs, Catalog};
+use rand::RngExt;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time for which a watch of the configuration waits.
+///
+/// A watch that returns confirms the configuration as of the moment it was sent, so the belief is at
+/// most twice this old while the store answers. One call a second and entry.
+const CATALOG_WAIT_MS: u64 = 1_000;
+
+/// Time for which a watch of the backend servers waits.
+///
+/// A connection to the store may go silent for good; the watch then ends a little after this, in
+/// time for a leaving backend server to be heard of.
+const BACKENDS_WAIT_MS: u64 = 2_500;
+
+/// Shortest and longest pause after a failed call, in milliseconds, drawn at random so that all
+/// entries do not come back to the store at the same moment.
+const PAUSE_MS: std::ops::Range<u64> = 120..360;
+
+/// Failed calls in a row after which the store counts as lost.
+const FAILURES_UNTIL_LOST: u32 = 2;
+
+/// What a follower knows of the store's state.
+#[derive(Debug, Default)]
+struct Contact {
+    failures_in_row: u32,
+    returned_at: Option<BootMs>,
+}
+
+impl Contact {
+    fn note_answer(&mut self, log: &DecisionLog, what: &str) {
+        if self.failures_in_row >= FAILURES_UNTIL_LOST {
+            self.returned_at = Some(boot_now());
+            log.note(DecisionLog::fields("store-regained").with("reading", what));
+        }
+        self.failures_in_row = 0;
+    }
+
+    fn note_failure(&mut self, log: &DecisionLog, what: &str, error: &StoreError) {
+        self.failures_in_row = self.failures_in_row.saturating_add(1);
+        metrics::counter!("hickorycross_store_failures_total").increment(1);
+        if self.failures_in_row == FAILURES_UNTIL_LOST {
+            let line = DecisionLog::fields("store-lost").with("reading", what);
+            log.note(line.with("error", error));
+        }
+    }
+}
+
+/// Follows the configuration for ever.
+pub(crate) async fn follow_catalog(state: Rc<EntryState>, store: Rc<dyn SharedStore>) {
+    let mut contact = Contact::default();
+    loop {
+        let Err(error) = follow_catalog_once(&state, &*store, &mut contact).await;
+        contact.note_failure(&state.log, "configuration", &error);
+        pause_after(&state, &error).await;
+    }
+}
+
+async fn follow_catalog_once(
+    state: &EntryState,
+    store: &dyn SharedStore,
+    contact: &mut Contact,
+) -> Result<std::convert::Infallible, StoreError> {
+    let sent_at = boot_now();
+    let read = store.read_catalog().await?;
+    contact.note_answer(&state.log, "configuration");
+    if let Some(catalog) = read.value {
+        offer(state, catalog, sent_at, "store");
+    }
+    let mut after = read.as_of;
+    loop {
+        let sent_at = boot_now();
+        let version = state.catalog.borrow().version();
+        let watch = store.watch_catalog(after, CATALOG_WAIT_MS).await?;
+        contact.note_answer(&state.log, "configuration");
+        after = watch.as_of;
+        // Without a change, the version known when the call was sent was still the newest then.
+        if watch.changes.is_empty() {
+            state.catalog.borrow_mut().confirm(version, sent_at);
+        }
+        for change in watch.changes {
+            match change {
+                StoreChange::Catalog(catalog) => offer(state, *catalog, sent_at, "store"),
+                change => note_unreadable(state, &change),
+            }
+        }
+    }
+}
+
+/// Takes over a catalog, confirmed at `confirmed_at`, and says so.
+pub(crate) fn offer(state: &EntryState, catalog: Catalog, confirmed_at: BootMs, source: &str) {
+    let version = catalog.version;
+    let routes = catalog.routes.len();
+    let adoption = state.catalog.borrow_mut().offer(catalog);
+    state.catalog.borrow_mut().confirm(version, confirmed_at);
+    let line = DecisionLog::fields("configuration").with("version", version);
+    let line = line.with("source", source).with("age_ms", boot_now().since(confirmed_at));
+    match adoption {
+        Adoption::Adopted => state.log.note(line.with("routes", routes).with("outcome", "adopted")),
+        Adoption::Older => {
+            let in_force = state.catalog.borrow().version();
+            state.log.note(line.with("in_force", in_force).with("outcome", "refused-as-older"));
+        }
+        Adoption::Known => {}
+    }
+}
+
+fn note_unreadable(state: &EntryState, change: &StoreChange) {
+    if let StoreChange::Unreadable { key, fault } = change {
+        metrics::counter!("hickorycross_store_unreadable_total").increment(1);
+        let line = DecisionLog::fields("store-value-refused").with("key", key);
+        state.log.note(line.with("fault", fault).with("outcome", "kept-what-is-in-force"));
+    }
+}
+
+/// Follows the list of backend servers for ever.
+pub(crate) async fn follow_backends(state: Rc<EntryState>, store: Rc<dyn SharedStore>) {
+    let mut contact = Contact::default();
+    loop {
+        let Err(error) = follow_backends_once(&state, &*store, &mut contact).await;
+        contact.note_failure(&state.log, "backend-servers", &error);
+        pause_after(&state, &error).await;
+    }
+}
+
+async fn follow_backends_once(
+    state: &EntryState,
+    store: &dyn SharedStore,
+    contact: &mut Contact,
+) -> Result<std::convert::Infallible, StoreError> {
+    let read = store.read_backends().await?;
+    contact.note_answer(&state.log, "backend-servers");
+    let now = boot_now();
+    let listed = read.value.len();
+    let gone = state.backends.borrow_mut().replace_all(read.value, now, contact.returned_at);
+    state.backends_as_of.set(read.as_of);
+    for id in gone {
+        note_gone(state, &id, read.as_of);
+    }
+    let line = DecisionLog::fields("backend-servers-read").with("listed", listed);
+    state.log.note(line.with("as_of", read.as_of));
+    let mut after = read.as_of;
+    loop {
+        let watch = store.watch_backends(after, BACKENDS_WAIT_MS).await?;
+        contact.note_answer(&state.log, "backend-servers");
+        after = watch.as_of;
+        state.backends_as_of.set(after);
+        for change in &watch.changes {
+            apply_backend_change(state, change, contact.returned_at, after);
+        }
+        for id in state.backends.borrow_mut().expire(boot_now()) {
+            note_gone(state, &id, after);
+        }
+    }
+}
+
+fn apply_backend_change(
+    state: &EntryState,
+    change: &StoreChange,
+    returned_at: Option<BootMs>,
+    as_of: u64,
+) {
+    match change {
+        StoreChange::Backend(server) => {
+            let line = DecisionLog::fields("backend-server").with("incarnation", &server.id);
+            let line = line.with("address", server.address).with("as_of", as_of);
+            if state.backends.borrow_mut().put(server.clone()) {
+                state.log.note(line.with("outcome", format!("{:?}", server.state)));
+            }
+        }
+        StoreChange::BackendGone(id) => {
+            if state.backends.borrow_mut().lapse(id, boot_now(), returned_at) {
+                note_gone(state, id, as_of);
+            }
+        }
+        change => note_unreadable(state, change),
+    }
+}
+
+fn note_gone(state: &EntryState, id: &str, as_of: u64) {
+    let line = DecisionLog::fields("backend-server").with("incarnation", id);
+    state.log.note(line.with("as_of", as_of).with("outcome", "gone"));
+}
+
+async fn pause_after(state: &EntryState, error: &StoreError) {
+    if *error == StoreError::HistoryGone {
+        return;
+    }
+    let pause_ms = state.random.borrow_mut().random_range(PAUSE_MS);
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+}
--- /dev/null
+++ b/crates/direct/src/forward/life.rs
@@ -0,0 +1,354 @@
+//! Chooses backend servers for a request and decides about further attempts.
+
+use super::attempt::{self, Attempt, Brought, end_to_end};
+use super::{patience, stream};
+use crate::callers::{AnswerBody, CallerRequest, Refusal, whole};
+use crate::clock::boot_now;
+use crate::decision_log::{DecisionLog, Fields};
+use crate::state::EntryState;
+use bytes::Bytes;
+use hickorycross_core::Verdict;
+use hickorycross_core::direct::{AttemptEnd, Choice, Route, judge_attempt};
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, Response, StatusCode, response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use rand::RngExt;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Part of the time for a first event that a request may wait for room, as a divisor.
+///
+/// A caller that is refused soon can come back and still be served; one that waited for long cannot.
+const ROOM_WAIT_DIVISOR: u64 = 10;
+
+/// Failed connects for one request: each costs time, but no backend server saw the request.
+const MOST_CONNECT_FAILURES: u32 = 3;
+
+/// Longest answer that is held until it is whole; a longer one is not handed on.
+const MOST_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Part of all slots of a group that one entry's bound may reach, against an even split.
+///
+/// Callers are spread unevenly over entries; backend servers reject what is too much together.
+const UNEVEN_ENTRIES: f64 = 1.6;
+
+/// A request on its way.
+pub(crate) struct Life {
+    pub(crate) state: Rc<EntryState>,
+    pub(crate) request: CallerRequest,
+    pub(crate) service: String,
+    body: Bytes,
+    tried: Vec<String>,
+    sends: u32,
+    connect_failures: u32,
+    verdict: Verdict,
+}
+
+/// Brings the answer to a request.
+pub(crate) async fn forward(
+    state: Rc<EntryState>,
+    request: CallerRequest,
+    body: Bytes,
+) -> Response<AnswerBody> {
+    let service = choose_service(&state, &request.route);
+    state.allowance.borrow_mut().note_first(boot_now(), &service);
+    let mut life = Life {
+        state,
+        request,
+        service,
+        body,
+        tried: Vec::new(),
+        sends: 0,
+        connect_failures: 0,
+        verdict: Verdict::NotRun,
+    };
+    match life.bring().await {
+        Ok(Done::Whole(parts, body)) => life.hand_on(parts, body),
+        Ok(Done::Stream(response, attempt)) => stream::respond(life, response, attempt),
+        Err(refusal) => {
+            life.note_final(refusal.as_str(), refusal.status());
+            refusal.into_response()
+        }
+    }
+}
+
+/// What a life ends with.
+enum Done {
+    Whole(response::Parts, Bytes),
+    Stream(Response<Incoming>, Attempt),
+}
+
+/// Chooses among the services of a route by their weights.
+fn choose_service(state: &EntryState, route: &Route) -> String {
+    let total: u32 = route.backends.iter().map(|share| share.weight).sum();
+    let mut draw = state.random.borrow_mut().random_range(0..total.max(1));
+    for share in &route.backends {
+        if draw < share.weight {
+            return share.service.clone();
+        }
+        draw -= share.weight;
+    }
+    route.backends.first().map(|share| share.service.clone()).unwrap_or_default()
+}
+
+impl Life {
+    async fn bring(&mut self) -> Result<Done, Refusal> {
+        loop {
+            let (response, attempt) = self.obtain(None).await?;
+            let (parts, body) = response.into_parts();
+            if is_event_stream(&parts) && parts.status.is_success() {
+                return Ok(Done::Stream(Response::from_parts(parts, body), attempt));
+            }
+            if parts.status.is_server_error() && self.retry_failed_answer(&attempt) {
+                continue;
+            }
+            match self.collect(body).await {
+                Ok(bytes) => {
+                    self.note_success(&attempt, parts.status);
+                    attempt.finish();
+                    return Ok(Done::Whole(parts, bytes));
+                }
+                Err(end) => self.note_end(&attempt.server.id, end)?,
+            }
+        }
+    }
+
+    /// Sends the request until a backend server answers it; `resume_after` is the last event that
+    /// the caller has got.
+    pub(crate) async fn obtain(
+        &mut self,
+        resume_after: Option<u64>,
+    ) -> Result<(Response<Incoming>, Attempt), Refusal> {
+        loop {
+            self.check_time_and_key()?;
+            self.wait_for_room().await?;
+            let choice = self.choose()?;
+            self.take_allowance()?;
+            self.note_send(&choice, resume_after);
+            let server = choice.server;
+            let id = server.id.clone();
+            self.tried.push(id.clone());
+            self.sends += 1;
+            let sending =
+                attempt::send(&self.state, &self.request, &self.body, server, resume_after);
+            match sending.await {
+                Brought::Answer(response, attempt) => return Ok((response, attempt)),
+                Brought::End(end) => self.note_end(&id, end)?,
+                Brought::Limit { sent } => {
+                    if sent {
+                        self.verdict = self.verdict.max(Verdict::MayHaveRun);
+                    }
+                    return Err(Refusal::TimedOut(self.verdict));
+                }
+            }
+        }
+    }
+
+    /// A wait may have outlasted the request or the word by which its key was judged.
+    fn check_time_and_key(&self) -> Result<(), Refusal> {
+        let now = boot_now();
+        if now >= self.request.limit_at {
+            return Err(Refusal::TimedOut(self.verdict));
+        }
+        if self.request.team.is_some() && !self.state.keys_are_fresh(now) {
+            return Err(match self.verdict {
+                Verdict::NotRun => Refusal::StaleConfiguration,
+                verdict => Refusal::Failed(verdict),
+            });
+        }
+        Ok(())
+    }
+
+    fn choose(&self) -> Result<Choice, Refusal> {
+        let backends = self.state.backends.borrow();
+        let choice = backends.choose(&self.service, &self.tried, boot_now());
+        choice.ok_or(match self.verdict {
+            Verdict::NotRun if self.sends > 0 => Refusal::Full,
+            Verdict::NotRun => Refusal::NoBackend,
+            verdict => Refusal::Failed(verdict),
+        })
+    }
+
+    /// Every send beyond the first that reaches a backend server comes out of the fleet's budget.
+    fn take_allowance(&self) -> Result<(), Refusal> {
+        let now = boot_now();
+        if self.sends == 0 || self.state.allowance.borrow_mut().take(now, &self.service) {
+            return Ok(());
+        }
+        metrics::counter!("hickorycross_retries_denied_total").increment(1);
+        Err(self.given_up())
+    }
+
+    fn given_up(&self) -> Refusal {
+        match self.verdict {
+            Verdict::NotRun => Refusal::Full,
+            verdict => Refusal::Failed(verdict),
+        }
+    }
+
+    /// Waits for a short time until the bound on open requests to a group leaves room.
+    async fn wait_for_room(&self) -> Result<(), Refusal> {
+        let wait_ms = self.request.route.target_latency_ms / ROOM_WAIT_DIVISOR;
+        let until = boot_now().after(wait_ms);
+        while !self.has_room() {
+            let left_ms = until.since(boot_now());
+            if left_ms == 0 {
+                return Err(self.given_up());
+            }
+            let freed = self.state.room.notified();
+            // Running out of time is seen at the top of the loop.
+            let _ = tokio::time::timeout(Duration::from_millis(left_ms), freed).await;
+        }
+        Ok(())
+    }
+
+    fn has_room(&self) -> bool {
+        let services = &self.request.catalog.services;
+        let is_group = services.get(&self.service).is_some_and(|service| service.group.is_some());
+        if !is_group {
+            return true;
+        }
+        let backends = self.state.backends.borrow();
+        let share = f64::from(backends.slots(&self.service)) / self.state.entries() as f64;
+        let open = backends.outstanding(&self.service);
+        self.state.admission.borrow_mut().admits(&self.service, open, share * UNEVEN_ENTRIES)
+    }
+
+    /// Whether to leave a failed answer and try again elsewhere.
+    fn retry_failed_answer(&mut self, attempt: &Attempt) -> bool {
+        let may = self.request.route.kind.is_idempotent() && self.sends < self.request.route.max_attempts;
+        let others = self.state.backends.borrow();
+        let has_other = others.choose(&self.service, &self.tried, boot_now()).is_some();
+        drop(others);
+        if !may || !has_other {
+            return false;
+        }
+        self.state.backends.borrow_mut().note_failure(&attempt.server.id, boot_now());
+        self.verdict = Verdict::Ran;
+        true
+    }
+
+    /// Reads an answer to its end.
+    async fn collect(&self, body: Incoming) -> Result<Bytes, AttemptEnd> {
+        let reading = Limited::new(body, MOST_ANSWER_BYTES).collect();
+        let Life { state, request, service, .. } = self;
+        let read = patience::wait(state, &request.route, service, request.limit_at, reading).await;
+        match read {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(_)) => Err(AttemptEnd::Broken),
+            Err(_) => Err(AttemptEnd::Silent),
+        }
+    }
+
+    /// Takes note of an attempt that brought nothing; gives the refusal when there is to be no
+    /// further one.
+    pub(crate) fn note_end(&mut self, id: &str, end: AttemptEnd) -> Result<(), Refusal> {
+        let judgement = judge_attempt(end);
+        self.verdict = self.verdict.max(judgement.verdict);
+        if end == AttemptEnd::NothingSent {
+            self.sends = self.sends.saturating_sub(1);
+            self.connect_failures += 1;
+        }
+        let mut backends = self.state.backends.borrow_mut();
+        let mut paused_until = None;
+        if judgement.blames_backend {
+            paused_until = backends.note_failure(id, boot_now());
+        }
+        if end == AttemptEnd::OtherIncarnation {
+            backends.note_leaving(id);
+        }
+        drop(backends);
+        self.note_attempt_end(id, end, paused_until.is_some());
+        let may_repeat = self.verdict.permits_retry(self.request.route.kind.is_idempotent());
+        let has_tries = self.sends < self.request.route.max_attempts
+            && self.connect_failures < MOST_CONNECT_FAILURES;
+        if may_repeat && has_tries { Ok(()) } else { Err(self.given_up()) }
+    }
+
+    pub(crate) fn note_success(&self, attempt: &Attempt, status: StatusCode) {
+        let mut backends = self.state.backends.borrow_mut();
+        if status.is_server_error() {
+            backends.note_failure(&attempt.server.id, boot_now());
+        } else {
+            backends.note_success(&attempt.server.id);
+        }
+    }
+
+    /// Hands a whole answer on.
+    fn hand_on(&self, parts: response::Parts, bytes: Bytes) -> Response<AnswerBody> {
+        if is_unproved_promise(parts.status) {
+            let refusal = Refusal::Failed(Verdict::MayHaveRun);
+            self.note_final("unproved-promise", refusal.status());
+            return refusal.into_response();
+        }
+        self.note_final("answered", parts.status);
+        let mut response = Response::new(whole(bytes));
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = end_to_end(&parts.headers);
+        response
+    }
+
+    fn line(&self, event: &str) -> Fields {
+        let line = DecisionLog::fields(event).with("request", self.request.id());
+        line.with("route", &self.request.route.name).with("service", &self.service)
+    }
+
+    fn note_send(&self, choice: &Choice, resume_after: Option<u64>) {
+        metrics::counter!("hickorycross_attempts_total").increment(1);
+        let belief = self.state.catalog.borrow();
+        let line = self.line("attempt").with("backend", &choice.server.id);
+        let line = line.with("load", format_args!("{:.1}", choice.load_requests));
+        let line = line.with("others", choice.others).with("sends", self.sends + 1);
+        let line = line.with("left_ms", self.request.limit_at.since(boot_now()));
+        let line = line.with("configuration", self.request.catalog.version);
+        let line = line.with_some("configuration_age_ms", belief.age_ms(boot_now()));
+        let spent = self.state.allowance.borrow().spent(&self.service);
+        let line = line.with("backends_as_of", self.state.backends_as_of.get());
+        let line = line.with("second_sends_spent", spent);
+        self.state.log.note_ordinary(line.with_some("resume_after", resume_after));
+    }
+
+    fn note_attempt_end(&self, id: &str, end: AttemptEnd, is_paused: bool) {
+        metrics::counter!("hickorycross_attempts_failed_total", "end" => end.as_str()).increment(1);
+        let line = self.line("attempt-end").with("backend", id).with("end", end.as_str());
+        let line = line.with("verdict", self.verdict).with("paused", is_paused);
+        self.state.log.note(line.with("sends", self.sends));
+    }
+
+    /// Says how the request ended.
+    pub(crate) fn note_final(&self, outcome: &'static str, status: StatusCode) {
+        let took_ms = boot_now().since(self.request.arrived_at);
+        metrics::counter!("hickorycross_requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("hickorycross_request_seconds").record(took_ms as f64 / 1000.0);
+        let line = self.line("final").with("outcome", outcome).with("status", status.as_u16());
+        let line = line.with("verdict", self.verdict).with("sends", self.sends);
+        let line = line.with("took_ms", took_ms);
+        if status.is_success() {
+            self.state.log.note_ordinary(line);
+        } else {
+            let open = self.state.backends.borrow().outstanding(&self.service);
+            let bound = self.state.admission.borrow().bound_requests(&self.service);
+            let line = line.with("open_at_service", open);
+            self.state.log.note(line.with_some("bound", bound.map(|bound| bound as u64)));
+        }
+    }
+}
+
+/// Whether a status would promise that the request has not run, without the backend server's word.
+const fn is_unproved_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+fn is_event_stream(parts: &response::Parts) -> bool {
+    content_type(&parts.headers).is_some_and(|it| it.starts_with("text/event-stream"))
+}
+
+fn content_type(headers: &HeaderMap) -> Option<&str> {
+    headers.get(CONTENT_TYPE)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/direct/src/forward/mod.rs
@@ -0,0 +1,16 @@
+//! The life of a request from its judged head to its final answer.
+//!
+//! - `life` chooses backend servers and decides about further attempts.
+//! - `attempt` sends a request once and judges the head of what comes back.
+//! - `pool` keeps connections to backend servers.
+//! - `stream` hands events on and continues a broken stream elsewhere.
+//! - `patience` tells a silent connection from a group that stalls as a whole.
+
+mod attempt;
+mod life;
+mod patience;
+mod pool;
+mod stream;
+
+pub(crate) use life::forward;
+pub(crate) use pool::Pool;
--- /dev/null
+++ b/crates/direct/src/forward/stream.rs
@@ -0,0 +1,188 @@
+//! Hands events on as they arrive, and continues a broken stream at another backend server.
+
+use super::attempt::{Attempt, end_to_end};
+use super::life::Life;
+use super::patience::{self, Impatience};
+use crate::callers::{AnswerBody, BodyBreak};
+use crate::clock::boot_now;
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use hickorycross_core::direct::{AttemptEnd, BootMs, EventCutter, RequestKind, StreamEvent};
+use http::header::CONTENT_LENGTH;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+
+/// A stream on its way to a caller.
+struct Relay {
+    life: Life,
+    attempt: Option<Attempt>,
+    body: Incoming,
+    cutter: EventCutter,
+    /// The last event that the caller has got.
+    last_id: Option<u64>,
+    last_event_at: BootMs,
+    events: u64,
+}
+
+/// How a relay goes on.
+enum Step {
+    Event(Bytes),
+    Finished,
+    BrokeOff,
+}
+
+/// Answers a caller with the events of a backend server.
+pub(crate) fn respond(
+    life: Life,
+    response: Response<Incoming>,
+    attempt: Attempt,
+) -> Response<AnswerBody> {
+    let (parts, body) = response.into_parts();
+    let mut headers = end_to_end(&parts.headers);
+    // Events of another backend server may follow, whose bytes this length does not count.
+    headers.remove(CONTENT_LENGTH);
+    let last_event_at = life.request.arrived_at;
+    let relay = Relay {
+        life,
+        attempt: Some(attempt),
+        body,
+        cutter: EventCutter::default(),
+        last_id: None,
+        last_event_at,
+        events: 0,
+    };
+    let frames = unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.step().await {
+            Step::Event(bytes) => Some((Ok(Frame::data(bytes)), Some(relay))),
+            Step::Finished => None,
+            Step::BrokeOff => Some((Err(BodyBreak), None)),
+        }
+    });
+    let body: AnswerBody = Box::pin(StreamBody::new(frames));
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = headers;
+    response
+}
+
+impl Relay {
+    async fn step(&mut self) -> Step {
+        loop {
+            while let Some(event) = self.cutter.next_event() {
+                match self.judge(&event) {
+                    Continuity::Next => return self.hand_on(event),
+                    Continuity::Repeat => {}
+                    Continuity::Gap => {
+                        if let Some(end) = self.continue_after(AttemptEnd::Spoiled).await {
+                            return end;
+                        }
+                    }
+                }
+            }
+            match self.read().await {
+                Ok(true) => {}
+                Ok(false) => return self.finish(),
+                Err(Some(end)) => {
+                    if let Some(end) = self.continue_after(end).await {
+                        return end;
+                    }
+                }
+                Err(None) => return self.break_off("route-time-over"),
+            }
+        }
+    }
+
+    /// Reads more bytes; `false` at the end of the answer. Fails with how the attempt ended, or
+    /// with nothing when the request's time is over.
+    async fn read(&mut self) -> Result<bool, Option<AttemptEnd>> {
+        let Life { state, request, service, .. } = &self.life;
+        let reading = self.body.frame();
+        let read = patience::wait(state, &request.route, service, request.limit_at, reading).await;
+        match read {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(bytes) = frame.into_data() {
+                    self.cutter.push(&bytes);
+                }
+                Ok(true)
+            }
+            // A backend server that stops in the middle of an event has not finished.
+            Ok(None) if self.cutter.torn_bytes() > 0 => Err(Some(AttemptEnd::Broken)),
+            Ok(None) => Ok(false),
+            Ok(Some(Err(_))) => Err(Some(AttemptEnd::Broken)),
+            Err(Impatience::Silent) => Err(Some(AttemptEnd::Silent)),
+            Err(Impatience::Limit) => Err(None),
+        }
+    }
+
+    fn judge(&self, event: &StreamEvent) -> Continuity {
+        match (self.last_id, event.id) {
+            (Some(last), Some(id)) if id <= last => Continuity::Repeat,
+            (Some(last), Some(id)) if id > last + 1 => Continuity::Gap,
+            _ => Continuity::Next,
+        }
+    }
+
+    fn hand_on(&mut self, event: StreamEvent) -> Step {
+        let now = boot_now();
+        let Life { state, request, service, .. } = &self.life;
+        let span_ms = now.since(self.last_event_at);
+        let route = &request.route;
+        let target_ms = route.target_gap_ms.unwrap_or(route.target_latency_ms);
+        let bound_ms = if self.events == 0 { route.target_latency_ms } else { target_ms };
+        state.admission.borrow_mut().note_pace(service, span_ms <= bound_ms, now);
+        state.progress.borrow_mut().insert(service.clone(), now);
+        if self.events == 0 {
+            metrics::histogram!("hickorycross_first_event_seconds").record(span_ms as f64 / 1000.0);
+        }
+        self.last_event_at = now;
+        self.events += 1;
+        self.last_id = event.id.or(self.last_id);
+        Step::Event(event.bytes)
+    }
+
+    fn finish(&mut self) -> Step {
+        if let Some(attempt) = self.attempt.take() {
+            self.life.note_success(&attempt, StatusCode::OK);
+            attempt.finish();
+        }
+        self.life.note_final("streamed", StatusCode::OK);
+        Step::Finished
+    }
+
+    fn break_off(&mut self, cause: &'static str) -> Step {
+        self.attempt = None;
+        self.life.note_final(cause, StatusCode::BAD_GATEWAY);
+        Step::BrokeOff
+    }
+
+    /// Goes on at another backend server after the last event that the caller has got. Gives a step
+    /// when there is no other way than to end the answer.
+    async fn continue_after(&mut self, end: AttemptEnd) -> Option<Step> {
+        let attempt = self.attempt.take();
+        let id = attempt.as_ref().map(|attempt| attempt.server.id.clone()).unwrap_or_default();
+        drop(attempt);
+        let may_resume = self.life.request.route.kind == RequestKind::ResumableStream;
+        if self.life.note_end(&id, end).is_err() || !may_resume {
+            return Some(self.break_off("broke-off"));
+        }
+        let Ok((response, attempt)) = self.life.obtain(self.last_id).await else {
+            return Some(self.break_off("not-resumed"));
+        };
+        if !response.status().is_success() {
+            return Some(self.break_off("not-resumed"));
+        }
+        self.body = response.into_body();
+        self.cutter = EventCutter::default();
+        self.attempt = Some(attempt);
+        None
+    }
+}
+
+/// Where an event stands against the last one that the caller has got.
+enum Continuity {
+    Next,
+    Repeat,
+    Gap,
+}
--- /dev/null
+++ b/crates/direct/src/state.rs
@@ -0,0 +1,128 @@
+//! What an entry believes and counts, shared by all tasks of its one thread.
+
+use crate::decision_log::DecisionLog;
+use crate::forward::Pool;
+use crate::settings::ProcessSettings;
+use crate::wire_names::WireNames;
+use hickorycross_core::direct::{
+    Admission, AdmissionSettings, AllowanceSettings, BackendTable, BootMs, CatalogBelief, PeerTable,
+    RetryAllowance,
+};
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tokio::sync::{Notify, watch};
+
+/// Part of the fleet's budget of second sends that is used at all. The rest covers windows that
+/// the entries and an observer cut differently.
+const BUDGET_PART: f64 = 0.7;
+
+/// Entries among which the slack is split when fewer are known.
+const LEAST_ENTRIES: usize = 4;
+
+/// Longest time for which the store may learn of a change without telling its watchers.
+const DEAF_WATCH_MS: u64 = 1_000;
+
+/// Time that a decision may take from the check of a key until the request has left.
+const KEY_USE_SLACK_MS: u64 = 500;
+
+/// Bounds on open requests to a group.
+///
+/// `shrink` and `grow_requests` are those of the usual additive increase, multiplicative decrease;
+/// `settle_ms` is about two passes of a busy group.
+const ADMISSION: AdmissionSettings =
+    AdmissionSettings { least_requests: 4.0, shrink: 0.08, grow_requests: 0.05, settle_ms: 250 };
+
+/// State of one entry.
+pub(crate) struct EntryState {
+    pub(crate) settings: RefCell<ProcessSettings>,
+    pub(crate) names: WireNames,
+    pub(crate) log: DecisionLog,
+    pub(crate) catalog: RefCell<CatalogBelief>,
+    pub(crate) backends: RefCell<BackendTable>,
+    /// The store's revision of the list of backend servers.
+    pub(crate) backends_as_of: Cell<u64>,
+    pub(crate) allowance: RefCell<RetryAllowance>,
+    pub(crate) admission: RefCell<Admission>,
+    pub(crate) peers: RefCell<PeerTable>,
+    pub(crate) random: RefCell<ChaCha8Rng>,
+    /// When a stream of a service last gave an event.
+    pub(crate) progress: RefCell<IndexMap<String, BootMs>>,
+    /// Told whenever a request to a backend server ends.
+    pub(crate) room: Notify,
+    pub(crate) is_draining: Cell<bool>,
+    pub(crate) open_requests: Cell<usize>,
+    pub(crate) open_connections: Cell<usize>,
+    /// Turns true when callers' connections are to close between requests.
+    pub(crate) closing: watch::Sender<bool>,
+    /// Connections to backend servers.
+    pub(crate) pool: Pool,
+}
+
+impl EntryState {
+    pub(crate) fn new(settings: ProcessSettings, names: WireNames, log: DecisionLog) -> Rc<Self> {
+        let backends = BackendTable::new(&settings.failure_domain);
+        let peers = PeerTable::new(&settings.seeds, settings.listen.control);
+        let allowance = RetryAllowance::new(allowance_of(&settings, 0));
+        Rc::new(Self {
+            settings: RefCell::new(settings),
+            names,
+            log,
+            catalog: RefCell::default(),
+            backends: RefCell::new(backends),
+            backends_as_of: Cell::new(0),
+            allowance: RefCell::new(allowance),
+            admission: RefCell::new(Admission::new(ADMISSION)),
+            peers: RefCell::new(peers),
+            random: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
+            progress: RefCell::default(),
+            room: Notify::new(),
+            is_draining: Cell::new(false),
+            open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
+            closing: watch::Sender::new(false),
+            pool: Pool::default(),
+        })
+    }
+
+    /// Whether keys may be judged by the catalog in force.
+    ///
+    /// What is left of the bound after a watch that may have been deaf and the way of the request.
+    pub(crate) fn keys_are_fresh(&self, now: BootMs) -> bool {
+        let revoke_ms = self.settings.borrow().bounds.revoke_ms;
+        let bound_ms = revoke_ms.saturating_sub(DEAF_WATCH_MS + KEY_USE_SLACK_MS);
+        self.catalog.borrow().is_fresh(now, bound_ms)
+    }
+
+    /// Whether this entry should get callers' connections.
+    pub(crate) fn is_ready(&self, now: BootMs) -> bool {
+        let catalog = self.catalog.borrow();
+        let needs_keys = catalog.catalog().is_some_and(|catalog| !catalog.teams.is_empty());
+        drop(catalog);
+        !self.is_draining.get()
+            && self.catalog.borrow().catalog().is_some()
+            && (!needs_keys || self.keys_are_fresh(now))
+    }
+
+    /// Takes over the number of known entries for the split of the slack.
+    pub(crate) fn split_slack(&self) {
+        let peers = self.peers.borrow().len();
+        self.allowance.borrow_mut().set(allowance_of(&self.settings.borrow(), peers));
+    }
+
+    /// Other entries that are known, and this one.
+    pub(crate) fn entries(&self) -> usize {
+        (self.peers.borrow().len() + 1).max(1)
+    }
+}
+
+fn allowance_of(settings: &ProcessSettings, peers: usize) -> AllowanceSettings {
+    let entries = (peers + 1).max(LEAST_ENTRIES) as f64;
+    AllowanceSettings {
+        window_ms: settings.bounds.retry_window_ms,
+        ratio: settings.bounds.retry_ratio * BUDGET_PART,
+        slack: settings.bounds.retry_slack * BUDGET_PART / entries,
+    }
+}
--- a/crates/entry/src/cli/mod.rs
+++ b/crates/entry/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod documents;
 mod keys;
+mod on_platform;
 
 use crate::program::Entry;
 use crate::settings::Settings;
@@ -38,6 +39,7 @@
                 .about("Run until SIGTERM, then drain; a second signal stops at once")
                 .args(command::settings_arguments::<Settings>()),
         )
+        .subcommand(on_platform::command())
         .subcommand(documents::check_command())
         .subcommand(documents::diff_command())
         .subcommand(documents::schema_command())
@@ -58,6 +60,7 @@
     let done = match matches.subcommand() {
         Some(("run", matches)) => command::load_settings(matches)
             .and_then(|settings| run_entry(&settings).map_err(Failure::Failed)),
+        Some(("on-platform", _)) => on_platform::run().map_err(Failure::Failed),
         Some(("check", matches)) => documents::check(matches),
         Some(("diff", matches)) => documents::diff(matches),
         Some(("schema", _)) => {
--- /dev/null
+++ b/crates/entry/src/cli/on_platform.rs
@@ -0,0 +1,27 @@
+//! The command that runs an entry on the users' platform.
+
+use clap::Command;
+use hickorycross_platform::{SettingsFile, Store, wire_names};
+use miette::IntoDiagnostic;
+use std::rc::Rc;
+use tokio::task::LocalSet;
+
+/// The command's name and help.
+pub(crate) fn command() -> Command {
+    Command::new("on-platform").about(
+        "Run on the users' platform, which names the settings file in the environment and gives \
+         configuration and backend servers in its store",
+    )
+}
+
+/// Runs until the platform asks to stop.
+pub(crate) fn run() -> miette::Result<()> {
+    let mut file = SettingsFile::of_environment()?;
+    let settings = file.read()?;
+    let store = Rc::new(Store::new(settings.store.address).into_diagnostic()?);
+    // A machine gives a part of one core: further threads would only take turns.
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
+    let running = hickorycross_direct::run_entry(settings, wire_names(), store, Box::new(file));
+    LocalSet::new().block_on(&runtime, running)
+}
