feat(direct): agents keep one expert map and even out their group

Change: one agent leads, polls counts of the own machines, prepares, holds, arms, lets go; undone under a higher fence when anything is missing.

--- a/crates/agent/src/cli.rs
+++ b/crates/agent/src/cli.rs
@@ -36,6 +36,7 @@
                 .about("Check a settings file, with environment and flags, and start nothing")
                 .args(command::settings_arguments::<Settings>()),
         )
+        .subcommand(crate::on_platform::command())
         .subcommand(command::status_command())
         .subcommand(command::audit_command())
         .subcommand(command::completions_command())
@@ -50,6 +51,7 @@
     let done = match matches.subcommand() {
         Some(("run", matches)) => command::load_settings(matches)
             .and_then(|settings| run_agent(&settings).map_err(Failure::Failed)),
+        Some(("on-platform", _)) => crate::on_platform::run().map_err(Failure::Failed),
         Some(("check", matches)) => command::load_settings::<Settings>(matches)
             .map(|_| println!("the settings can be used")),
         Some(("status", matches)) => command::status(matches),
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,6 +9,7 @@
 mod driver;
 mod export;
 mod group;
+mod on_platform;
 mod program;
 mod settings;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`routing`], [`limits`], [`health`] and [`retry`] are the policies that an entry consults.
 //! - [`group`] keeps one expert map in every step; [`placement`] decides when to change it.
 //! - [`direct`] holds what an entry decides when it reaches backend servers without agents.
+//! - [`map_change`] changes the expert map of a group whose ranks take orders one by one.
 //! - [`adoption`] decides which document is in force.
 //! - [`audit`] holds the records of every change that defines behaviour.
 
@@ -29,6 +30,7 @@
 pub mod group;
 pub mod health;
 pub mod limits;
+pub mod map_change;
 pub mod message;
 pub mod placement;
 pub mod retry;
--- /dev/null
+++ b/crates/core/src/map_change/mod.rs
@@ -0,0 +1,29 @@
+//! Changes the expert map of a group whose ranks take orders one by one and do not compare maps.
+//!
+//! An agent stands beside each rank. One agent leads; it polls the others, decides about changes
+//! and sends orders, which each agent carries out at its own rank. What must never happen is a
+//! pass in which two ranks have different maps. The leader therefore
+//!
+//! 1. lets all ranks *prepare* the new map, which changes nothing yet;
+//! 2. places a *hold* at a pass ahead: the group does not begin that pass before it is let go;
+//! 3. *arms* all ranks to switch as that pass begins;
+//! 4. lets the pass *go* when every rank has shown that it is armed.
+//!
+//! If anything is missing, all ranks are disarmed before the pass goes. An order whose answer was
+//! lost may be carried out seconds later; a higher fencing number, shown to the rank, makes that
+//! impossible. A leader that dies leaves a stalled group, never a mixed one, and its successor
+//! undoes what it finds.
+//!
+//! - [`Leader`] is the state machine; [`RankStatus`] is what it hears, [`RankOrder`] what it sends.
+//! - [`Demand`] estimates the load of each expert.
+
+mod demand;
+mod leader;
+mod order;
+mod phase;
+mod status;
+
+pub use demand::Demand;
+pub use leader::{Leader, LeaderAction, LeaderNote};
+pub use order::{OrderEnd, OrderKind, RankOrder};
+pub use status::{Armed, CountsSample, RankStatus};
--- /dev/null
+++ b/crates/core/src/map_change/order.rs
@@ -0,0 +1,71 @@
+//! Orders to ranks.
+
+use crate::placement::ExpertMap;
+use serde::{Deserialize, Serialize};
+
+/// An order to one rank.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankOrder {
+    /// The group's epoch for which the order is meant.
+    pub epoch: u64,
+    /// A rank that has seen a higher number refuses the order.
+    pub fence: u64,
+    /// What to do.
+    pub kind: OrderKind,
+}
+
+/// What a rank is to do.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderKind {
+    /// Copy what is new in a map, and keep it ready.
+    Prepare {
+        /// Names the map; higher than all before.
+        version: u64,
+        /// The map.
+        map: ExpertMap,
+    },
+    /// Switch to a prepared map as a pass begins.
+    Arm {
+        /// The map.
+        version: u64,
+        /// The pass.
+        step: u64,
+    },
+    /// Forget whatever is armed. Shows the fence to the rank also when nothing is.
+    Disarm,
+    /// Do not begin a pass before it is let go.
+    Hold {
+        /// The pass.
+        step: u64,
+    },
+    /// Begin a held pass.
+    Go {
+        /// The pass.
+        step: u64,
+    },
+}
+
+impl OrderKind {
+    /// The word for logs.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Prepare { .. } => "prepare",
+            Self::Arm { .. } => "arm",
+            Self::Disarm => "disarm",
+            Self::Hold { .. } => "hold",
+            Self::Go { .. } => "go",
+        }
+    }
+}
+
+/// What became of an order, by the rank's own word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderEnd {
+    /// It holds.
+    Done,
+    /// The rank refused it.
+    Refused,
+    /// The rank has seen a higher fence.
+    Fenced,
+}
--- /dev/null
+++ b/crates/core/src/map_change/status.rs
@@ -0,0 +1,50 @@
+//! What a rank says of itself.
+
+use serde::{Deserialize, Serialize};
+
+/// A rank's word about its part in the group, as its agent read it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankStatus {
+    /// Its group.
+    pub group: String,
+    /// Its place in the group.
+    pub rank: u16,
+    /// Ranks of the group.
+    pub ranks: u16,
+    /// Grows each time the group is formed.
+    pub epoch: u64,
+    /// Whether the group makes passes.
+    pub is_open: bool,
+    /// The last pass that was begun.
+    pub step: u64,
+    /// The map in use.
+    pub map: u64,
+    /// The newest map whose copies are complete.
+    pub prepared: Option<u64>,
+    /// The map to which the rank will switch.
+    pub armed: Option<Armed>,
+    /// The pass that does not begin before it is let go.
+    pub held_step: Option<u64>,
+    /// The highest fence that the agent has sent to the rank.
+    pub highest_fence: u64,
+    /// How often experts were chosen since the agent's last status.
+    pub counts: CountsSample,
+    /// Experts that the rank holds, by layer, when the leader does not know them.
+    pub experts: Option<Vec<Vec<u16>>>,
+}
+
+/// A rank that will switch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Armed {
+    /// To this map.
+    pub version: u64,
+    /// As this pass begins.
+    pub step: u64,
+}
+
+/// Choices of experts between two statuses.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CountsSample {
+    /// Choices, layer after layer, expert after expert; empty when there is nothing to compare.
+    pub choices: Vec<u32>,
+}
--- a/crates/core/src/placement/layer.rs
+++ b/crates/core/src/placement/layer.rs
@@ -151,6 +151,12 @@
 }
 
 impl ExpertMap {
+    /// Ranks of the group.
+    #[must_use]
+    pub fn ranks(&self) -> usize {
+        self.layers.first().map_or(0, |layer| layer.experts_of_rank.len())
+    }
+
     /// Checks the map against its group: every expert placed, no slot exceeded, none repeated.
     ///
     /// # Errors
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod cost;
 mod estimate;
 mod layer;
+mod level;
 mod loading;
 mod noise;
 mod pack;
@@ -31,6 +32,7 @@
 pub use cost::{CostModel, HORIZON_MS, STALL_STEPS_PER_CHANGE};
 pub use estimate::LoadEstimator;
 pub use layer::{ExpertLoad, ExpertMap, LayerPlacement, MapFault};
+pub use level::{LevelSettings, bottleneck_load, level_map};
 pub use loading::{
     AbandonCause, LoadAction, LoadEvent, LoadKey, Loader, LoaderSettings, LoaderState,
 };
--- /dev/null
+++ b/crates/direct/src/agent/execute.rs
@@ -0,0 +1,111 @@
+//! Carries an order out for certain, whatever is lost on the way.
+
+use super::rank::{OrderReply, RankEngine, RankReport};
+use crate::decision_log::DecisionLog;
+use hickorycross_core::map_change::{OrderEnd, OrderKind, RankOrder};
+use std::time::Duration;
+
+/// Sends of one order. With half of all answers lost, the chance that none of so many comes is one
+/// in a million; the leader asks again after that.
+const MOST_SENDS: u32 = 20;
+
+/// Pause before the rank is asked again whether an order shows.
+const SHOW_PAUSE_MS: u64 = 5;
+
+/// Times that the rank is asked whether an accepted order shows.
+const SHOW_LOOKS: u32 = 6;
+
+/// Carries an order out. Gives nothing when the rank does not answer.
+///
+/// The rank's own report decides, not the answer to the order: the answer may be lost though the
+/// order was accepted.
+pub(crate) async fn execute(
+    engine: &dyn RankEngine,
+    order: &RankOrder,
+    log: &DecisionLog,
+) -> Option<OrderEnd> {
+    for send in 1..=MOST_SENDS {
+        let report = engine.report().await.ok()?;
+        if report.seat.as_ref().is_none_or(|seat| seat.epoch != order.epoch) {
+            note(log, order, send, "other-epoch");
+            return Some(OrderEnd::Refused);
+        }
+        if is_spared(&report, order) {
+            return Some(OrderEnd::Done);
+        }
+        let armed = report.armed.map(|armed| armed.version);
+        match engine.order(order, armed).await {
+            Ok(OrderReply::Accepted) => {
+                if comes_to_show(engine, order).await {
+                    note(log, order, send, "done");
+                    return Some(OrderEnd::Done);
+                }
+            }
+            Ok(OrderReply::Fenced) => {
+                note(log, order, send, "fenced");
+                return Some(OrderEnd::Fenced);
+            }
+            Ok(OrderReply::Conflict | OrderReply::Unusable(_)) => {
+                // An earlier copy of the order may have been carried out meanwhile.
+                let end = if comes_to_show(engine, order).await {
+                    OrderEnd::Done
+                } else {
+                    OrderEnd::Refused
+                };
+                note(log, order, send, if end == OrderEnd::Done { "done" } else { "refused" });
+                return Some(end);
+            }
+            Err(error) => {
+                let line = DecisionLog::fields("order").with("kind", order.kind.as_str());
+                let line = line.with("fence", order.fence).with("send", send);
+                log.note(line.with("error", error).with("outcome", "sent-again"));
+            }
+        }
+    }
+    None
+}
+
+/// Whether an order need not be given, because its effect is there already.
+///
+/// A disarming order also shows its fence to the rank, so it is always given. A rank that copies may
+/// be busy with an earlier map.
+fn is_spared(report: &RankReport, order: &RankOrder) -> bool {
+    match &order.kind {
+        OrderKind::Prepare { version, .. } => report.prepared == Some(*version),
+        OrderKind::Disarm => false,
+        _ => shows(report, order),
+    }
+}
+
+async fn comes_to_show(engine: &dyn RankEngine, order: &RankOrder) -> bool {
+    for _ in 0..SHOW_LOOKS {
+        if let Ok(report) = engine.report().await
+            && shows(&report, order)
+        {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(SHOW_PAUSE_MS)).await;
+    }
+    false
+}
+
+/// Whether a rank's report shows that an order was carried out.
+fn shows(report: &RankReport, order: &RankOrder) -> bool {
+    match &order.kind {
+        // The copies take time; that they are complete is read from the statuses.
+        OrderKind::Prepare { version, .. } => report.is_busy || report.prepared == Some(*version),
+        OrderKind::Arm { version, step } => {
+            report.armed.is_some_and(|armed| armed.version == *version && armed.step == *step)
+        }
+        OrderKind::Disarm => report.armed.is_none(),
+        OrderKind::Hold { step } => report.held_step == Some(*step),
+        OrderKind::Go { step } => report.held_step != Some(*step),
+    }
+}
+
+fn note(log: &DecisionLog, order: &RankOrder, send: u32, outcome: &'static str) {
+    metrics::counter!("hickorycross_orders_total", "outcome" => outcome).increment(1);
+    let line = DecisionLog::fields("order").with("kind", order.kind.as_str());
+    let line = line.with("epoch", order.epoch).with("fence", order.fence).with("send", send);
+    log.note(line.with("outcome", outcome));
+}
--- /dev/null
+++ b/crates/direct/src/agent/fleet.rs
@@ -0,0 +1,108 @@
+//! What an agent hears from entries: the configuration and the backend servers of its service.
+
+use crate::clock::boot_now;
+use crate::decision_log::DecisionLog;
+use crate::exchange::{self, Question};
+use hickorycross_core::direct::{
+    Adoption, BackendServer, CatalogBelief, GroupDimensions, PeerTable,
+};
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause between questions while nothing is known yet.
+const FIRST_PAUSE_MS: u64 = 300;
+
+/// Pause between questions. New members and dimensions may be learnt this much later.
+const PAUSE_MS: u64 = 2_000;
+
+/// What an agent knows of the fleet.
+pub(crate) struct Fleet {
+    log: DecisionLog,
+    service: String,
+    catalog: RefCell<CatalogBelief>,
+    backends: RefCell<Vec<BackendServer>>,
+    peers: RefCell<PeerTable>,
+}
+
+impl Fleet {
+    pub(crate) fn new(
+        log: DecisionLog,
+        service: &str,
+        seeds: &[std::net::SocketAddr],
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            log,
+            service: service.to_owned(),
+            catalog: RefCell::default(),
+            backends: RefCell::default(),
+            peers: RefCell::new(PeerTable::new(seeds, None)),
+        })
+    }
+
+    /// Dimensions of the groups of the agent's service.
+    pub(crate) fn dimensions(&self) -> Option<GroupDimensions> {
+        self.catalog.borrow().catalog()?.services.get(&self.service)?.group
+    }
+
+    /// Addresses of the machines on which backend servers of the service stand.
+    pub(crate) fn machines(&self) -> Vec<IpAddr> {
+        let backends = self.backends.borrow();
+        let ours = backends.iter().filter(|server| server.service == self.service);
+        let mut machines: Vec<IpAddr> = ours.map(|server| server.address.ip()).collect();
+        machines.sort_unstable();
+        machines.dedup();
+        machines
+    }
+
+    /// Takes changed seeds.
+    pub(crate) fn set_seeds(&self, seeds: &[std::net::SocketAddr]) {
+        self.peers.borrow_mut().set_seeds(seeds);
+    }
+}
+
+/// Asks entries for ever.
+pub(crate) async fn follow(fleet: Rc<Fleet>) {
+    let client = exchange::client();
+    let mut backends_as_of = 0;
+    loop {
+        let peer = fleet.peers.borrow_mut().next_to_ask();
+        if let Some(peer) = peer {
+            let version = fleet.catalog.borrow().version();
+            let question = Question { from: None, version, backends_as_of };
+            let sent_at = boot_now();
+            match exchange::call(&client, peer, &question).await {
+                Ok(answer) => {
+                    fleet.peers.borrow_mut().note(peer, sent_at);
+                    for (address, silent_ms) in &answer.members {
+                        fleet.peers.borrow_mut().note(*address, sent_at.before(*silent_ms));
+                    }
+                    if let Some(backends) = answer.backends
+                        && answer.backends_as_of > backends_as_of
+                    {
+                        backends_as_of = answer.backends_as_of;
+                        *fleet.backends.borrow_mut() = backends;
+                    }
+                    if let Some(catalog) = answer.catalog {
+                        let version = catalog.version;
+                        let adoption = fleet.catalog.borrow_mut().offer(catalog);
+                        if adoption == Adoption::Adopted {
+                            let line = DecisionLog::fields("configuration");
+                            let line = line.with("version", version).with("peer", peer);
+                            fleet.log.note(line.with("outcome", "adopted"));
+                        }
+                    }
+                }
+                Err(error) => {
+                    let line = DecisionLog::fields("member").with("peer", peer);
+                    fleet.log.note(line.with("error", error).with("outcome", "silent"));
+                }
+            }
+        }
+        fleet.peers.borrow_mut().expire(boot_now());
+        let is_known = fleet.dimensions().is_some() && backends_as_of > 0;
+        let pause_ms = if is_known { PAUSE_MS } else { FIRST_PAUSE_MS };
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
--- /dev/null
+++ b/crates/direct/src/agent/member.rs
@@ -0,0 +1,351 @@
+//! An agent as a member of its group: it follows a leader, or leads.
+
+use super::datagram::{Datagram, MOST_BYTES};
+use super::execute::execute;
+use super::fleet::Fleet;
+use super::rank::{ExpertCounts, RankEngine, RankReport};
+use crate::clock::{boot_now, wall_ms};
+use crate::decision_log::DecisionLog;
+use hickorycross_core::direct::BootMs;
+use hickorycross_core::map_change::{
+    CountsSample, Leader, LeaderAction, LeaderNote, OrderEnd, RankOrder, RankStatus,
+};
+use indexmap::IndexMap;
+use rand::RngExt;
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+/// Pause between polls while nothing is under way.
+const POLL_MS: u64 = 200;
+
+/// Pause between polls during a change, when the newest pass and the end of copies count.
+const BUSY_POLL_MS: u64 = 60;
+
+/// Pause between decisions of a leader.
+const TICK_MS: u64 = 20;
+
+/// Silence of a leader after which the member of rank 0 leads: several polls.
+const LEADER_SILENT_MS: u64 = 900;
+
+/// Silence added for each rank, so that members do not begin to lead at the same moment.
+const SILENT_PER_RANK_MS: u64 = 120;
+
+/// Most silence added for a rank: the group must not stand still for long in a large one.
+const MOST_ADDED_SILENCE_MS: u64 = 1_500;
+
+/// Lower digits of a fence tell leaders apart that began in the same millisecond.
+const FENCES_PER_MS: u64 = 1 << 10;
+
+/// Ends of orders that are kept for a leader that asks again.
+const MOST_KEPT_ENDS: usize = 64;
+
+/// A member of a group.
+pub(crate) struct Member {
+    pub(crate) engine: Rc<dyn RankEngine>,
+    pub(crate) fleet: Rc<Fleet>,
+    pub(crate) log: DecisionLog,
+    pub(crate) socket: Rc<UdpSocket>,
+    pub(crate) port: u16,
+    leader: RefCell<Option<Leader>>,
+    /// Where the agents of ranks are.
+    ranks: RefCell<IndexMap<u16, SocketAddr>>,
+    /// The highest fence of a leader heard, or of an order sent to the rank.
+    highest_fence: Cell<u64>,
+    leader_heard_at: Cell<BootMs>,
+    last_counts: RefCell<Option<ExpertCounts>>,
+    /// Orders under way or ended, by fence and number.
+    orders: RefCell<IndexMap<(u64, u64), Option<OrderEnd>>>,
+    own_rank: Cell<Option<u16>>,
+}
+
+impl Member {
+    pub(crate) fn new(
+        engine: Rc<dyn RankEngine>,
+        fleet: Rc<Fleet>,
+        log: DecisionLog,
+        socket: UdpSocket,
+        port: u16,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            engine,
+            fleet,
+            log,
+            socket: Rc::new(socket),
+            port,
+            leader: RefCell::new(None),
+            ranks: RefCell::default(),
+            highest_fence: Cell::new(0),
+            leader_heard_at: Cell::new(boot_now()),
+            last_counts: RefCell::new(None),
+            orders: RefCell::default(),
+            own_rank: Cell::new(None),
+        })
+    }
+
+    async fn send(&self, to: SocketAddr, datagram: &Datagram) {
+        match postcard::to_stdvec(datagram) {
+            Ok(bytes) => {
+                if let Err(error) = self.socket.send_to(&bytes, to).await {
+                    let line = DecisionLog::fields("datagram").with("to", to);
+                    self.log.note_ordinary(line.with("error", error).with("outcome", "lost"));
+                }
+            }
+            Err(error) => {
+                let line = DecisionLog::fields("datagram").with("to", to);
+                self.log.note(line.with("error", error).with("outcome", "not-sent"));
+            }
+        }
+    }
+}
+
+/// Hears other agents for ever.
+pub(crate) async fn hear(member: Rc<Member>) {
+    let mut buffer = vec![0; MOST_BYTES];
+    loop {
+        let (length, from) = match member.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                // A machine without a listener answers an earlier datagram with an error.
+                member.log.note_ordinary(DecisionLog::fields("datagram").with("error", error));
+                tokio::time::sleep(Duration::from_millis(1)).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes(&buffer[..length]) {
+            Ok(datagram) => {
+                tokio::task::spawn_local(handle(Rc::clone(&member), from, datagram));
+            }
+            Err(error) => {
+                let line = DecisionLog::fields("datagram").with("from", from);
+                member.log.note(line.with("error", error).with("outcome", "unreadable"));
+            }
+        }
+    }
+}
+
+async fn handle(member: Rc<Member>, from: SocketAddr, datagram: Datagram) {
+    match datagram {
+        Datagram::Poll { fence, known_map } => answer_poll(&member, from, fence, known_map).await,
+        Datagram::Status(status) => take_status(&member, from, status),
+        Datagram::Order { number, order } => take_order(&member, from, number, order).await,
+        Datagram::End { rank, number, fence, end } => {
+            if let Some(leader) = member.leader.borrow_mut().as_mut()
+                && fence <= leader.fence()
+            {
+                leader.on_end(rank, number, end);
+            }
+        }
+    }
+}
+
+async fn answer_poll(member: &Member, from: SocketAddr, fence: u64, known_map: Option<u64>) {
+    if fence >= member.highest_fence.get() {
+        member.highest_fence.set(fence);
+        member.leader_heard_at.set(boot_now());
+        step_down(member, fence);
+    }
+    if let Some(status) = status(member, known_map).await {
+        member.own_rank.set(Some(status.rank));
+        member.send(from, &Datagram::Status(status)).await;
+    }
+}
+
+/// Stops leading when another leader has a higher fence.
+fn step_down(member: &Member, fence: u64) {
+    let mut leader = member.leader.borrow_mut();
+    if leader.as_ref().is_some_and(|leader| leader.fence() < fence) {
+        *leader = None;
+        let line = DecisionLog::fields("leader").with("fence", fence);
+        member.log.note(line.with("outcome", "stepped-down"));
+    }
+}
+
+/// Reads the rank and tells of it.
+async fn status(member: &Member, known_map: Option<u64>) -> Option<RankStatus> {
+    let report = member.engine.report().await.ok()?;
+    let counts = member.engine.counts().await.ok()?;
+    let seat = report.seat.clone()?;
+    let counts = sample(member, counts);
+    let experts = if known_map == Some(report.map) {
+        None
+    } else {
+        let lists = member.engine.lists().await.ok()?;
+        (lists.map == report.map).then_some(lists.experts)
+    };
+    Some(status_of(member, report, seat.rank, counts, experts, &seat))
+}
+
+fn status_of(
+    member: &Member,
+    report: RankReport,
+    rank: u16,
+    counts: CountsSample,
+    experts: Option<Vec<Vec<u16>>>,
+    seat: &super::rank::RankSeat,
+) -> RankStatus {
+    RankStatus {
+        group: seat.group.clone(),
+        rank,
+        ranks: seat.ranks,
+        epoch: seat.epoch,
+        is_open: seat.is_open,
+        step: report.step,
+        map: report.map,
+        prepared: report.prepared,
+        armed: report.armed,
+        held_step: report.held_step,
+        highest_fence: member.highest_fence.get(),
+        counts,
+        experts,
+    }
+}
+
+/// Choices since the last sample; none when the rank has started anew.
+fn sample(member: &Member, counts: ExpertCounts) -> CountsSample {
+    let mut last = member.last_counts.borrow_mut();
+    let before = last.as_ref().filter(|last| last.epoch == counts.epoch);
+    let choices = before.map(|before| {
+        let pairs = counts.choices.iter().zip(&before.choices);
+        let difference = |(now, before): (&u64, &u64)| now.checked_sub(*before);
+        pairs.map(difference).map(|it| it.and_then(|it| u32::try_from(it).ok())).collect()
+    });
+    *last = Some(counts);
+    CountsSample { choices: choices.flatten().unwrap_or_default() }
+}
+
+fn take_status(member: &Member, from: SocketAddr, status: RankStatus) {
+    let Some(dimensions) = member.fleet.dimensions() else { return };
+    member.ranks.borrow_mut().insert(status.rank, from);
+    let highest = member.highest_fence.get().max(status.highest_fence);
+    member.highest_fence.set(highest);
+    if let Some(leader) = member.leader.borrow_mut().as_mut() {
+        leader.on_status(boot_now(), status, &dimensions);
+    }
+}
+
+async fn take_order(member: &Rc<Member>, from: SocketAddr, number: u64, order: RankOrder) {
+    let fence = order.fence;
+    if fence < member.highest_fence.get() {
+        let end = OrderEnd::Fenced;
+        let rank = member.own_rank.get().unwrap_or_default();
+        member.send(from, &Datagram::End { rank, number, fence, end }).await;
+        return;
+    }
+    member.highest_fence.set(fence);
+    let key = (fence, number);
+    let known = member.orders.borrow().get(&key).copied();
+    let end = match known {
+        // It is being carried out.
+        Some(None) => return,
+        Some(Some(end)) => Some(end),
+        None => {
+            remember(member, key, None);
+            let end = execute(&*member.engine, &order, &member.log).await;
+            remember(member, key, end);
+            end
+        }
+    };
+    let Some(end) = end else {
+        // Without an answer of the rank, the leader may ask again.
+        member.orders.borrow_mut().shift_remove(&key);
+        return;
+    };
+    let rank = member.own_rank.get().unwrap_or_default();
+    member.send(from, &Datagram::End { rank, number, fence, end }).await;
+}
+
+fn remember(member: &Member, key: (u64, u64), end: Option<OrderEnd>) {
+    let mut orders = member.orders.borrow_mut();
+    orders.insert(key, end);
+    while orders.len() > MOST_KEPT_ENDS {
+        orders.shift_remove_index(0);
+    }
+}
+
+/// Leads whenever no leader is heard, for ever.
+pub(crate) async fn lead(member: Rc<Member>) {
+    let mut poll_at = BootMs(0);
+    loop {
+        tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+        let now = boot_now();
+        begin_if_silent(&member, now).await;
+        let Some(dimensions) = member.fleet.dimensions() else { continue };
+        let (actions, poll) = {
+            let mut leading = member.leader.borrow_mut();
+            let Some(leader) = leading.as_mut() else { continue };
+            let actions = leader.tick(now, &dimensions);
+            let pause_ms = if leader.is_busy() { BUSY_POLL_MS } else { POLL_MS };
+            let poll = Datagram::Poll { fence: leader.fence(), known_map: leader.known_map() };
+            let is_due = now >= poll_at;
+            if is_due {
+                poll_at = now.after(pause_ms);
+            }
+            if leader.is_deposed() {
+                *leading = None;
+            }
+            (actions, is_due.then_some(poll))
+        };
+        carry_out(&member, actions).await;
+        if let Some(poll) = poll {
+            for machine in member.fleet.machines() {
+                member.send(SocketAddr::new(machine, member.port), &poll).await;
+            }
+        }
+    }
+}
+
+/// Begins to lead when no leader was heard for some time.
+async fn begin_if_silent(member: &Member, now: BootMs) {
+    if member.leader.borrow().is_some() {
+        return;
+    }
+    let own_rank = member.own_rank.get();
+    let added_ms = u64::from(own_rank.unwrap_or(0)) * SILENT_PER_RANK_MS;
+    let patience_ms = LEADER_SILENT_MS + added_ms.min(MOST_ADDED_SILENCE_MS);
+    if now.since(member.leader_heard_at.get()) < patience_ms {
+        return;
+    }
+    member.leader_heard_at.set(now);
+    let Ok(report) = member.engine.report().await else { return };
+    let Some(seat) = report.seat else { return };
+    member.own_rank.set(Some(seat.rank));
+    let fence = (wall_ms() * FENCES_PER_MS).max(member.highest_fence.get() + FENCES_PER_MS);
+    let fence = fence / FENCES_PER_MS * FENCES_PER_MS + u64::from(seat.rank) % FENCES_PER_MS;
+    member.highest_fence.set(fence);
+    let salt = rand::rng().random::<u64>();
+    *member.leader.borrow_mut() = Some(Leader::new(seat.rank, fence, salt));
+    let line = DecisionLog::fields("leader").with("fence", fence).with("rank", seat.rank);
+    member.log.note(line.with("outcome", "leads"));
+}
+
+async fn carry_out(member: &Member, actions: Vec<LeaderAction>) {
+    for action in actions {
+        match action {
+            LeaderAction::Note(note) => note_decision(member, &note),
+            LeaderAction::Send { rank, number, order } => {
+                let to = member.ranks.borrow().get(&rank).copied();
+                if let Some(to) = to {
+                    member.send(to, &Datagram::Order { number, order }).await;
+                }
+            }
+        }
+    }
+}
+
+fn note_decision(member: &Member, note: &LeaderNote) {
+    metrics::counter!("hickorycross_map_changes_total", "cause" => note.cause).increment(1);
+    let line = DecisionLog::fields("map-change").with("cause", note.cause);
+    let line = line.with("phase", note.phase).with("version", note.version);
+    let line = line.with("epoch", note.epoch).with("fence", note.fence).with("step", note.step);
+    let bottleneck = note.bottleneck_permille;
+    let line = line.with_some("bottleneck_before_permille", bottleneck.map(|it| it.0));
+    member.log.note(line.with_some("bottleneck_after_permille", bottleneck.map(|it| it.1)));
+}
+
+/// Where an agent listens for the others.
+pub(crate) fn listen_at(machine: IpAddr, port: u16) -> SocketAddr {
+    SocketAddr::new(machine, port)
+}
--- /dev/null
+++ b/crates/direct/src/agent/rank.rs
@@ -0,0 +1,103 @@
+//! What a platform must give about the rank beside an agent.
+
+use hickorycross_core::map_change::{Armed, RankOrder};
+use std::future::Future;
+use std::pin::Pin;
+
+/// A call to a rank in progress.
+pub type RankFuture<'a, T> = Pin<Box<dyn Future<Output = Result<T, RankError>> + 'a>>;
+
+/// A rank's word about itself, as of this moment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RankReport {
+    /// Its place in a group; `None` for a backend server that stands alone.
+    pub seat: Option<RankSeat>,
+    /// The last pass that was begun.
+    pub step: u64,
+    /// The map in use.
+    pub map: u64,
+    /// Whether it copies experts.
+    pub is_busy: bool,
+    /// The newest map whose copies are complete.
+    pub prepared: Option<u64>,
+    /// The map to which it will switch.
+    pub armed: Option<Armed>,
+    /// The pass that does not begin before it is let go.
+    pub held_step: Option<u64>,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that run there.
+    pub running: u32,
+}
+
+/// A place in a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RankSeat {
+    /// The group.
+    pub group: String,
+    /// Its place.
+    pub rank: u16,
+    /// Ranks of the group.
+    pub ranks: u16,
+    /// Grows each time the group is formed.
+    pub epoch: u64,
+    /// Whether the group makes passes.
+    pub is_open: bool,
+}
+
+/// How often experts were chosen since the rank started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExpertCounts {
+    /// The group's epoch.
+    pub epoch: u64,
+    /// Choices, layer after layer, expert after expert.
+    pub choices: Vec<u64>,
+}
+
+/// Experts that a rank holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExpertLists {
+    /// The map in use.
+    pub map: u64,
+    /// Experts by layer.
+    pub experts: Vec<Vec<u16>>,
+}
+
+/// A rank's answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderReply {
+    /// It has begun, or holds already.
+    Accepted,
+    /// It does not fit the rank's state.
+    Conflict,
+    /// The rank has seen a higher fence.
+    Fenced,
+    /// The rank does not know such an order, or is another incarnation.
+    Unusable(u16),
+}
+
+/// Why a call gave nothing.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RankError {
+    /// No answer came. An order may have been accepted, or may be carried out later.
+    #[error("no answer: {0}")]
+    Unanswered(String),
+    /// The answer could not be understood.
+    #[error("unreadable answer: {0}")]
+    Unreadable(String),
+}
+
+/// Talks to one rank.
+pub trait RankEngine {
+    /// Reads the rank's report.
+    fn report(&self) -> RankFuture<'_, RankReport>;
+
+    /// Reads how often experts were chosen.
+    fn counts(&self) -> RankFuture<'_, ExpertCounts>;
+
+    /// Reads which experts the rank holds.
+    fn lists(&self) -> RankFuture<'_, ExpertLists>;
+
+    /// Gives an order. `armed` names the map that a `Disarm` is about.
+    fn order<'a>(&'a self, order: &'a RankOrder, armed: Option<u64>) -> RankFuture<'a, OrderReply>;
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,6 +9,7 @@
 //!   its requests carry.
 //! - [`ProcessSettings`] is what a process must know at its start.
 
+mod agent;
 mod callers;
 mod clock;
 mod decision_log;
@@ -22,6 +23,10 @@
 mod store;
 mod wire_names;
 
+pub use agent::{
+    ExpertCounts, ExpertLists, OrderReply, RankEngine, RankError, RankFuture, RankReport, RankSeat,
+    run_agent,
+};
 pub use clock::{boot_now, wall_ms};
 pub use decision_log::{DecisionLog, Fields};
 pub use entry::run_entry;
