--- a/crates/direct/src/agent/program.rs
+++ b/crates/direct/src/agent/program.rs
@@ -4,6 +4,7 @@
 use super::member::{self, Member, listen_at};
 use super::rank::RankEngine;
 use crate::decision_log::DecisionLog;
+use crate::reload::Reload;
 use crate::settings::{ProcessSettings, SettingsSource};
 use hickorycross_runtime::exposition::Exposition;
 use hickorycross_runtime::signals::StopSignals;
@@ -12,9 +13,6 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 
-/// Pause between looks at the settings, which may change without a signal.
-const SETTINGS_PAUSE_MS: u64 = 2_000;
-
 /// Runs an agent until it is told to stop.
 ///
 /// # Errors
@@ -29,6 +27,7 @@
     Exposition::install().into_diagnostic()?;
     let log = DecisionLog::start().into_diagnostic()?;
     let mut signals = StopSignals::install().into_diagnostic()?;
+    let reload = Reload::install(source, log.clone()).into_diagnostic()?;
     let backend = settings.backend.ok_or_else(|| miette::miette!("no backend server is named"))?;
     let service = settings.service.clone().unwrap_or_default();
     let address = listen_at(backend.ip(), settings.agent_port);
@@ -43,27 +42,11 @@
     tokio::task::spawn_local(fleet::follow(Rc::clone(&fleet)));
     tokio::task::spawn_local(member::hear(Rc::clone(&member)));
     tokio::task::spawn_local(member::lead(member));
-    tokio::task::spawn_local(follow_settings(fleet, source, log.clone()));
+    let following = reload.follow(move |settings| fleet.set_seeds(&settings.seeds));
+    tokio::task::spawn_local(following);
     signals.next().await;
     log.note(DecisionLog::fields("stop").with("instance", &settings.instance));
     // The log's thread gets a moment for the last line.
     tokio::time::sleep(Duration::from_millis(5)).await;
     Ok(())
 }
-
-async fn follow_settings(fleet: Rc<Fleet>, mut source: Box<dyn SettingsSource>, log: DecisionLog) {
-    loop {
-        tokio::time::sleep(Duration::from_millis(SETTINGS_PAUSE_MS)).await;
-        match source.reload() {
-            Ok(Some(settings)) => {
-                fleet.set_seeds(&settings.seeds);
-                log.note(DecisionLog::fields("reload").with("outcome", "adopted"));
-            }
-            Ok(None) => {}
-            Err(report) => {
-                let line = DecisionLog::fields("reload").with("fault", report);
-                log.note(line.with("outcome", "kept-what-is-in-force"));
-            }
-        }
-    }
-}
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -3,6 +3,7 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::settings::{ProcessSettings, SettingsSource};
+use crate::reload::Reload;
 use crate::state::EntryState;
 use crate::store::SharedStore;
 use crate::wire_names::WireNames;
@@ -14,7 +15,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Time after the request to stop in which callers' connections are still taken.
 ///
@@ -31,9 +31,6 @@
 /// Pause between looks at what is still open.
 const DRAIN_LOOK_MS: u64 = 20;
 
-/// Pause between looks at the settings, which may change without a signal.
-const SETTINGS_PAUSE_MS: u64 = 2_000;
-
 /// Runs an entry until it is told to stop, then drains it.
 ///
 /// # Errors
@@ -48,6 +45,7 @@
     let exposition = Exposition::install().into_diagnostic()?;
     let log = DecisionLog::start().into_diagnostic()?;
     let mut signals = StopSignals::install().into_diagnostic()?;
+    let reload = Reload::install(source, log.clone()).into_diagnostic()?;
     let callers_at = settings.listen.callers.ok_or_else(|| miette::miette!("no callers' address"))?;
     let line = DecisionLog::fields("start").with("instance", &settings.instance);
     log.note(line.with("failure_domain", &settings.failure_domain).with("callers_at", callers_at));
@@ -58,7 +56,9 @@
     tokio::task::spawn_local(follow::follow_backends(Rc::clone(&state), store));
     tokio::task::spawn_local(exchange::follow_peers(Rc::clone(&state)));
     tokio::task::spawn_local(prune_connections(Rc::clone(&state)));
-    tokio::task::spawn_local(follow_settings(Rc::clone(&state), source));
+    let reloaded = Rc::clone(&state);
+    let following = reload.follow(move |settings| take_settings(&reloaded, settings));
+    tokio::task::spawn_local(following);
     let accepting = tokio::task::spawn_local(callers::accept(Rc::clone(&state), listener));
     signals.next().await;
     drain(&state, &accepting).await;
@@ -104,35 +104,12 @@
     }
 }
 
-/// Takes over changed settings, at a signal or when they are seen to differ.
-async fn follow_settings(state: Rc<EntryState>, mut source: Box<dyn SettingsSource>) {
-    let Ok(mut hangups) = signal(SignalKind::hangup()) else {
-        state.log.note(DecisionLog::fields("reload").with("outcome", "no-signals"));
-        return;
-    };
-    loop {
-        tokio::select! {
-            _ = hangups.recv() => {}
-            () = tokio::time::sleep(Duration::from_millis(SETTINGS_PAUSE_MS)) => {}
-        }
-        match source.reload() {
-            Ok(Some(settings)) => take_settings(&state, settings),
-            Ok(None) => {}
-            Err(report) => {
-                let line = DecisionLog::fields("reload").with("fault", report);
-                state.log.note(line.with("outcome", "kept-what-is-in-force"));
-            }
-        }
-    }
-}
-
+/// Takes over changed settings. Listeners stay where they are for the life of the process.
 fn take_settings(state: &EntryState, mut settings: ProcessSettings) {
-    // Listeners stay where they are for the life of the process.
     settings.listen = state.settings.borrow().listen;
     state.peers.borrow_mut().set_seeds(&settings.seeds);
     *state.settings.borrow_mut() = settings;
     state.split_slack();
-    state.log.note(DecisionLog::fields("reload").with("outcome", "adopted"));
 }
 
 /// Closes connections to backend servers that are past their time.
