--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -13,6 +13,15 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
+/// Time for a first event from which a group counts as overloaded.
+///
+/// Callers leave after 2 s of silence. A late answer is still worth about half to them and a refused
+/// one nothing, so the bound on open requests shrinks only when callers are about to leave.
+const SLOW_FIRST_MS: u64 = 1_000;
+
+/// The same for the pause between two events.
+const SLOW_GAP_MS: u64 = 500;
+
 /// A stream on its way to a caller.
 struct Relay {
     life: Life,
@@ -128,9 +137,7 @@
         let now = boot_now();
         let Life { state, request, service, .. } = &self.life;
         let span_ms = now.since(self.last_event_at);
-        let route = &request.route;
-        let target_ms = route.target_gap_ms.unwrap_or(route.target_latency_ms);
-        let bound_ms = if self.events == 0 { route.target_latency_ms } else { target_ms };
+        let bound_ms = if self.events == 0 { SLOW_FIRST_MS } else { SLOW_GAP_MS };
         state.admission.borrow_mut().note_pace(service, span_ms <= bound_ms, now);
         state.progress.borrow_mut().insert(service.clone(), now);
         if self.events == 0 {
