fix(map-change): an undoing never disarms a rank before its pass is held under the new fence

Cause: found by the random test (leaders die and freeze): a new leader saw a hold that the old leader had let go a moment before; disarming one rank made the pass begin with two maps. Change: the holder is shown the new fence by holding the same pass again; each change has a fence of its own; holds of others end a change before it arms. Test: every_pass_has_one_map.

--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -303,10 +303,7 @@
 
     /// Undoes what an earlier leader left behind. Returns whether there was anything.
     fn leftovers(&mut self, epoch: u64, actions: &mut Vec<LeaderAction>) -> bool {
-        let held: Vec<(u16, u64)> = self
-            .statuses()
-            .filter_map(|status| Some((status.rank, status.held_step?)))
-            .collect();
+        let held = self.held();
         let armed: Vec<_> = self.statuses().filter_map(|status| status.armed).collect();
         if held.is_empty() {
             // All ranks armed alike will switch by themselves. Disarming one of them while no pass
@@ -347,6 +344,9 @@
         bottleneck: Option<(u64, u64)>,
         actions: &mut Vec<LeaderAction>,
     ) {
+        // Orders of an undoing may still be carried out late: a rank that has seen the fence of this
+        // change refuses them, and none is disarmed behind the leader's back.
+        self.fence += FENCE_STEP;
         let newest = self.statuses().flat_map(|status| {
             let armed = status.armed.map_or(0, |armed| armed.version);
             [status.map, status.prepared.unwrap_or(0), armed]
@@ -369,7 +369,8 @@
         actions: &mut Vec<LeaderAction>,
     ) {
         let is_ready = self.statuses().all(|status| status.prepared == Some(version));
-        if orders.any(OrderEnd::Refused) || now >= give_up_at {
+        let is_held = self.statuses().any(|status| status.held_step.is_some());
+        if orders.any(OrderEnd::Refused) || is_held || now >= give_up_at {
             // Nothing is armed or held: the copies are simply not used.
             self.note("not-prepared", version, epoch, None, actions);
             return;
@@ -395,6 +396,10 @@
         actions: &mut Vec<LeaderAction>,
     ) {
         if orders.any(OrderEnd::Refused) {
+            if self.statuses().any(|status| status.held_step.is_some()) {
+                self.note("held-already", version, epoch, None, actions);
+                return;
+            }
             let step = self.newest_step() + AHEAD_STEPS;
             let kind = OrderKind::Hold { step };
             let orders = self.orders_to(&[self.own_rank], epoch, &kind);
@@ -444,17 +449,40 @@
         actions: &mut Vec<LeaderAction>,
     ) {
         let has_switched = self.statuses().all(|status| status.map == version);
-        if orders.all_done() && has_switched {
+        if !orders.all_done() {
+            self.phase = Phase::Releasing { version, orders };
+        } else if has_switched {
             self.note("switched", version, epoch, None, actions);
         } else {
+            // A hold of an earlier leader may have been carried out late. All ranks are armed alike
+            // and refuse its other orders, so that its pass may begin as well.
+            let orders = self.orders_to_let_go(epoch);
             self.phase = Phase::Releasing { version, orders };
         }
     }
 
+    /// Orders to let every held pass go.
+    fn orders_to_let_go(&mut self, epoch: u64) -> Orders {
+        let held = self.held();
+        let mut orders = Orders::default();
+        for (rank, step) in held {
+            let order = self.order(epoch, OrderKind::Go { step });
+            orders.add(rank, self.take_number(), order);
+        }
+        orders
+    }
+
+    /// Passes that ranks hold.
+    fn held(&self) -> Vec<(u16, u64)> {
+        self.statuses().filter_map(|status| Some((status.rank, status.held_step?))).collect()
+    }
+
     /// Begins to disarm all ranks and to let held passes go after that.
     ///
     /// An order of the old fence may still be on its way and be carried out seconds later. Every
-    /// rank is shown a higher fence before anything goes, so that it refuses such an order.
+    /// rank is shown a higher fence before anything goes, so that it refuses such an order. The ranks
+    /// that hold are shown it first, by holding the same pass again: whoever led before may have let
+    /// it go a moment ago, and disarming one rank then would make the pass begin with two maps.
     fn begin_undo(
         &mut self,
         epoch: u64,
@@ -464,8 +492,11 @@
         actions: &mut Vec<LeaderAction>,
     ) {
         self.fence += FENCE_STEP;
-        let holders: Vec<u16> = held.iter().map(|(rank, _)| *rank).collect();
-        let orders = self.orders_to(&holders, epoch, &OrderKind::Disarm);
+        let mut orders = Orders::default();
+        for (rank, step) in &held {
+            let order = self.order(epoch, OrderKind::Hold { step: *step });
+            orders.add(*rank, self.take_number(), order);
+        }
         self.phase = Phase::Undoing { stage: UndoStage::Fencing, held, version, orders };
         self.note(cause, version, epoch, None, actions);
     }
--- /dev/null
+++ b/crates/core/tests/map_change.rs
@@ -0,0 +1,80 @@
+//! One expert map in every pass, whatever becomes of orders and leaders.
+
+mod map_change_support;
+
+use googletest::prelude::*;
+use map_change_support::{Trouble, World};
+
+/// Virtual time of one run.
+const RUN_MS: u64 = 40_000;
+
+/// Longest time for which a group may stand still although all ranks can be reached.
+///
+/// Arming is given up after 1.2 s; undoing takes three rounds, each of which may meet unanswered
+/// orders several times.
+const LONGEST_STANDING_MS: u64 = 4_500;
+
+struct Case {
+    name: &'static str,
+    trouble: Trouble,
+    seeds: std::ops::Range<u64>,
+    least_switches: u64,
+}
+
+/// Symptom: a pass begins while two ranks have different maps, and answers are spoiled.
+///
+/// Events: an order to switch gets no answer and is carried out seconds later, after the leader has
+/// given up or died, or a frozen leader wakes and goes on where it stopped.
+///
+/// Cause: letting a held pass go before every rank refuses the orders of the abandoned change. The
+/// model asserts one map in each pass that begins.
+#[gtest]
+fn every_pass_has_one_map() {
+    let cases = [
+        Case {
+            name: "no trouble",
+            trouble: Trouble::default(),
+            seeds: 0..3,
+            least_switches: 5,
+        },
+        Case {
+            name: "answers are lost",
+            trouble: Trouble { lost_permille: 400, ..Trouble::default() },
+            seeds: 0..40,
+            least_switches: 3,
+        },
+        Case {
+            name: "orders are carried out late",
+            trouble: Trouble { late_permille: 400, ..Trouble::default() },
+            seeds: 0..60,
+            least_switches: 1,
+        },
+        Case {
+            name: "leaders die and freeze",
+            trouble: Trouble { leader_gone_permille: 10, ..Trouble::default() },
+            seeds: 0..60,
+            least_switches: 3,
+        },
+        Case {
+            name: "everything together",
+            trouble: Trouble { late_permille: 300, lost_permille: 200, leader_gone_permille: 5 },
+            seeds: 0..100,
+            least_switches: 0,
+        },
+    ];
+    for case in cases {
+        for seed in case.seeds {
+            println!("{} seed {seed}", case.name);
+            let mut world = World::new(seed, case.trouble);
+            world.run(RUN_MS);
+            expect_that!(world.switches, ge(case.least_switches), "{} seed {seed}", case.name);
+            expect_that!(
+                world.longest_standing_ms,
+                le(LONGEST_STANDING_MS),
+                "{} seed {seed}: the group stood still",
+                case.name
+            );
+            expect_that!(world.step, gt(RUN_MS / 50 / 4), "{} seed {seed}", case.name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -0,0 +1,375 @@
+//! A model of a group's ranks and their agents, in virtual time.
+//!
+//! Orders may be lost, left unanswered, or carried out seconds later, after newer ones.
+
+use hickorycross_core::direct::{BootMs, GroupDimensions};
+use hickorycross_core::map_change::{
+    Armed, CountsSample, Leader, LeaderAction, OrderEnd, OrderKind, RankOrder, RankStatus,
+};
+use indexmap::IndexMap;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Time between two steps of the model.
+pub(crate) const TICK_MS: u64 = 10;
+/// Time between two passes.
+const PASS_MS: u64 = 50;
+/// Time between two polls.
+const POLL_MS: u64 = 60;
+/// Time for the copies of a change.
+const COPY_MS: u64 = 200;
+
+pub(crate) const RANKS: u16 = 6;
+pub(crate) const DIMENSIONS: GroupDimensions = GroupDimensions {
+    layers: 2,
+    experts_per_layer: 12,
+    expert_slots_per_rank: 4,
+    spare_slots_per_rank: 2,
+    steps_per_pass: 4,
+};
+
+/// What a rank has been told.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Rank {
+    pub(crate) map: u64,
+    pub(crate) experts: Vec<Vec<u16>>,
+    pub(crate) prepared: Option<(u64, Vec<Vec<u16>>)>,
+    copy_until: Option<(BootMs, u64, Vec<Vec<u16>>)>,
+    pub(crate) armed: Option<Armed>,
+    pub(crate) held_step: Option<u64>,
+    fence: u64,
+}
+
+/// An order that an agent is carrying out.
+#[derive(Clone, Debug)]
+struct Task {
+    leader: usize,
+    number: u64,
+    order: RankOrder,
+    send_at: BootMs,
+}
+
+/// Likelihoods of trouble, in thousandths.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Trouble {
+    /// An order is left unanswered and carried out 2 to 12 s later.
+    pub(crate) late_permille: u32,
+    /// An order is carried out and its answer is lost.
+    pub(crate) lost_permille: u32,
+    /// The leader dies or freezes at some moment, in each tick.
+    pub(crate) leader_gone_permille: u32,
+}
+
+/// A group with its agents and leaders.
+pub(crate) struct World {
+    pub(crate) now: BootMs,
+    pub(crate) step: u64,
+    pub(crate) ranks: Vec<Rank>,
+    pub(crate) switches: u64,
+    pub(crate) standing_ms: u64,
+    pub(crate) longest_standing_ms: u64,
+    rng: ChaCha8Rng,
+    trouble: Trouble,
+    leaders: Vec<Option<Leader>>,
+    frozen_until: Vec<BootMs>,
+    agents_fence: Vec<u64>,
+    tasks: Vec<Vec<Task>>,
+    ended: Vec<IndexMap<(usize, u64), OrderEnd>>,
+    late: Vec<(BootMs, usize, RankOrder)>,
+    next_fence: u64,
+    hot: u16,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, trouble: Trouble) -> Self {
+        let count = usize::from(RANKS);
+        let experts = |rank: u16| {
+            let own: Vec<u16> = (0..DIMENSIONS.experts_per_layer).filter(|e| e % RANKS == rank).collect();
+            vec![own; usize::from(DIMENSIONS.layers)]
+        };
+        let mut world = Self {
+            now: BootMs(10_000),
+            step: 0,
+            ranks: (0..RANKS).map(|rank| Rank { experts: experts(rank), ..Rank::default() }).collect(),
+            switches: 0,
+            standing_ms: 0,
+            longest_standing_ms: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            trouble,
+            leaders: Vec::new(),
+            frozen_until: Vec::new(),
+            agents_fence: vec![0; count],
+            tasks: vec![Vec::new(); count],
+            ended: vec![IndexMap::new(); count],
+            late: Vec::new(),
+            next_fence: 1 << 20,
+            hot: 0,
+        };
+        world.elect();
+        world
+    }
+
+    fn chance(&mut self, permille: u32) -> bool {
+        self.rng.random_range(0..1000) < permille
+    }
+
+    fn elect(&mut self) {
+        self.next_fence += 1 << 20;
+        let rank = self.rng.random_range(0..RANKS);
+        let salt = self.rng.random::<u64>();
+        self.leaders.push(Some(Leader::new(rank, self.next_fence, salt)));
+        self.frozen_until.push(BootMs(0));
+    }
+
+    /// Goes on for `span_ms`.
+    pub(crate) fn run(&mut self, span_ms: u64) {
+        for _ in 0..span_ms / TICK_MS {
+            self.now = self.now.after(TICK_MS);
+            self.carry_out_late();
+            self.finish_copies();
+            self.agents();
+            self.leaders();
+            if self.now.0 % PASS_MS == 0 {
+                self.pass();
+            }
+            if self.now.0 % 3_300 == 0 {
+                self.hot = self.rng.random_range(0..DIMENSIONS.experts_per_layer);
+            }
+        }
+    }
+
+    /// Begins a pass unless a rank holds it, and asserts that all ranks have one map in it.
+    fn pass(&mut self) {
+        let next = self.step + 1;
+        if self.ranks.iter().any(|rank| rank.held_step.is_some_and(|held| held <= next)) {
+            self.standing_ms += PASS_MS;
+            self.longest_standing_ms = self.longest_standing_ms.max(self.standing_ms);
+            return;
+        }
+        self.standing_ms = 0;
+        self.step = next;
+        for rank in &mut self.ranks {
+            let Some(armed) = rank.armed.filter(|armed| armed.step == next) else { continue };
+            let (version, experts) = rank.prepared.clone().expect("an armed map is prepared");
+            assert_eq!(version, armed.version, "a rank switches to the map that it was armed for");
+            rank.map = version;
+            rank.experts = experts;
+            rank.armed = None;
+        }
+        let first = self.ranks[0].map;
+        let maps: Vec<u64> = self.ranks.iter().map(|rank| rank.map).collect();
+        assert!(maps.iter().all(|map| *map == first), "pass {next} begins with maps {maps:?}");
+        self.switches = self.switches.max(first >> 20);
+        for expert in 0..DIMENSIONS.experts_per_layer {
+            let held = self.ranks.iter().any(|rank| rank.experts[0].contains(&expert));
+            assert!(held, "no rank holds expert {expert}");
+        }
+    }
+
+    fn finish_copies(&mut self) {
+        for rank in &mut self.ranks {
+            if rank.copy_until.as_ref().is_some_and(|(until, ..)| *until <= self.now) {
+                rank.prepared = rank.copy_until.take().map(|(_, version, map)| (version, map));
+            }
+        }
+    }
+
+    fn carry_out_late(&mut self) {
+        let now = self.now;
+        let due: Vec<(BootMs, usize, RankOrder)> =
+            self.late.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, rank, order) in due {
+            self.apply(rank, &order);
+        }
+    }
+
+    /// What a rank does with an order; the rules are the platform's.
+    fn apply(&mut self, rank: usize, order: &RankOrder) -> OrderEnd {
+        let (now, step) = (self.now, self.step);
+        let place = &mut self.ranks[rank];
+        if order.fence < place.fence {
+            return OrderEnd::Fenced;
+        }
+        place.fence = order.fence;
+        match &order.kind {
+            OrderKind::Prepare { version, map } => {
+                let newest = place.prepared.as_ref().map_or(place.map, |(version, _)| *version);
+                let newest = newest.max(place.copy_until.as_ref().map_or(0, |copy| copy.1));
+                if *version <= newest || place.armed.is_some() {
+                    return OrderEnd::Refused;
+                }
+                let own = map.layers.iter().map(|layer| layer.experts_of_rank[rank].clone());
+                place.copy_until = Some((now.after(COPY_MS), *version, own.collect()));
+            }
+            OrderKind::Arm { version, step: at } => {
+                let is_prepared = place.prepared.as_ref().is_some_and(|(held, _)| held == version);
+                if !is_prepared || *at <= step {
+                    return OrderEnd::Refused;
+                }
+                place.armed = Some(Armed { version: *version, step: *at });
+            }
+            OrderKind::Disarm => place.armed = None,
+            OrderKind::Hold { step: at } => {
+                if *at <= step || place.held_step.is_some_and(|held| held != *at) {
+                    return OrderEnd::Refused;
+                }
+                place.held_step = Some(*at);
+            }
+            OrderKind::Go { step: at } => {
+                if place.held_step == Some(*at) {
+                    place.held_step = None;
+                }
+            }
+        }
+        OrderEnd::Done
+    }
+
+    fn shows(&self, rank: usize, order: &RankOrder) -> bool {
+        let place = &self.ranks[rank];
+        match &order.kind {
+            OrderKind::Prepare { version, .. } => {
+                place.prepared.as_ref().is_some_and(|(held, _)| held == version)
+                    || place.copy_until.as_ref().is_some_and(|copy| copy.1 == *version)
+            }
+            OrderKind::Arm { version, step } => {
+                place.armed == Some(Armed { version: *version, step: *step })
+            }
+            OrderKind::Disarm => place.armed.is_none(),
+            OrderKind::Hold { step } => place.held_step == Some(*step),
+            OrderKind::Go { step } => place.held_step != Some(*step),
+        }
+    }
+
+    /// Agents carry their orders out until the rank's own word shows them.
+    fn agents(&mut self) {
+        for rank in 0..self.ranks.len() {
+            for task in std::mem::take(&mut self.tasks[rank]) {
+                if task.send_at > self.now {
+                    self.tasks[rank].push(task);
+                    continue;
+                }
+                match self.attempt(rank, &task.order) {
+                    Some(end) => self.end(rank, &task, end),
+                    None => {
+                        let send_at = self.now.after(120);
+                        self.tasks[rank].push(Task { send_at, ..task });
+                    }
+                }
+            }
+        }
+    }
+
+    fn attempt(&mut self, rank: usize, order: &RankOrder) -> Option<OrderEnd> {
+        let shows_fence = matches!(order.kind, OrderKind::Disarm | OrderKind::Hold { .. });
+        if self.shows(rank, order) && !shows_fence {
+            return Some(OrderEnd::Done);
+        }
+        if self.chance(self.trouble.late_permille) {
+            let delay_ms = self.rng.random_range(2_000..12_000);
+            self.late.push((self.now.after(delay_ms), rank, order.clone()));
+            return None;
+        }
+        let end = self.apply(rank, order);
+        if self.chance(self.trouble.lost_permille) {
+            return None;
+        }
+        match end {
+            OrderEnd::Fenced => Some(end),
+            _ if self.shows(rank, order) => Some(OrderEnd::Done),
+            _ => Some(OrderEnd::Refused),
+        }
+    }
+
+    fn end(&mut self, rank: usize, task: &Task, end: OrderEnd) {
+        self.ended[rank].insert((task.leader, task.number), end);
+        if let Some(leader) = &mut self.leaders[task.leader] {
+            leader.on_end(rank as u16, task.number, end);
+        }
+    }
+
+    fn leaders(&mut self) {
+        if self.chance(self.trouble.leader_gone_permille) {
+            let last = self.leaders.len() - 1;
+            if self.rng.random::<bool>() {
+                self.leaders[last] = None;
+            } else {
+                let freeze_ms = self.rng.random_range(500..6_000);
+                self.frozen_until[last] = self.now.after(freeze_ms);
+            }
+            self.elect();
+        }
+        let polls = self.now.0 % POLL_MS == 0;
+        for index in 0..self.leaders.len() {
+            if self.frozen_until[index] > self.now {
+                continue;
+            }
+            let Some(mut leader) = self.leaders[index].take() else { continue };
+            if polls {
+                for rank in 0..self.ranks.len() {
+                    self.agents_fence[rank] = self.agents_fence[rank].max(leader.fence());
+                    leader.on_status(self.now, self.status(rank), &DIMENSIONS);
+                }
+            }
+            for action in leader.tick(self.now, &DIMENSIONS) {
+                if let LeaderAction::Send { rank, number, order } = action {
+                    self.take_order(index, usize::from(rank), number, order, &mut leader);
+                }
+            }
+            self.leaders[index] = (!leader.is_deposed()).then_some(leader);
+        }
+        let someone = |index: usize| self.leaders[index].is_some();
+        if !(0..self.leaders.len()).any(someone) {
+            self.elect();
+        }
+    }
+
+    fn take_order(
+        &mut self,
+        index: usize,
+        rank: usize,
+        number: u64,
+        order: RankOrder,
+        leader: &mut Leader,
+    ) {
+        if order.fence < self.agents_fence[rank] {
+            leader.on_end(rank as u16, number, OrderEnd::Fenced);
+            return;
+        }
+        self.agents_fence[rank] = order.fence;
+        if let Some(end) = self.ended[rank].get(&(index, number)) {
+            leader.on_end(rank as u16, number, *end);
+            return;
+        }
+        let is_known = |task: &Task| task.leader == index && task.number == number;
+        if !self.tasks[rank].iter().any(is_known) {
+            let task = Task { leader: index, number, order, send_at: self.now };
+            self.tasks[rank].push(task);
+        }
+    }
+
+    fn status(&mut self, rank: usize) -> RankStatus {
+        let layers = usize::from(DIMENSIONS.layers);
+        let experts = DIMENSIONS.experts_per_layer;
+        let choices = (0..layers).flat_map(|_| {
+            (0..experts).map(|expert| if expert == self.hot { 9_000 } else { 1_000 })
+        });
+        let place = &self.ranks[rank];
+        RankStatus {
+            group: "g".to_owned(),
+            rank: rank as u16,
+            ranks: RANKS,
+            epoch: 1,
+            is_open: true,
+            step: self.step,
+            map: place.map,
+            prepared: place.prepared.as_ref().map(|(version, _)| *version),
+            armed: place.armed,
+            held_step: place.held_step,
+            highest_fence: self.agents_fence[rank],
+            pace_permille: 1_000,
+            is_from_afar: false,
+            counts: CountsSample { choices: choices.collect() },
+            experts: Some(place.experts.clone()),
+        }
+    }
+}
--- a/crates/direct/src/agent/execute.rs
+++ b/crates/direct/src/agent/execute.rs
@@ -71,13 +71,13 @@
 
 /// Whether an order need not be given, because its effect is there already.
 ///
-/// A disarming order also shows its fence to the rank, so it is always given. A rank that copies may
-/// be busy with an earlier map.
+/// A disarming and a holding order also show their fence to the rank, so they are always given. A
+/// rank that copies may be busy with an earlier map.
 fn is_spared(report: &RankReport, order: &RankOrder) -> bool {
     match &order.kind {
         OrderKind::Prepare { version, .. } => report.prepared == Some(*version),
-        OrderKind::Disarm => false,
-        _ => shows(report, order),
+        OrderKind::Disarm | OrderKind::Hold { .. } => false,
+        OrderKind::Arm { .. } | OrderKind::Go { .. } => shows(report, order),
     }
 }
 
