--- a/crates/core/src/map_change/demand.rs
+++ b/crates/core/src/map_change/demand.rs
@@ -5,7 +5,7 @@
 /// Time after which a sample counts half.
 ///
 /// Demand was seen to shift every 3 to 4 s; a shift shows in the estimate after half a second.
-const HALF_LIFE_MS: f64 = 450.0;
+const HALF_LIFE_MS: f64 = 200.0;
 
 /// Choices of experts by layer, old ones fading out.
 #[derive(Clone, Debug, Default)]
--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -40,7 +40,7 @@
 const LEAST_CHOICES: f64 = 20_000.0;
 
 /// Pause between two decisions.
-const DECIDE_MS: u64 = 300;
+const DECIDE_MS: u64 = 150;
 
 /// Distance between the fences of two phases of one leader; lower digits tell leaders apart.
 pub(crate) const FENCE_STEP: u64 = 1 << 10;
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -21,7 +21,7 @@
 use tokio::sync::Notify;
 
 /// Pause between polls while nothing is under way.
-const POLL_MS: u64 = 200;
+const POLL_MS: u64 = 100;
 
 /// Pause between polls during a change, when the newest pass and the end of copies count.
 const BUSY_POLL_MS: u64 = 60;
