--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -21,11 +21,6 @@
 /// meanwhile; callers leave a stream after 2 s of silence.
 const ARM_MS: u64 = 1_200;
 
-/// Passes between the newest one known and the one to be held.
-///
-/// A refused hold costs one round trip; every pass further ahead costs a pass with the uneven map.
-const AHEAD_STEPS: u64 = 2;
-
 /// Least part of the bottleneck that a change must take away. Below it, copies cost more time than
 /// they bring before demand shifts again.
 const LEAST_GAIN: f64 = 0.06;
@@ -210,8 +205,8 @@
             Phase::Preparing { version, orders, give_up_at } => {
                 self.prepare(now, epoch, version, orders, give_up_at, actions);
             }
-            Phase::Holding { version, step, orders } => {
-                self.hold(now, epoch, version, step, orders, actions);
+            Phase::Holding { version, orders } => {
+                self.hold(now, epoch, version, orders, actions);
             }
             Phase::Arming { version, step, orders, give_up_at } => {
                 self.arm(now, epoch, version, step, orders, give_up_at, actions);
@@ -379,10 +374,8 @@
             self.phase = Phase::Preparing { version, orders, give_up_at };
             return;
         }
-        let step = self.newest_step() + AHEAD_STEPS;
-        let kind = OrderKind::Hold { step };
-        let orders = self.orders_to(&[self.own_rank], epoch, &kind);
-        self.phase = Phase::Holding { version, step, orders };
+        let orders = self.orders_to(&[self.own_rank], epoch, &OrderKind::HoldNext);
+        self.phase = Phase::Holding { version, orders };
         self.note("prepared", version, epoch, None, actions);
     }
 
@@ -391,26 +384,18 @@
         now: BootMs,
         epoch: u64,
         version: u64,
-        step: u64,
         orders: Orders,
         actions: &mut Vec<LeaderAction>,
     ) {
         if orders.any(OrderEnd::Refused) {
-            if self.statuses().any(|status| status.held_step.is_some()) {
-                self.note("held-already", version, epoch, None, actions);
-                return;
-            }
-            let step = self.newest_step() + AHEAD_STEPS;
-            let kind = OrderKind::Hold { step };
-            let orders = self.orders_to(&[self.own_rank], epoch, &kind);
-            self.phase = Phase::Holding { version, step, orders };
-            self.note("pass-begun", version, epoch, None, actions);
+            self.note("not-held", version, epoch, None, actions);
             return;
         }
-        if !orders.all_done() {
-            self.phase = Phase::Holding { version, step, orders };
+        let held_step = self.seats.get(&self.own_rank).and_then(|seat| seat.status.held_step);
+        let Some(step) = held_step.filter(|_| orders.all_done()) else {
+            self.phase = Phase::Holding { version, orders };
             return;
-        }
+        };
         let orders = self.orders_to_all(epoch, &OrderKind::Arm { version, step });
         let give_up_at = now.after(ARM_MS);
         self.phase = Phase::Arming { version, step, orders, give_up_at };
--- a/crates/core/src/map_change/order.rs
+++ b/crates/core/src/map_change/order.rs
@@ -33,6 +33,8 @@
     },
     /// Forget whatever is armed. Shows the fence to the rank also when nothing is.
     Disarm,
+    /// Do not begin the pass after the one that runs; which it is shows in the rank's next status.
+    HoldNext,
     /// Do not begin a pass before it is let go.
     Hold {
         /// The pass.
@@ -53,6 +55,7 @@
             Self::Prepare { .. } => "prepare",
             Self::Arm { .. } => "arm",
             Self::Disarm => "disarm",
+            Self::HoldNext => "hold-next",
             Self::Hold { .. } => "hold",
             Self::Go { .. } => "go",
         }
--- a/crates/core/src/map_change/phase.rs
+++ b/crates/core/src/map_change/phase.rs
@@ -11,8 +11,8 @@
     Steady,
     /// Ranks copy what is new.
     Preparing { version: u64, orders: Orders, give_up_at: BootMs },
-    /// The leader's own rank is told to hold a pass.
-    Holding { version: u64, step: u64, orders: Orders },
+    /// The leader's own rank is told to hold its next pass.
+    Holding { version: u64, orders: Orders },
     /// Ranks are told to switch as the held pass begins.
     Arming { version: u64, step: u64, orders: Orders, give_up_at: BootMs },
     /// All ranks are armed; the held pass is let go.
--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -209,6 +209,7 @@
                 place.armed = Some(Armed { version: *version, step: *at });
             }
             OrderKind::Disarm => place.armed = None,
+            OrderKind::HoldNext => return OrderEnd::Refused,
             OrderKind::Hold { step: at } => {
                 if *at <= step || place.held_step.is_some_and(|held| held != *at) {
                     return OrderEnd::Refused;
@@ -235,6 +236,7 @@
                 place.armed == Some(Armed { version: *version, step: *step })
             }
             OrderKind::Disarm => place.armed.is_none(),
+            OrderKind::HoldNext => place.held_step.is_some(),
             OrderKind::Hold { step } => place.held_step == Some(*step),
             OrderKind::Go { step } => place.held_step != Some(*step),
         }
@@ -260,6 +262,13 @@
     }
 
     fn attempt(&mut self, rank: usize, order: &RankOrder) -> Option<OrderEnd> {
+        let mut order = order.clone();
+        let is_next = matches!(order.kind, OrderKind::HoldNext);
+        if is_next {
+            let step = self.ranks[rank].held_step.unwrap_or(self.step + 1);
+            order.kind = OrderKind::Hold { step };
+        }
+        let order = &order;
         let shows_fence = matches!(order.kind, OrderKind::Disarm | OrderKind::Hold { .. });
         if self.shows(rank, order) && !shows_fence {
             return Some(OrderEnd::Done);
@@ -275,6 +284,7 @@
         }
         match end {
             OrderEnd::Fenced => Some(end),
+            OrderEnd::Refused if is_next => None,
             _ if self.shows(rank, order) => Some(OrderEnd::Done),
             _ => Some(OrderEnd::Refused),
         }
--- a/crates/direct/src/agent/execute.rs
+++ b/crates/direct/src/agent/execute.rs
@@ -37,6 +37,9 @@
         if is_spared(&report, order) {
             return Some(OrderEnd::Done);
         }
+        let is_next = matches!(order.kind, OrderKind::HoldNext);
+        let meant = with_step(order, &report);
+        let order = meant.as_ref().unwrap_or(order);
         let armed = report.armed.map(|armed| armed.version);
         match engine.order(order, armed).await {
             Ok(OrderReply::Accepted) => {
@@ -49,6 +52,8 @@
                 note(log, order, send, "fenced");
                 return Some(OrderEnd::Fenced);
             }
+            // The pass began meanwhile; the next one is to be held.
+            Ok(OrderReply::Conflict) if is_next => {}
             Ok(OrderReply::Conflict | OrderReply::Unusable(_)) => {
                 // An earlier copy of the order may have been carried out meanwhile.
                 let end = if comes_to_show(engine, order, show_pause_ms).await {
@@ -69,6 +74,14 @@
     None
 }
 
+/// Names the pass that a `HoldNext` is about: the one after that which runs now, or the one that is
+/// held already by an earlier copy of the order.
+fn with_step(order: &RankOrder, report: &RankReport) -> Option<RankOrder> {
+    let OrderKind::HoldNext = order.kind else { return None };
+    let step = report.held_step.unwrap_or(report.step + 1);
+    Some(RankOrder { kind: OrderKind::Hold { step }, ..*order })
+}
+
 /// Whether an order need not be given, because its effect is there already.
 ///
 /// A disarming and a holding order also show their fence to the rank, so they are always given. A
@@ -76,7 +89,7 @@
 fn is_spared(report: &RankReport, order: &RankOrder) -> bool {
     match &order.kind {
         OrderKind::Prepare { version, .. } => report.prepared == Some(*version),
-        OrderKind::Disarm | OrderKind::Hold { .. } => false,
+        OrderKind::Disarm | OrderKind::HoldNext | OrderKind::Hold { .. } => false,
         OrderKind::Arm { .. } | OrderKind::Go { .. } => shows(report, order),
     }
 }
@@ -106,6 +119,7 @@
             report.armed.is_some_and(|armed| armed.version == *version && armed.step == *step)
         }
         OrderKind::Disarm => report.armed.is_none(),
+        OrderKind::HoldNext => report.held_step.is_some(),
         OrderKind::Hold { step } => report.held_step == Some(*step),
         OrderKind::Go { step } => report.held_step != Some(*step),
     }
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -9,7 +9,7 @@
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
 use hickorycross_core::map_change::{
-    CountsSample, Leader, LeaderAction, LeaderNote, OrderEnd, RankOrder, RankStatus,
+    CountsSample, Leader, LeaderAction, LeaderNote, OrderEnd, OrderKind, RankOrder, RankStatus,
 };
 use indexmap::IndexMap;
 use rand::RngExt;
@@ -273,6 +273,11 @@
         member.orders.borrow_mut().shift_remove(&key);
         return;
     };
+    if matches!(order.kind, OrderKind::HoldNext)
+        && let Some(status) = status(member, None).await
+    {
+        member.send(from, &Datagram::Status(status)).await;
+    }
     let rank = member.own_rank.get().unwrap_or_default();
     member.send(from, &Datagram::End { rank, number, fence, end }).await;
 }
