perf(map-change): a change must take away an eighth of the bottleneck

Cause: small changes kept the group busy when the next shift came, and copies are priced; prepare orders were given up to 8 times because a rank's copying did not show in its report.

--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -23,7 +23,7 @@
 
 /// Least part of the bottleneck that a change must take away. Below it, copies cost more time than
 /// they bring before demand shifts again.
-const LEAST_GAIN: f64 = 0.06;
+const LEAST_GAIN: f64 = 0.12;
 
 /// Copies for one rank in one change: at 0.1 s each, the change is there in half a second.
 const NEW_PER_RANK: u16 = 5;
--- a/crates/direct/src/agent/execute.rs
+++ b/crates/direct/src/agent/execute.rs
@@ -29,7 +29,14 @@
     log: &DecisionLog,
 ) -> Option<OrderEnd> {
     for send in 1..=MOST_SENDS {
-        let report = engine.report().await.ok()?;
+        let report = match engine.report().await {
+            Ok(report) => report,
+            Err(error) => {
+                let line = DecisionLog::fields("order").with("kind", order.kind.as_str());
+                log.note(line.with("error", error).with("outcome", "rank-not-read"));
+                continue;
+            }
+        };
         if report.seat.as_ref().is_none_or(|seat| seat.epoch != order.epoch) {
             note(log, order, send, "other-epoch");
             return Some(OrderEnd::Refused);
@@ -42,6 +49,11 @@
         let order = meant.as_ref().unwrap_or(order);
         let armed = report.armed.map(|armed| armed.version);
         match engine.order(order, armed).await {
+            // The copies take time; that they are complete is read from the statuses.
+            Ok(OrderReply::Accepted) if matches!(order.kind, OrderKind::Prepare { .. }) => {
+                note(log, order, send, "done");
+                return Some(OrderEnd::Done);
+            }
             Ok(OrderReply::Accepted) => {
                 if comes_to_show(engine, order, show_pause_ms).await {
                     note(log, order, send, "done");
@@ -84,13 +96,13 @@
 
 /// Whether an order need not be given, because its effect is there already.
 ///
-/// A disarming and a holding order also show their fence to the rank, so they are always given. A
-/// rank that copies may be busy with an earlier map.
+/// A disarming and a holding order also show their fence to the rank, so they are always given.
 fn is_spared(report: &RankReport, order: &RankOrder) -> bool {
     match &order.kind {
-        OrderKind::Prepare { version, .. } => report.prepared == Some(*version),
         OrderKind::Disarm | OrderKind::HoldNext | OrderKind::Hold { .. } => false,
-        OrderKind::Arm { .. } | OrderKind::Go { .. } => shows(report, order),
+        OrderKind::Prepare { .. } | OrderKind::Arm { .. } | OrderKind::Go { .. } => {
+            shows(report, order)
+        }
     }
 }
 
@@ -113,8 +125,7 @@
 /// Whether a rank's report shows that an order was carried out.
 fn shows(report: &RankReport, order: &RankOrder) -> bool {
     match &order.kind {
-        // The copies take time; that they are complete is read from the statuses.
-        OrderKind::Prepare { version, .. } => report.is_busy || report.prepared == Some(*version),
+        OrderKind::Prepare { version, .. } => report.prepared == Some(*version),
         OrderKind::Arm { version, step } => {
             report.armed.is_some_and(|armed| armed.version == *version && armed.step == *step)
         }
--- a/crates/direct/src/agent/rank.rs
+++ b/crates/direct/src/agent/rank.rs
@@ -18,8 +18,6 @@
     pub step: u64,
     /// The map in use.
     pub map: u64,
-    /// Whether it copies experts.
-    pub is_busy: bool,
     /// The newest map whose copies are complete.
     pub prepared: Option<u64>,
     /// The map to which it will switch.
