--- a/crates/core/src/direct/backend_table.rs
+++ b/crates/core/src/direct/backend_table.rs
@@ -214,7 +214,8 @@
     /// paused by a fault that was not theirs.
     #[must_use]
     pub fn choose(&self, service: &str, tried: &[String], now: BootMs) -> Option<Choice> {
-        let open: Vec<&Row> = self.open(service).filter(|row| !tried.contains(&row.server.id)).collect();
+        let open: Vec<&Row> =
+            self.open(service).filter(|row| !tried.contains(&row.server.id)).collect();
         let awake: Vec<&Row> = open.iter().copied().filter(|row| row.paused_until <= now).collect();
         let rows = if awake.is_empty() { open } else { awake };
         let load = |row: &&&Row| self.load(row, now);
--- a/crates/core/src/placement/level.rs
+++ b/crates/core/src/placement/level.rs
@@ -48,9 +48,8 @@
     let mut is_open = vec![true; layers.len()];
     for _ in 0..MOST_STEPS * layers.len() {
         let open = (0..layers.len()).filter(|index| is_open[*index]);
-        let worst = open.max_by(|left, right| {
-            layers[*left].imbalance().total_cmp(&layers[*right].imbalance())
-        });
+        let worst = open
+            .max_by(|left, right| layers[*left].imbalance().total_cmp(&layers[*right].imbalance()));
         let Some(worst) = worst else { break };
         if layers[worst].imbalance() <= settings.even_enough {
             break;
@@ -67,7 +66,9 @@
 #[must_use]
 pub fn bottleneck_load(map: &ExpertMap, loads: &[Vec<f64>], paces: &[f64]) -> f64 {
     let layers = map.layers.iter().zip(loads);
-    layers.map(|(placed, loads)| paced_loads(placed, loads, paces).into_iter().fold(0.0, f64::max)).sum()
+    layers
+        .map(|(placed, loads)| paced_loads(placed, loads, paces).into_iter().fold(0.0, f64::max))
+        .sum()
 }
 
 /// Loads of ranks, each as long as it takes that rank.
--- /dev/null
+++ b/crates/core/tests/direct.rs
@@ -0,0 +1,310 @@
+//! Decisions of an entry that reaches backend servers without agents.
+
+use googletest::prelude::*;
+use hickorycross_core::Verdict;
+use hickorycross_core::direct::{
+    Adoption, AllowanceSettings, AttemptEnd, BackendServer, BackendShare, BackendState,
+    BackendTable, BootMs, CallerLimits, Catalog, CatalogBelief, EventCutter, PeerTable,
+    RequestKind, RetryAllowance, Route, judge_attempt,
+};
+use std::net::SocketAddr;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        target_gap_ms: None,
+        priority: 1,
+        backends: vec![BackendShare { service: "svc".to_owned(), weight: 1 }],
+        max_attempts: 2,
+        public: false,
+    }
+}
+
+fn catalog(version: u64, routes: Vec<Route>) -> Catalog {
+    Catalog { version, routes, limits: CallerLimits::default(), ..Catalog::default() }
+}
+
+struct RouteCase {
+    host: &'static str,
+    path: &'static str,
+    route: Option<&'static str>,
+}
+
+/// The longest prefix of the host's routes decides, whatever the order.
+#[gtest]
+fn routes_are_chosen_by_their_longest_prefix() {
+    let catalog = catalog(
+        1,
+        vec![route("short", "a", "/x/"), route("long", "a", "/x/y/"), route("other", "b", "/x/")],
+    );
+    let cases = [
+        RouteCase { host: "a", path: "/x/z", route: Some("short") },
+        RouteCase { host: "a", path: "/x/y/z", route: Some("long") },
+        RouteCase { host: "A", path: "/x/y/", route: Some("long") },
+        RouteCase { host: "b", path: "/x/y/z", route: Some("other") },
+        RouteCase { host: "a", path: "/x", route: None },
+        RouteCase { host: "a", path: "/xy/", route: None },
+        RouteCase { host: "c", path: "/x/", route: None },
+    ];
+    for case in cases {
+        let found = catalog.route(case.host, case.path).map(|route| route.name.as_str());
+        expect_that!(found, eq(case.route), "{} {}", case.host, case.path);
+    }
+}
+
+/// Symptom: a route or key that was dropped works again for a while.
+///
+/// Events: a stale replica or a peer that was cut off offers an older version, or confirms one that
+/// is no longer in force.
+///
+/// Cause: taking whatever is heard last.
+#[gtest]
+fn a_belief_never_goes_back_and_knows_its_age() {
+    let mut belief = CatalogBelief::default();
+    expect_that!(belief.is_fresh(BootMs(0), u64::MAX), eq(false), "nothing is known");
+    expect_that!(belief.offer(catalog(5, vec![])), eq(Adoption::Adopted));
+    expect_true!(belief.confirm(5, BootMs(1_000)));
+    expect_that!(belief.offer(catalog(4, vec![])), eq(Adoption::Older));
+    expect_that!(belief.offer(catalog(5, vec![])), eq(Adoption::Known));
+    expect_false!(belief.confirm(4, BootMs(9_000)), "an older version says nothing of this one");
+    expect_true!(belief.confirm(5, BootMs(500)), "an older word does not make it older");
+    expect_that!(belief.age_ms(BootMs(1_700)), some(eq(700)));
+    expect_that!(belief.is_fresh(BootMs(1_700), 700), eq(true));
+    expect_that!(belief.is_fresh(BootMs(1_701), 700), eq(false));
+    expect_that!(belief.offer(catalog(6, vec![])), eq(Adoption::Adopted));
+    expect_that!(belief.version(), eq(6));
+}
+
+struct CutCase {
+    name: &'static str,
+    pieces: &'static [&'static str],
+    ids: &'static [Option<u64>],
+    torn_bytes: usize,
+}
+
+/// Events come out whole, however their bytes arrive.
+#[gtest]
+fn streams_are_cut_into_whole_events() {
+    let cases = [
+        CutCase {
+            name: "at once",
+            pieces: &["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"],
+            ids: &[Some(1), Some(2)],
+            torn_bytes: 0,
+        },
+        CutCase {
+            name: "in pieces",
+            pieces: &["id: 1\nda", "ta: a\n", "\nid: 2"],
+            ids: &[Some(1)],
+            torn_bytes: 5,
+        },
+        CutCase {
+            name: "with a line before the id",
+            pieces: &["weights: 7\nid:3\ndata: a\n\n"],
+            ids: &[Some(3)],
+            torn_bytes: 0,
+        },
+        CutCase {
+            name: "with other line ends and without an id",
+            pieces: &["data: a\r\n\r\n"],
+            ids: &[None],
+            torn_bytes: 0,
+        },
+    ];
+    for case in cases {
+        let mut cutter = EventCutter::default();
+        let mut ids = Vec::new();
+        let mut bytes = String::new();
+        for piece in case.pieces {
+            cutter.push(piece.as_bytes());
+            while let Some(event) = cutter.next_event() {
+                ids.push(event.id);
+                bytes.push_str(std::str::from_utf8(&event.bytes).unwrap());
+            }
+        }
+        expect_that!(&ids[..], eq(case.ids), "{}", case.name);
+        expect_that!(cutter.torn_bytes(), eq(case.torn_bytes), "{}", case.name);
+        expect_true!(case.pieces.concat().starts_with(&bytes), "{}", case.name);
+    }
+}
+
+/// Only the backend server's word, or no byte sent, proves that a request has not run.
+#[gtest]
+fn only_proof_makes_a_request_not_run() {
+    let cases = [
+        (AttemptEnd::NothingSent, Verdict::NotRun),
+        (AttemptEnd::Rejected, Verdict::NotRun),
+        (AttemptEnd::OtherIncarnation, Verdict::NotRun),
+        (AttemptEnd::Broken, Verdict::MayHaveRun),
+        (AttemptEnd::Silent, Verdict::MayHaveRun),
+        (AttemptEnd::Spoiled, Verdict::MayHaveRun),
+    ];
+    for (end, verdict) in cases {
+        expect_that!(judge_attempt(end).verdict, eq(verdict), "{}", end.as_str());
+    }
+}
+
+/// Symptom: load at the backend servers rises with their failures.
+///
+/// Events: every request fails, at all entries at once.
+///
+/// Cause: second sends without a common budget. Here ten entries, cut off from each other, keep it
+/// together.
+#[gtest]
+fn second_sends_keep_the_common_budget_without_exchange() {
+    const ENTRIES: usize = 10;
+    const RATIO: f64 = 0.2;
+    const SLACK: f64 = 90.0;
+    let settings =
+        AllowanceSettings { window_ms: 10_000, ratio: RATIO, slack: SLACK / ENTRIES as f64 };
+    let mut entries = vec![RetryAllowance::new(settings); ENTRIES];
+    let (mut first, mut second) = (0, 0);
+    for at in 0..1_000 {
+        let now = BootMs(at * 10);
+        for (index, entry) in entries.iter_mut().enumerate() {
+            // The load is uneven.
+            if at % (index as u64 + 1) == 0 {
+                entry.note_first(now, "svc");
+                first += 1;
+                while entry.take(now, "svc") {
+                    second += 1;
+                }
+            }
+        }
+    }
+    expect_that!(f64::from(second), le(RATIO * f64::from(first) + SLACK));
+    expect_that!(f64::from(second), ge(0.9 * RATIO * f64::from(first)), "it is used as well");
+    let later = BootMs(30_000);
+    expect_true!(entries[0].take(later, "svc"), "old sends are forgotten");
+}
+
+fn server(id: &str, port: u16, domain: &str) -> BackendServer {
+    BackendServer {
+        id: id.to_owned(),
+        service: "svc".to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        failure_domain: domain.to_owned(),
+        slots: 4,
+        state: BackendState::Ready,
+    }
+}
+
+fn table() -> BackendTable {
+    let mut table = BackendTable::new("a");
+    table.put(server("one", 1, "a"));
+    table.put(server("two", 2, "b"));
+    table
+}
+
+fn chosen(table: &BackendTable, tried: &[&str], at: u64) -> Option<String> {
+    let tried: Vec<String> = tried.iter().map(|id| (*id).to_owned()).collect();
+    table.choose("svc", &tried, BootMs(at)).map(|choice| choice.server.id)
+}
+
+/// The least loaded backend server is chosen; ties go to the own failure domain.
+#[gtest]
+fn the_least_loaded_backend_server_is_chosen() {
+    let mut table = table();
+    expect_that!(chosen(&table, &[], 0), some(eq("one")));
+    table.note_sent("one");
+    expect_that!(chosen(&table, &[], 0), some(eq("two")));
+    table.note_ended("one");
+    expect_that!(chosen(&table, &["one"], 0), some(eq("two")));
+    expect_that!(chosen(&table, &["one", "two"], 0), none());
+    table.note_pace(SocketAddr::from(([10, 0, 0, 1], 1)), 5_000, BootMs(0));
+    expect_that!(chosen(&table, &[], 0), some(eq("two")), "a slow one is no choice when idle");
+    expect_that!(
+        chosen(&table, &[], 10_000),
+        some(eq("one")),
+        "an old word on pace counts no more"
+    );
+}
+
+/// Failures in a row pause a backend server, unless no other is left.
+#[gtest]
+fn failing_backend_servers_are_paused() {
+    let mut table = table();
+    expect_that!(table.note_failure("one", BootMs(0)), none(), "one failure is no sign");
+    expect_that!(table.note_failure("one", BootMs(0)), some(eq(BootMs(400))));
+    expect_that!(table.note_failure("one", BootMs(0)), some(eq(BootMs(800))));
+    expect_that!(chosen(&table, &[], 100), some(eq("two")));
+    expect_that!(chosen(&table, &["two"], 100), some(eq("one")), "better than none");
+    for _ in 0..8 {
+        table.note_failure("one", BootMs(0));
+    }
+    expect_that!(table.note_failure("one", BootMs(0)), some(eq(BootMs(2_000))), "bounded");
+}
+
+struct LapseCase {
+    name: &'static str,
+    returned_at: Option<u64>,
+    usable_at: u64,
+    usable: bool,
+}
+
+/// Symptom: after an outage of the store no backend server is left for seconds.
+///
+/// Events: entries lapse while the store is away, and are back a little after its return.
+///
+/// Cause: taking a missing entry for a backend server that is gone, at any time.
+#[gtest]
+fn lapsed_entries_stay_usable_for_a_short_time() {
+    let cases = [
+        LapseCase { name: "no outage", returned_at: None, usable_at: 10_000, usable: false },
+        LapseCase { name: "just back", returned_at: Some(9_900), usable_at: 11_000, usable: true },
+        LapseCase { name: "long back", returned_at: Some(9_900), usable_at: 12_200, usable: false },
+        LapseCase {
+            name: "back before",
+            returned_at: Some(1_000),
+            usable_at: 10_000,
+            usable: false,
+        },
+    ];
+    for case in cases {
+        let mut table = table();
+        let listed = vec![server("two", 2, "b")];
+        table.replace_all(listed, BootMs(10_000), case.returned_at.map(BootMs));
+        table.expire(BootMs(case.usable_at));
+        let is_usable = chosen(&table, &["two"], case.usable_at).is_some();
+        expect_that!(is_usable, eq(case.usable), "{}", case.name);
+    }
+    let mut table = table();
+    table.replace_all(vec![server("two", 2, "b")], BootMs(10_000), Some(BootMs(9_900)));
+    table.put(server("one", 1, "a"));
+    table.expire(BootMs(20_000));
+    expect_that!(chosen(&table, &["two"], 20_000), some(eq("one")), "it came back");
+}
+
+/// Symptom: a backend server that leaves gets new work.
+///
+/// Events: it says that it leaves, then an older entry of it is read from a stale replica.
+///
+/// Cause: forgetting that an incarnation which leaves never comes back.
+#[gtest]
+fn leaving_is_for_good() {
+    let mut table = table();
+    expect_true!(table.note_leaving("one"));
+    table.put(server("one", 1, "a"));
+    expect_that!(chosen(&table, &["two"], 0), none());
+    expect_false!(table.takes_work("one"));
+}
+
+/// Peers and seeds are asked by turns; silent peers are forgotten, seeds are not.
+#[gtest]
+fn peers_come_and_go() {
+    let address = |port| SocketAddr::from(([10, 0, 0, 1], port));
+    let mut peers = PeerTable::new(&[address(1), address(2)], Some(address(1)));
+    expect_that!(peers.next_to_ask(), some(eq(address(2))), "not oneself");
+    expect_true!(peers.note(address(3), BootMs(0)));
+    expect_false!(peers.note(address(3), BootMs(10)));
+    expect_false!(peers.note(address(1), BootMs(0)), "not oneself");
+    let asked: Vec<_> = (0..4).filter_map(|_| peers.next_to_ask()).collect();
+    expect_true!(asked.contains(&address(2)) && asked.contains(&address(3)));
+    expect_that!(peers.expire(BootMs(40_000)), elements_are![eq(&address(3))]);
+    expect_that!(peers.next_to_ask(), some(eq(address(2))));
+}
--- a/crates/direct/src/agent/execute.rs
+++ b/crates/direct/src/agent/execute.rs
@@ -106,11 +106,7 @@
     }
 }
 
-async fn comes_to_show(
-    engine: &dyn RankEngine,
-    order: &RankOrder,
-    show_pause_ms: u64,
-) -> bool {
+async fn comes_to_show(engine: &dyn RankEngine, order: &RankOrder, show_pause_ms: u64) -> bool {
     for _ in 0..SHOW_LOOKS {
         if let Ok(report) = engine.report().await
             && shows(&report, order)
--- a/crates/direct/src/agent/fleet.rs
+++ b/crates/direct/src/agent/fleet.rs
@@ -27,11 +27,7 @@
 }
 
 impl Fleet {
-    pub(crate) fn new(
-        log: DecisionLog,
-        service: &str,
-        seeds: &[SocketAddr],
-    ) -> Rc<Self> {
+    pub(crate) fn new(log: DecisionLog, service: &str, seeds: &[SocketAddr]) -> Rc<Self> {
         Rc::new(Self {
             log,
             service: service.to_owned(),
--- a/crates/direct/src/agent/program.rs
+++ b/crates/direct/src/agent/program.rs
@@ -40,14 +40,8 @@
     let line = DecisionLog::fields("start").with("instance", &settings.instance);
     log.note(line.with("backend", backend).with("service", &service));
     let fleet = Fleet::new(log.clone(), &service, &settings.seeds);
-    let member = Member::new(
-        engines,
-        backend,
-        Rc::clone(&fleet),
-        log.clone(),
-        socket,
-        settings.agent_port,
-    );
+    let member =
+        Member::new(engines, backend, Rc::clone(&fleet), log.clone(), socket, settings.agent_port);
     tokio::task::spawn_local(fleet::follow(Rc::clone(&fleet)));
     tokio::task::spawn_local(member::hear(Rc::clone(&member)));
     tokio::task::spawn_local(member::lead(Rc::clone(&member)));
--- a/crates/direct/src/callers/head.rs
+++ b/crates/direct/src/callers/head.rs
@@ -48,7 +48,8 @@
         let host = host(&parts).ok_or(Refusal::BadHead("the host is missing"))?;
         // An entry that lost touch may lack a route or key that was just added; it must not say
         // that there is none.
-        let unknown_route = if is_fresh { Refusal::UnknownRoute } else { Refusal::StaleConfiguration };
+        let unknown_route =
+            if is_fresh { Refusal::UnknownRoute } else { Refusal::StaleConfiguration };
         let route = catalog.route(host, parts.uri.path()).cloned().ok_or(unknown_route)?;
         let mut team = None;
         let mut urgency = route.priority;
--- a/crates/direct/src/decision_log.rs
+++ b/crates/direct/src/decision_log.rs
@@ -117,7 +117,8 @@
             return;
         }
         self.waiting.fetch_add(1, Ordering::Relaxed);
-        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) = self.lines.try_send(line)
+        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
+            self.lines.try_send(line)
         {
             self.waiting.fetch_sub(1, Ordering::Relaxed);
             self.count_dropped();
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
-use crate::settings::{ProcessSettings, SettingsSource};
 use crate::reload::Reload;
+use crate::settings::{ProcessSettings, SettingsSource};
 use crate::state::EntryState;
 use crate::store::SharedStore;
 use crate::wire_names::WireNames;
@@ -46,7 +46,8 @@
     let log = DecisionLog::start().into_diagnostic()?;
     let mut signals = StopSignals::install().into_diagnostic()?;
     let reload = Reload::install(source, log.clone()).into_diagnostic()?;
-    let callers_at = settings.listen.callers.ok_or_else(|| miette::miette!("no callers' address"))?;
+    let callers_at =
+        settings.listen.callers.ok_or_else(|| miette::miette!("no callers' address"))?;
     let line = DecisionLog::fields("start").with("instance", &settings.instance);
     log.note(line.with("failure_domain", &settings.failure_domain).with("callers_at", callers_at));
     let state = EntryState::new(settings, names, log);
@@ -68,7 +69,10 @@
     Ok(())
 }
 
-async fn listen_for_processes(state: &Rc<EntryState>, exposition: &Exposition) -> miette::Result<()> {
+async fn listen_for_processes(
+    state: &Rc<EntryState>,
+    exposition: &Exposition,
+) -> miette::Result<()> {
     let listen = state.settings.borrow().listen;
     for address in [listen.ready, listen.control].into_iter().flatten() {
         let listener = bind(address).await?;
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -48,10 +48,16 @@
     }
 }
 
+/// An answer of a backend server to a request, its body not yet read.
+pub(crate) struct Reply {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) attempt: Attempt,
+}
+
 /// What an attempt brought.
 pub(crate) enum Brought {
     /// An answer of the backend server to this request.
-    Answer(Response<Incoming>, Attempt),
+    Answer(Box<Reply>),
     /// No answer that can be handed on.
     End(AttemptEnd),
     /// The request's time is over; says whether bytes had left.
@@ -203,7 +209,8 @@
     if !belongs(state, request, &parts) {
         return Brought::End(AttemptEnd::Spoiled);
     }
-    Brought::Answer(Response::from_parts(parts, body), attempt)
+    let response = Response::from_parts(parts, body);
+    Brought::Answer(Box::new(Reply { response, attempt }))
 }
 
 /// Whether a head answers this request. A backend server may send a second answer to an earlier
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -1,6 +1,6 @@
 //! Chooses backend servers for a request and decides about further attempts.
 
-use super::attempt::{self, Attempt, Brought, end_to_end};
+use super::attempt::{self, Attempt, Brought, Reply, end_to_end};
 use super::{patience, stream};
 use crate::callers::{AnswerBody, CallerRequest, Refusal, whole};
 use crate::clock::boot_now;
@@ -69,7 +69,7 @@
     };
     match life.bring().await {
         Ok(Done::Whole(parts, body)) => life.hand_on(parts, body),
-        Ok(Done::Stream(response, attempt)) => stream::respond(life, response, attempt),
+        Ok(Done::Stream(reply)) => stream::respond(life, reply),
         Err(refusal) => {
             life.note_final(refusal.as_str(), refusal.status());
             refusal.into_response()
@@ -80,7 +80,7 @@
 /// What a life ends with.
 enum Done {
     Whole(response::Parts, Bytes),
-    Stream(Response<Incoming>, Attempt),
+    Stream(Reply),
 }
 
 /// Chooses among the services of a route by their weights.
@@ -99,11 +99,13 @@
 impl Life {
     async fn bring(&mut self) -> Result<Done, Refusal> {
         loop {
-            let (response, attempt) = self.obtain(None).await?;
-            let (parts, body) = response.into_parts();
-            if is_event_stream(&parts) && parts.status.is_success() {
-                return Ok(Done::Stream(Response::from_parts(parts, body), attempt));
+            let reply = self.obtain(None).await?;
+            let response = &reply.response;
+            if is_event_stream(response.headers()) && response.status().is_success() {
+                return Ok(Done::Stream(reply));
             }
+            let Reply { response, attempt } = reply;
+            let (parts, body) = response.into_parts();
             if parts.status.is_server_error() && self.retry_failed_answer(&attempt) {
                 continue;
             }
@@ -120,10 +122,7 @@
 
     /// Sends the request until a backend server answers it; `resume_after` is the last event that
     /// the caller has got.
-    pub(crate) async fn obtain(
-        &mut self,
-        resume_after: Option<u64>,
-    ) -> Result<(Response<Incoming>, Attempt), Refusal> {
+    pub(crate) async fn obtain(&mut self, resume_after: Option<u64>) -> Result<Reply, Refusal> {
         loop {
             self.check_time_and_key()?;
             self.wait_for_room().await?;
@@ -137,7 +136,7 @@
             let sending =
                 attempt::send(&self.state, &self.request, &self.body, server, resume_after);
             match sending.await {
-                Brought::Answer(response, attempt) => return Ok((response, attempt)),
+                Brought::Answer(reply) => return Ok(*reply),
                 Brought::End(end) => self.note_end(&id, end)?,
                 Brought::Limit { sent } => {
                     if sent {
@@ -228,7 +227,8 @@
 
     /// Whether to leave a failed answer and try again elsewhere.
     fn retry_failed_answer(&mut self, attempt: &Attempt) -> bool {
-        let may = self.request.route.kind.is_idempotent() && self.sends < self.request.route.max_attempts;
+        let may =
+            self.request.route.kind.is_idempotent() && self.sends < self.request.route.max_attempts;
         let others = self.state.backends.borrow();
         let has_other = others.choose(&self.service, &self.tried, boot_now()).is_some();
         drop(others);
@@ -356,10 +356,7 @@
     )
 }
 
-fn is_event_stream(parts: &response::Parts) -> bool {
-    content_type(&parts.headers).is_some_and(|it| it.starts_with("text/event-stream"))
-}
-
-fn content_type(headers: &HeaderMap) -> Option<&str> {
-    headers.get(CONTENT_TYPE)?.to_str().ok()
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    content_type.is_some_and(|it| it.starts_with("text/event-stream"))
 }
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -1,6 +1,6 @@
 //! Hands events on as they arrive, and continues a broken stream at another backend server.
 
-use super::attempt::{Attempt, end_to_end};
+use super::attempt::{Attempt, Reply, end_to_end};
 use super::life::Life;
 use super::patience::{self, Impatience};
 use crate::callers::{AnswerBody, BodyBreak};
@@ -42,11 +42,8 @@
 }
 
 /// Answers a caller with the events of a backend server.
-pub(crate) fn respond(
-    life: Life,
-    response: Response<Incoming>,
-    attempt: Attempt,
-) -> Response<AnswerBody> {
+pub(crate) fn respond(life: Life, reply: Reply) -> Response<AnswerBody> {
+    let Reply { response, attempt } = reply;
     let (parts, body) = response.into_parts();
     let mut headers = end_to_end(&parts.headers);
     // Events of another backend server may follow, whose bytes this length does not count.
@@ -174,7 +171,7 @@
         if self.life.note_end(&id, end).is_err() || !may_resume {
             return Some(self.break_off("broke-off"));
         }
-        let Ok((response, attempt)) = self.life.obtain(self.last_id).await else {
+        let Ok(Reply { response, attempt }) = self.life.obtain(self.last_id).await else {
             return Some(self.break_off("not-resumed"));
         };
         if !response.status().is_success() {
--- a/crates/direct/src/operators.rs
+++ b/crates/direct/src/operators.rs
@@ -67,9 +67,8 @@
 
 async fn answer_peer(state: &EntryState, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let body = Limited::new(request.into_body(), MOST_QUESTION_BYTES).collect().await;
-    let question = body.ok().and_then(|body| {
-        postcard::from_bytes::<Question>(&body.to_bytes()).ok()
-    });
+    let question =
+        body.ok().and_then(|body| postcard::from_bytes::<Question>(&body.to_bytes()).ok());
     let Some(question) = question else {
         return plain(StatusCode::BAD_REQUEST, Bytes::from_static(b"unreadable question\n"));
     };
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -5,8 +5,8 @@
 use crate::settings::ProcessSettings;
 use crate::wire_names::WireNames;
 use hickorycross_core::direct::{
-    Admission, AdmissionSettings, AllowanceSettings, BackendTable, BootMs, CatalogBelief, PeerTable,
-    RetryAllowance,
+    Admission, AdmissionSettings, AllowanceSettings, BackendTable, BootMs, CatalogBelief,
+    PeerTable, RetryAllowance,
 };
 use indexmap::IndexMap;
 use rand::SeedableRng;
