perf(agent): polls and maps are spread over a small link

Cause: in a group of 63 ranks each leader sent 240 KB of map every 120 ms over 8 Mbit/s; polls were lost, another agent began to lead, no change ever ended (0 changes of map).

--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -9,11 +9,20 @@
 use indexmap::IndexMap;
 
 /// Age from which a rank's status is not decided upon.
-const STATUS_AGE_MS: u64 = 700;
+const STATUS_AGE_MS: u64 = 1_000;
 
 /// Pause after which an order without an answer is sent again.
 const AGAIN_MS: u64 = 120;
 
+/// The same for an order with a map. All of them together fill a small machine's link for a quarter
+/// of a second in a group of 63 ranks, and the agent itself gives the order again when its rank does
+/// not answer.
+const MAP_AGAIN_MS: u64 = 1_000;
+
+/// Experts of a map that a link takes in a millisecond: at up to 2 bytes each, half of the smallest
+/// link in use (8 Mbit/s). A link that is full loses datagrams, also those that say who leads.
+const MAP_EXPERTS_PER_MS: usize = 250;
+
 /// Time for the copies of a change: a rank's share of copies takes about 0.1 s each.
 const PREPARE_MS: u64 = 5_000;
 
@@ -185,8 +194,9 @@
     pub fn tick(&mut self, now: BootMs, dimensions: &GroupDimensions) -> Vec<LeaderAction> {
         let mut actions = Vec::new();
         self.advance(now, dimensions, &mut actions);
+        let has_map = matches!(self.phase, Phase::Preparing { .. });
         if let Some(orders) = self.phase.orders() {
-            let due = orders.due(now, AGAIN_MS);
+            let due = orders.due(now, if has_map { MAP_AGAIN_MS } else { AGAIN_MS });
             let send = |(rank, number, order)| LeaderAction::Send { rank, number, order };
             actions.extend(due.into_iter().map(send));
         }
@@ -348,8 +358,11 @@
         });
         let newest = newest.max().unwrap_or(0);
         let version = (newest / VERSION_STEP + 1) * VERSION_STEP + self.salt;
+        let experts: usize =
+            map.layers.iter().flat_map(|it| &it.experts_of_rank).map(Vec::len).sum();
         let kind = OrderKind::Prepare { version, map };
-        let orders = self.orders_to_all(epoch, &kind);
+        let mut orders = self.orders_to_all(epoch, &kind);
+        orders.spread(now, (experts / MAP_EXPERTS_PER_MS) as u64);
         self.phase = Phase::Preparing { version, orders, give_up_at: now.after(PREPARE_MS) };
         self.note("uneven", version, epoch, bottleneck, actions);
     }
--- a/crates/core/src/map_change/phase.rs
+++ b/crates/core/src/map_change/phase.rs
@@ -73,11 +73,19 @@
 }
 
 impl Orders {
+    /// Adds an order that is sent at once.
     pub(crate) fn add(&mut self, rank: u16, number: u64, order: RankOrder) {
         let row = OrderRow { number, order, end: None, send_at: BootMs(0) };
         self.rows.insert(rank, row);
     }
 
+    /// Lets the orders be sent one after the other, `pause_ms` apart.
+    pub(crate) fn spread(&mut self, now: BootMs, pause_ms: u64) {
+        for (index, row) in (0..).zip(self.rows.values_mut()) {
+            row.send_at = now.after(index * pause_ms);
+        }
+    }
+
     /// Takes note of an order's end; returns whether it belongs to this phase.
     pub(crate) fn end(&mut self, rank: u16, number: u64, end: OrderEnd) -> bool {
         match self.rows.get_mut(&rank).filter(|row| row.number == number) {
--- a/crates/direct/src/agent/datagram.rs
+++ b/crates/direct/src/agent/datagram.rs
@@ -17,6 +17,8 @@
         fence: u64,
         /// The map whose experts it knows.
         known_map: Option<u64>,
+        /// Whether the choices of experts are asked for.
+        wants_counts: bool,
     },
     /// An agent's answer to a poll.
     Status(RankStatus),
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -14,18 +14,25 @@
 use indexmap::IndexMap;
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-/// Pause between polls while nothing is under way.
+/// Time in which all members are polled once while nothing is under way.
 const POLL_MS: u64 = 100;
 
-/// Pause between polls during a change, when the newest pass and the end of copies count.
+/// The same for each member, in a large group. A status with the choices of 8 layers of 252 experts has
+/// about 2.6 KB; so many of them take half of the smallest link in use (8 Mbit/s).
+const POLL_PER_MEMBER_MS: u64 = 6;
+
+/// Time in which all members are polled once during a change, when the end of copies counts.
 const BUSY_POLL_MS: u64 = 60;
 
+/// The same for each member; such a status has less than 100 bytes.
+const BUSY_POLL_PER_MEMBER_MS: u64 = 1;
+
 /// Pause between decisions of a leader.
 const TICK_MS: u64 = 20;
 
@@ -142,7 +149,13 @@
 
 async fn handle(member: Rc<Member>, from: SocketAddr, datagram: Datagram) {
     match datagram {
-        Datagram::Poll { fence, known_map } => answer_poll(&member, from, fence, known_map).await,
+        Datagram::Poll { fence, known_map, wants_counts } => {
+            hear_leader(&member, fence);
+            if let Some(status) = status(&member, known_map, wants_counts).await {
+                member.own_rank.set(Some(status.rank));
+                member.send(from, &Datagram::Status(status)).await;
+            }
+        }
         Datagram::Status(status) => take_status(&member, from, status),
         Datagram::Order { number, order } => take_order(&member, from, number, order).await,
         Datagram::End { rank, number, fence, end } => {
@@ -156,16 +169,13 @@
     }
 }
 
-async fn answer_poll(member: &Member, from: SocketAddr, fence: u64, known_map: Option<u64>) {
+/// Notes that somebody leads.
+fn hear_leader(member: &Member, fence: u64) {
     if fence >= member.highest_fence.get() {
         member.highest_fence.set(fence);
         member.leader_heard_at.set(boot_now());
         step_down(member, fence);
     }
-    if let Some(status) = status(member, known_map).await {
-        member.own_rank.set(Some(status.rank));
-        member.send(from, &Datagram::Status(status)).await;
-    }
 }
 
 /// Stops leading when another leader has a higher fence.
@@ -179,12 +189,15 @@
 }
 
 /// Reads the rank and tells of it.
-async fn status(member: &Member, known_map: Option<u64>) -> Option<RankStatus> {
+async fn status(member: &Member, known_map: Option<u64>, wants_counts: bool) -> Option<RankStatus> {
     let report = member.engine.report().await.ok()?;
     member.pace_permille.set(report.pace_permille);
-    let counts = member.engine.counts().await.ok()?;
     let seat = report.seat.clone()?;
-    let counts = sample(member, counts);
+    let counts = if wants_counts {
+        sample(member, member.engine.counts().await.ok()?)
+    } else {
+        CountsSample::default()
+    };
     let experts = if known_map == Some(report.map) {
         None
     } else {
@@ -274,7 +287,7 @@
         return;
     };
     if matches!(order.kind, OrderKind::HoldNext)
-        && let Some(status) = status(member, None).await
+        && let Some(status) = status(member, None, false).await
     {
         member.send(from, &Datagram::Status(status)).await;
     }
@@ -292,34 +305,59 @@
 
 /// Leads whenever no leader is heard, for ever.
 pub(crate) async fn lead(member: Rc<Member>) {
-    let mut poll_at = BootMs(0);
+    let mut polls = Polls::default();
     loop {
         // A change stands still between an answer and the next look at it.
         let _ = tokio::time::timeout(Duration::from_millis(TICK_MS), member.news.notified()).await;
         let now = boot_now();
         begin_if_silent(&member, now).await;
         let Some(dimensions) = member.fleet.dimensions() else { continue };
-        let (actions, poll) = {
+        let (actions, poll, is_busy) = {
             let mut leading = member.leader.borrow_mut();
             let Some(leader) = leading.as_mut() else { continue };
             let actions = leader.tick(now, &dimensions);
-            let pause_ms = if leader.is_busy() { BUSY_POLL_MS } else { POLL_MS };
-            let poll = Datagram::Poll { fence: leader.fence(), known_map: leader.known_map() };
-            let is_due = now >= poll_at;
-            if is_due {
-                poll_at = now.after(pause_ms);
-            }
+            let (fence, known_map) = (leader.fence(), leader.known_map());
+            let is_busy = leader.is_busy();
             if leader.is_deposed() {
                 *leading = None;
             }
-            (actions, is_due.then_some(poll))
+            (actions, Datagram::Poll { fence, known_map, wants_counts: !is_busy }, is_busy)
         };
         carry_out(&member, actions).await;
-        if let Some(poll) = poll {
-            for machine in member.fleet.machines() {
-                member.send(SocketAddr::new(machine, member.port), &poll).await;
-            }
+        for machine in polls.due(now, member.fleet.machines(), is_busy) {
+            member.send(SocketAddr::new(machine, member.port), &poll).await;
+        }
+    }
+}
+
+/// Polls members by turns, spread over time: statuses that all come at once would fill the link of a
+/// small machine, and a full link loses datagrams.
+#[derive(Default)]
+struct Polls {
+    next: usize,
+    polled_until: BootMs,
+}
+
+impl Polls {
+    /// Machines to be polled now.
+    fn due(&mut self, now: BootMs, machines: Vec<IpAddr>, is_busy: bool) -> Vec<IpAddr> {
+        let count = machines.len() as u64;
+        let (round_ms, per_member_ms) = if is_busy {
+            (BUSY_POLL_MS, BUSY_POLL_PER_MEMBER_MS)
+        } else {
+            (POLL_MS, POLL_PER_MEMBER_MS)
+        };
+        let round_ms = round_ms.max(count * per_member_ms);
+        let passed_ms = now.since(self.polled_until);
+        let due = (passed_ms * count / round_ms).min(count);
+        if due == 0 {
+            return Vec::new();
         }
+        // What is less than a member's share of the round is left for the next look.
+        self.polled_until = now.before(passed_ms.min(round_ms) - due * round_ms / count);
+        let begin = self.next;
+        self.next = (begin + due as usize) % machines.len();
+        (0..due as usize).map(|index| machines[(begin + index) % machines.len()]).collect()
     }
 }
 
--- a/crates/direct/src/agent/silent.rs
+++ b/crates/direct/src/agent/silent.rs
@@ -18,10 +18,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Silence of an agent from which its rank is read from afar: three polls.
-const SILENT_MS: u64 = 600;
+/// Silence of an agent from which its rank is read from afar: several polls, two in a large group.
+const SILENT_MS: u64 = 800;
 
-/// Pause between readings from afar; the leader decides on words up to 700 ms old.
+/// Pause between readings from afar; the leader decides on words up to 1 s old.
 const READ_PAUSE_MS: u64 = 350;
 
 /// Ranks that are read and ordered from afar, and when agents of machines were heard.
