--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -33,6 +33,9 @@
 /// The same for each member; such a status has less than 100 bytes.
 const BUSY_POLL_PER_MEMBER_MS: u64 = 1;
 
+/// Rounds of polls during a change of which one asks a large group for its choices of experts.
+const BUSY_ROUNDS_PER_COUNTS: u64 = 6;
+
 /// Pause between decisions of a leader.
 const TICK_MS: u64 = 20;
 
@@ -321,7 +324,8 @@
             if leader.is_deposed() {
                 *leading = None;
             }
-            (actions, Datagram::Poll { fence, known_map, wants_counts: !is_busy }, is_busy)
+            let wants_counts = polls.wants_counts(is_busy, member.fleet.machines().len());
+            (actions, Datagram::Poll { fence, known_map, wants_counts }, is_busy)
         };
         carry_out(&member, actions).await;
         for machine in polls.due(now, member.fleet.machines(), is_busy) {
@@ -335,10 +339,18 @@
 #[derive(Default)]
 struct Polls {
     next: usize,
+    rounds: u64,
     polled_until: BootMs,
 }
 
 impl Polls {
+    /// Whether the choices of experts are asked for. In a large group they are too long for the short
+    /// rounds of a change; without any, the first estimate after it would be of the time before.
+    fn wants_counts(&self, is_busy: bool, machines: usize) -> bool {
+        let is_small = machines as u64 * POLL_PER_MEMBER_MS <= POLL_MS;
+        !is_busy || is_small || self.rounds.is_multiple_of(BUSY_ROUNDS_PER_COUNTS)
+    }
+
     /// Machines to be polled now.
     fn due(&mut self, now: BootMs, machines: Vec<IpAddr>, is_busy: bool) -> Vec<IpAddr> {
         let count = machines.len() as u64;
@@ -356,6 +368,7 @@
         // What is less than a member's share of the round is left for the next look.
         self.polled_until = now.before(passed_ms.min(round_ms) - due * round_ms / count);
         let begin = self.next;
+        self.rounds += (begin as u64 + due) / count;
         self.next = (begin + due as usize) % machines.len();
         (0..due as usize).map(|index| machines[(begin + index) % machines.len()]).collect()
     }
