--- a/crates/direct/src/agent/program.rs
+++ b/crates/direct/src/agent/program.rs
@@ -5,6 +5,7 @@
 use super::rank::RankEngines;
 use super::{silent, tell};
 use crate::decision_log::DecisionLog;
+use crate::operators::{self, AgentPages};
 use crate::reload::Reload;
 use crate::settings::{ProcessSettings, SettingsSource};
 use hickorycross_runtime::exposition::Exposition;
@@ -13,7 +14,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 
 /// Runs an agent until it is told to stop.
 ///
@@ -26,7 +27,7 @@
     engines: Rc<dyn RankEngines>,
     source: Box<dyn SettingsSource>,
 ) -> miette::Result<()> {
-    Exposition::install().into_diagnostic()?;
+    let exposition = Exposition::install().into_diagnostic()?;
     let log = DecisionLog::start().into_diagnostic()?;
     let mut signals = StopSignals::install().into_diagnostic()?;
     let reload = Reload::install(source, log.clone()).into_diagnostic()?;
@@ -37,6 +38,11 @@
         .await
         .into_diagnostic()
         .wrap_err_with(|| format!("cannot listen at {address}"))?;
+    let listener = TcpListener::bind(address)
+        .await
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot listen at {address}"))?;
+    tokio::task::spawn_local(operators::serve(listener, Rc::new(AgentPages(exposition))));
     let line = DecisionLog::fields("start").with("instance", &settings.instance);
     log.note(line.with("backend", backend).with("service", &service));
     let fleet = Fleet::new(log.clone(), &service, &settings.seeds);
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
+use crate::operators::EntryPages;
 use crate::reload::Reload;
 use crate::settings::{ProcessSettings, SettingsSource};
 use crate::state::EntryState;
@@ -76,8 +77,8 @@
     let listen = state.settings.borrow().listen;
     for address in [listen.ready, listen.control].into_iter().flatten() {
         let listener = bind(address).await?;
-        let serving = operators::serve(Rc::clone(state), listener, exposition.clone());
-        tokio::task::spawn_local(serving);
+        let pages = EntryPages { state: Rc::clone(state), exposition: exposition.clone() };
+        tokio::task::spawn_local(operators::serve(listener, Rc::new(pages)));
     }
     Ok(())
 }
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -14,6 +14,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -47,6 +48,17 @@
     sends: u32,
     connect_failures: u32,
     verdict: Verdict,
+    /// Whether its end was logged.
+    is_ended: Cell<bool>,
+}
+
+impl Drop for Life {
+    /// The connection is gone before the end: the caller left, and its work is dropped with it.
+    fn drop(&mut self) {
+        if !self.is_ended.get() {
+            self.note_end_as("caller-left", None);
+        }
+    }
 }
 
 /// Brings the answer to a request.
@@ -66,6 +78,7 @@
         sends: 0,
         connect_failures: 0,
         verdict: Verdict::NotRun,
+        is_ended: Cell::new(false),
     };
     match life.bring().await {
         Ok(Done::Whole(parts, body)) => life.hand_on(parts, body),
@@ -329,13 +342,19 @@
 
     /// Says how the request ended.
     pub(crate) fn note_final(&self, outcome: &'static str, status: StatusCode) {
+        self.note_end_as(outcome, Some(status));
+    }
+
+    fn note_end_as(&self, outcome: &'static str, status: Option<StatusCode>) {
+        self.is_ended.set(true);
         let took_ms = boot_now().since(self.request.arrived_at);
         metrics::counter!("hickorycross_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("hickorycross_request_seconds").record(took_ms as f64 / 1000.0);
-        let line = self.line("final").with("outcome", outcome).with("status", status.as_u16());
+        let line = self.line("final").with("outcome", outcome);
+        let line = line.with_some("status", status.map(|status| status.as_u16()));
         let line = line.with("verdict", self.verdict).with("sends", self.sends);
         let line = line.with("took_ms", took_ms);
-        if status.is_success() {
+        if status.is_none_or(|status| status.is_success()) {
             self.state.log.note_ordinary(line);
         } else {
             let open = self.state.backends.borrow().outstanding(&self.service);
--- a/crates/direct/src/operators.rs
+++ b/crates/direct/src/operators.rs
@@ -12,6 +12,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -20,23 +22,79 @@
 const METRICS_PATH: &str = "/metrics";
 /// Longest question of a peer.
 const MOST_QUESTION_BYTES: usize = 4096;
+/// Pause after a failed accept, which usually means that descriptors have run out.
+const ACCEPT_PAUSE_MS: u64 = 10;
 /// Time for a request's head, and for which a connection may stay idle.
 const HEAD_TIMEOUT_MS: u64 = 10_000;
 
+/// Answers requests of operators, the balancer and other processes.
+pub(crate) trait Pages {
+    /// Answers one request.
+    fn respond(&self, request: Request<Incoming>) -> Responding<'_>;
+}
+
+/// An answer in the making.
+pub(crate) type Responding<'a> = Pin<Box<dyn Future<Output = Response<Full<Bytes>>> + 'a>>;
+
+/// The pages of an entry.
+pub(crate) struct EntryPages {
+    pub(crate) state: Rc<EntryState>,
+    pub(crate) exposition: Exposition,
+}
+
+/// The pages of an agent, which has only metrics.
+pub(crate) struct AgentPages(pub(crate) Exposition);
+
+impl Pages for EntryPages {
+    fn respond(&self, request: Request<Incoming>) -> Responding<'_> {
+        Box::pin(async move {
+            let path = request.uri().path();
+            if path == self.state.names.ready_path {
+                let is_ready = self.state.is_ready(boot_now());
+                let status =
+                    if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+                return plain(status, Bytes::new());
+            }
+            match (request.method(), path) {
+                (&Method::GET, METRICS_PATH) => metrics_page(&self.exposition),
+                (&Method::POST, EXCHANGE_PATH) => answer_peer(&self.state, request).await,
+                _ => no_such_page(),
+            }
+        })
+    }
+}
+
+impl Pages for AgentPages {
+    fn respond(&self, request: Request<Incoming>) -> Responding<'_> {
+        Box::pin(async move {
+            match (request.method(), request.uri().path()) {
+                (&Method::GET, METRICS_PATH) => metrics_page(&self.0),
+                _ => no_such_page(),
+            }
+        })
+    }
+}
+
+fn metrics_page(exposition: &Exposition) -> Response<Full<Bytes>> {
+    plain(StatusCode::OK, exposition.render().into())
+}
+
+fn no_such_page() -> Response<Full<Bytes>> {
+    plain(StatusCode::NOT_FOUND, Bytes::from_static(b"no such page\n"))
+}
+
 /// Serves one listener for ever.
-pub(crate) async fn serve(state: Rc<EntryState>, listener: TcpListener, exposition: Exposition) {
+pub(crate) async fn serve(listener: TcpListener, pages: Rc<dyn Pages>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             continue;
         };
-        let state = Rc::clone(&state);
-        let exposition = exposition.clone();
+        let pages = Rc::clone(&pages);
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| {
-                let state = Rc::clone(&state);
-                let exposition = exposition.clone();
-                async move { Ok::<_, Infallible>(respond(&state, &exposition, request).await) }
+                let pages = Rc::clone(&pages);
+                async move { Ok::<_, Infallible>(pages.respond(request).await) }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -48,23 +106,6 @@
     }
 }
 
-async fn respond(
-    state: &EntryState,
-    exposition: &Exposition,
-    request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
-    let path = request.uri().path();
-    if path == state.names.ready_path {
-        let status = if state.is_ready(boot_now()) { 200 } else { 503 };
-        return plain(StatusCode::from_u16(status).unwrap_or_default(), Bytes::new());
-    }
-    match (request.method(), path) {
-        (&Method::GET, METRICS_PATH) => plain(StatusCode::OK, exposition.render().into()),
-        (&Method::POST, EXCHANGE_PATH) => answer_peer(state, request).await,
-        _ => plain(StatusCode::NOT_FOUND, Bytes::from_static(b"no such page\n")),
-    }
-}
-
 async fn answer_peer(state: &EntryState, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let body = Limited::new(request.into_body(), MOST_QUESTION_BYTES).collect().await;
     let question =
