--- /dev/null
+++ b/crates/core/src/map_change/change.rs
@@ -0,0 +1,227 @@
+//! The steps of a change, and of its undoing.
+
+use super::leader::{Leader, LeaderAction};
+use super::order::{OrderEnd, OrderKind};
+use super::phase::{Orders, Phase, UndoStage};
+use crate::direct::BootMs;
+use crate::placement::ExpertMap;
+
+/// Time for the copies of a change: a rank's share of copies takes about 0.1 s each.
+const PREPARE_MS: u64 = 5_000;
+
+/// Time for all ranks to be armed, after which the change is undone. The group may stand still
+/// meanwhile; callers leave a stream after 2 s of silence.
+const ARM_MS: u64 = 1_200;
+
+/// Experts of a map that a link takes in a millisecond: at up to 2 bytes each, half of the smallest
+/// link in use (8 Mbit/s). A link that is full loses datagrams, also those that say who leads.
+const MAP_EXPERTS_PER_MS: usize = 250;
+
+/// Distance between the names of two maps; lower digits tell leaders apart.
+///
+/// Two leaders may name a map at the same time. Ranks compare only names, so two maps with one name
+/// could be armed together; one would notice nothing but passes with mixed maps.
+pub(super) const VERSION_STEP: u64 = 1 << 20;
+
+/// Distance between the fences of two phases of one leader; lower digits tell leaders apart.
+pub(crate) const FENCE_STEP: u64 = 1 << 10;
+
+impl Leader {
+    pub(super) fn begin(
+        &mut self,
+        now: BootMs,
+        epoch: u64,
+        map: ExpertMap,
+        bottleneck: Option<(u64, u64)>,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        // Orders of an undoing may still be carried out late: a rank that has seen the fence of this
+        // change refuses them, and none is disarmed behind the leader's back.
+        self.fence += FENCE_STEP;
+        let newest = self.statuses().flat_map(|status| {
+            let armed = status.armed.map_or(0, |armed| armed.version);
+            [status.map, status.prepared.unwrap_or(0), armed]
+        });
+        let newest = newest.max().unwrap_or(0);
+        let version = (newest / VERSION_STEP + 1) * VERSION_STEP + self.salt;
+        let experts: usize =
+            map.layers.iter().flat_map(|it| &it.experts_of_rank).map(Vec::len).sum();
+        let kind = OrderKind::Prepare { version, map };
+        let mut orders = self.orders_to_all(epoch, &kind);
+        orders.spread(now, (experts / MAP_EXPERTS_PER_MS) as u64);
+        self.phase = Phase::Preparing { version, orders, give_up_at: now.after(PREPARE_MS) };
+        self.note("uneven", version, epoch, bottleneck, actions);
+    }
+
+    pub(super) fn prepare(
+        &mut self,
+        now: BootMs,
+        epoch: u64,
+        version: u64,
+        orders: Orders,
+        give_up_at: BootMs,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        let is_ready = self.statuses().all(|status| status.prepared == Some(version));
+        let is_held = self.statuses().any(|status| status.held_step.is_some());
+        if orders.any(OrderEnd::Refused) || is_held || now >= give_up_at {
+            // Nothing is armed or held: the copies are simply not used.
+            self.note("not-prepared", version, epoch, None, actions);
+            return;
+        }
+        if !orders.all_done() || !is_ready {
+            self.phase = Phase::Preparing { version, orders, give_up_at };
+            return;
+        }
+        let orders = self.orders_to(&[self.own_rank], epoch, &OrderKind::HoldNext);
+        self.phase = Phase::Holding { version, orders };
+        self.note("prepared", version, epoch, None, actions);
+    }
+
+    pub(super) fn hold(
+        &mut self,
+        now: BootMs,
+        epoch: u64,
+        version: u64,
+        orders: Orders,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        if orders.any(OrderEnd::Refused) {
+            self.note("not-held", version, epoch, None, actions);
+            return;
+        }
+        let held_step = self.seats.get(&self.own_rank).and_then(|seat| seat.status.held_step);
+        let Some(step) = held_step.filter(|_| orders.all_done()) else {
+            self.phase = Phase::Holding { version, orders };
+            return;
+        };
+        let orders = self.orders_to_all(epoch, &OrderKind::Arm { version, step });
+        let give_up_at = now.after(ARM_MS);
+        self.phase = Phase::Arming { version, step, orders, give_up_at };
+        self.note("held", version, epoch, None, actions);
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one phase")]
+    pub(super) fn arm(
+        &mut self,
+        now: BootMs,
+        epoch: u64,
+        version: u64,
+        step: u64,
+        orders: Orders,
+        give_up_at: BootMs,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        if orders.all_done() {
+            let kind = OrderKind::Go { step };
+            let orders = self.orders_to(&[self.own_rank], epoch, &kind);
+            self.phase = Phase::Releasing { version, orders };
+            self.note("armed", version, epoch, None, actions);
+        } else if orders.any(OrderEnd::Refused) || now >= give_up_at {
+            let held = vec![(self.own_rank, step)];
+            self.begin_undo(epoch, held, version, "not-armed", actions);
+        } else {
+            self.phase = Phase::Arming { version, step, orders, give_up_at };
+        }
+    }
+
+    pub(super) fn release(
+        &mut self,
+        version: u64,
+        orders: Orders,
+        epoch: u64,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        let has_switched = self.statuses().all(|status| status.map == version);
+        if !orders.all_done() {
+            self.phase = Phase::Releasing { version, orders };
+        } else if has_switched {
+            self.note("switched", version, epoch, None, actions);
+        } else {
+            // A hold of an earlier leader may have been carried out late. All ranks are armed alike
+            // and refuse its other orders, so that its pass may begin as well.
+            let orders = self.orders_to_let_go(epoch);
+            self.phase = Phase::Releasing { version, orders };
+        }
+    }
+
+    /// Orders to let every held pass go.
+    fn orders_to_let_go(&mut self, epoch: u64) -> Orders {
+        let held = self.held();
+        let mut orders = Orders::default();
+        for (rank, step) in held {
+            let order = self.order(epoch, OrderKind::Go { step });
+            orders.add(rank, self.take_number(), order);
+        }
+        orders
+    }
+
+    /// Passes that ranks hold.
+    pub(super) fn held(&self) -> Vec<(u16, u64)> {
+        self.statuses().filter_map(|status| Some((status.rank, status.held_step?))).collect()
+    }
+
+    /// Begins to disarm all ranks and to let held passes go after that.
+    ///
+    /// An order of the old fence may still be on its way and be carried out seconds later. Every
+    /// rank is shown a higher fence before anything goes, so that it refuses such an order. The ranks
+    /// that hold are shown it first, by holding the same pass again: whoever led before may have let
+    /// it go a moment ago, and disarming one rank then would make the pass begin with two maps.
+    pub(super) fn begin_undo(
+        &mut self,
+        epoch: u64,
+        held: Vec<(u16, u64)>,
+        version: u64,
+        cause: &'static str,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        self.fence += FENCE_STEP;
+        let mut orders = Orders::default();
+        for (rank, step) in &held {
+            let order = self.order(epoch, OrderKind::Hold { step: *step });
+            orders.add(*rank, self.take_number(), order);
+        }
+        self.phase = Phase::Undoing { stage: UndoStage::Fencing, held, version, orders };
+        self.note(cause, version, epoch, None, actions);
+    }
+
+    pub(super) fn undo(
+        &mut self,
+        epoch: u64,
+        stage: UndoStage,
+        held: Vec<(u16, u64)>,
+        version: u64,
+        orders: Orders,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        if !orders.all_done() {
+            let is_refused = orders.any(OrderEnd::Refused) && orders.open() == 0;
+            if is_refused {
+                // Decided anew from fresh statuses.
+                self.note("undo-refused", version, epoch, None, actions);
+                return;
+            }
+            self.phase = Phase::Undoing { stage, held, version, orders };
+            return;
+        }
+        let next = match stage {
+            UndoStage::Fencing => {
+                let orders = self.orders_to_all(epoch, &OrderKind::Disarm);
+                Some((UndoStage::Disarming, orders))
+            }
+            UndoStage::Disarming => {
+                let mut orders = Orders::default();
+                for (rank, step) in &held {
+                    let order = self.order(epoch, OrderKind::Go { step: *step });
+                    orders.add(*rank, self.take_number(), order);
+                }
+                Some((UndoStage::Releasing, orders))
+            }
+            UndoStage::Releasing => None,
+        };
+        if let Some((stage, orders)) = next {
+            self.phase = Phase::Undoing { stage, held, version, orders };
+        }
+        self.note("undone-so-far", version, epoch, None, actions);
+    }
+}
--- a/crates/core/src/map_change/mod.rs
+++ b/crates/core/src/map_change/mod.rs
@@ -17,6 +17,7 @@
 //! - [`Leader`] is the state machine; [`RankStatus`] is what it hears, [`RankOrder`] what it sends.
 //! - [`Demand`] estimates the load of each expert.
 
+mod change;
 mod demand;
 mod leader;
 mod order;
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -3,39 +3,25 @@
 use super::datagram::{Datagram, MOST_BYTES};
 use super::execute::{SHOW_PAUSE_MS, execute};
 use super::fleet::Fleet;
-use super::rank::{ExpertCounts, RankEngine, RankEngines, RankReport};
+use super::polls::Polls;
+use super::rank::{ExpertCounts, RankEngine, RankEngines};
 use super::silent::{self, SilentRanks};
+use super::status::status;
 use crate::clock::{boot_now, wall_ms};
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
 use hickorycross_core::map_change::{
-    CountsSample, Leader, LeaderAction, LeaderNote, OrderEnd, OrderKind, RankOrder, RankStatus,
+    Leader, LeaderAction, LeaderNote, OrderEnd, OrderKind, RankOrder, RankStatus,
 };
 use indexmap::IndexMap;
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-/// Time in which all members are polled once while nothing is under way.
-const POLL_MS: u64 = 100;
-
-/// The same for each member, in a large group. A status with the choices of 8 layers of 252 experts has
-/// about 2.6 KB; so many of them take half of the smallest link in use (8 Mbit/s).
-const POLL_PER_MEMBER_MS: u64 = 6;
-
-/// Time in which all members are polled once during a change, when the end of copies counts.
-const BUSY_POLL_MS: u64 = 60;
-
-/// The same for each member; such a status has less than 100 bytes.
-const BUSY_POLL_PER_MEMBER_MS: u64 = 1;
-
-/// Rounds of polls during a change of which one asks a large group for its choices of experts.
-const BUSY_ROUNDS_PER_COUNTS: u64 = 6;
-
 /// Pause between decisions of a leader.
 const TICK_MS: u64 = 20;
 
@@ -66,9 +52,9 @@
     /// Where the agents of ranks are.
     ranks: RefCell<IndexMap<u16, SocketAddr>>,
     /// The highest fence of a leader heard, or of an order sent to the rank.
-    highest_fence: Cell<u64>,
+    pub(crate) highest_fence: Cell<u64>,
     leader_heard_at: Cell<BootMs>,
-    last_counts: RefCell<Option<ExpertCounts>>,
+    pub(crate) last_counts: RefCell<Option<ExpertCounts>>,
     /// Orders under way or ended, by fence and number.
     orders: RefCell<IndexMap<(u64, u64), Option<OrderEnd>>>,
     own_rank: Cell<Option<u16>>,
@@ -191,65 +177,6 @@
     }
 }
 
-/// Reads the rank and tells of it.
-async fn status(member: &Member, known_map: Option<u64>, wants_counts: bool) -> Option<RankStatus> {
-    let report = member.engine.report().await.ok()?;
-    member.pace_permille.set(report.pace_permille);
-    let seat = report.seat.clone()?;
-    let counts = if wants_counts {
-        sample(member, member.engine.counts().await.ok()?)
-    } else {
-        CountsSample::default()
-    };
-    let experts = if known_map == Some(report.map) {
-        None
-    } else {
-        let lists = member.engine.lists().await.ok()?;
-        (lists.map == report.map).then_some(lists.experts)
-    };
-    Some(status_of(member, report, seat.rank, counts, experts, &seat))
-}
-
-fn status_of(
-    member: &Member,
-    report: RankReport,
-    rank: u16,
-    counts: CountsSample,
-    experts: Option<Vec<Vec<u16>>>,
-    seat: &super::rank::RankSeat,
-) -> RankStatus {
-    RankStatus {
-        group: seat.group.clone(),
-        rank,
-        ranks: seat.ranks,
-        epoch: seat.epoch,
-        is_open: seat.is_open,
-        step: report.step,
-        map: report.map,
-        prepared: report.prepared,
-        armed: report.armed,
-        held_step: report.held_step,
-        highest_fence: member.highest_fence.get(),
-        pace_permille: report.pace_permille,
-        is_from_afar: false,
-        counts,
-        experts,
-    }
-}
-
-/// Choices since the last sample; none when the rank has started anew.
-fn sample(member: &Member, counts: ExpertCounts) -> CountsSample {
-    let mut last = member.last_counts.borrow_mut();
-    let before = last.as_ref().filter(|last| last.epoch == counts.epoch);
-    let choices = before.map(|before| {
-        let pairs = counts.choices.iter().zip(&before.choices);
-        let difference = |(now, before): (&u64, &u64)| now.checked_sub(*before);
-        pairs.map(difference).map(|it| it.and_then(|it| u32::try_from(it).ok())).collect()
-    });
-    *last = Some(counts);
-    CountsSample { choices: choices.flatten().unwrap_or_default() }
-}
-
 fn take_status(member: &Member, from: SocketAddr, status: RankStatus) {
     let Some(dimensions) = member.fleet.dimensions() else { return };
     member.ranks.borrow_mut().insert(status.rank, from);
@@ -334,46 +261,6 @@
     }
 }
 
-/// Polls members by turns, spread over time: statuses that all come at once would fill the link of a
-/// small machine, and a full link loses datagrams.
-#[derive(Default)]
-struct Polls {
-    next: usize,
-    rounds: u64,
-    polled_until: BootMs,
-}
-
-impl Polls {
-    /// Whether the choices of experts are asked for. In a large group they are too long for the short
-    /// rounds of a change; without any, the first estimate after it would be of the time before.
-    fn wants_counts(&self, is_busy: bool, machines: usize) -> bool {
-        let is_small = machines as u64 * POLL_PER_MEMBER_MS <= POLL_MS;
-        !is_busy || is_small || self.rounds.is_multiple_of(BUSY_ROUNDS_PER_COUNTS)
-    }
-
-    /// Machines to be polled now.
-    fn due(&mut self, now: BootMs, machines: Vec<IpAddr>, is_busy: bool) -> Vec<IpAddr> {
-        let count = machines.len() as u64;
-        let (round_ms, per_member_ms) = if is_busy {
-            (BUSY_POLL_MS, BUSY_POLL_PER_MEMBER_MS)
-        } else {
-            (POLL_MS, POLL_PER_MEMBER_MS)
-        };
-        let round_ms = round_ms.max(count * per_member_ms);
-        let passed_ms = now.since(self.polled_until);
-        let due = (passed_ms * count / round_ms).min(count);
-        if due == 0 {
-            return Vec::new();
-        }
-        // What is less than a member's share of the round is left for the next look.
-        self.polled_until = now.before(passed_ms.min(round_ms) - due * round_ms / count);
-        let begin = self.next;
-        self.rounds += (begin as u64 + due) / count;
-        self.next = (begin + due as usize) % machines.len();
-        (0..due as usize).map(|index| machines[(begin + index) % machines.len()]).collect()
-    }
-}
-
 /// Begins to lead when no leader was heard for some time.
 async fn begin_if_silent(member: &Member, now: BootMs) {
     if member.leader.borrow().is_some() {
--- /dev/null
+++ b/crates/direct/src/forward/account.rs
@@ -0,0 +1,60 @@
+//! What a request's life says of itself, in logs and metrics.
+
+use super::life::Life;
+use crate::clock::boot_now;
+use crate::decision_log::{DecisionLog, Fields};
+use hickorycross_core::direct::{AttemptEnd, Choice};
+use http::StatusCode;
+
+impl Life {
+    fn line(&self, event: &str) -> Fields {
+        let line = DecisionLog::fields(event).with("request", self.request.id());
+        line.with("route", &self.request.route.name).with("service", &self.service)
+    }
+
+    pub(super) fn note_send(&self, choice: &Choice, resume_after: Option<u64>) {
+        metrics::counter!("hickorycross_attempts_total").increment(1);
+        let belief = self.state.catalog.borrow();
+        let line = self.line("attempt").with("backend", &choice.server.id);
+        let line = line.with("load", format_args!("{:.1}", choice.load_requests));
+        let line = line.with("others", choice.others).with("sends", self.sends + 1);
+        let line = line.with("left_ms", self.request.limit_at.since(boot_now()));
+        let line = line.with("configuration", self.request.catalog.version);
+        let line = line.with_some("configuration_age_ms", belief.age_ms(boot_now()));
+        let spent = self.state.allowance.borrow().spent(&self.service);
+        let line = line.with("backends_as_of", self.state.backends_as_of.get());
+        let line = line.with("second_sends_spent", spent);
+        self.state.log.note_ordinary(line.with_some("resume_after", resume_after));
+    }
+
+    pub(super) fn note_attempt_end(&self, id: &str, end: AttemptEnd, is_paused: bool) {
+        metrics::counter!("hickorycross_attempts_failed_total", "end" => end.as_str()).increment(1);
+        let line = self.line("attempt-end").with("backend", id).with("end", end.as_str());
+        let line = line.with("verdict", self.verdict).with("paused", is_paused);
+        self.state.log.note(line.with("sends", self.sends));
+    }
+
+    /// Says how the request ended.
+    pub(super) fn note_final(&self, outcome: &'static str, status: StatusCode) {
+        self.note_end_as(outcome, Some(status));
+    }
+
+    pub(super) fn note_end_as(&self, outcome: &'static str, status: Option<StatusCode>) {
+        self.is_ended.set(true);
+        let took_ms = boot_now().since(self.request.arrived_at);
+        metrics::counter!("hickorycross_requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("hickorycross_request_seconds").record(took_ms as f64 / 1000.0);
+        let line = self.line("final").with("outcome", outcome);
+        let line = line.with_some("status", status.map(|status| status.as_u16()));
+        let line = line.with("verdict", self.verdict).with("sends", self.sends);
+        let line = line.with("took_ms", took_ms);
+        if status.is_none_or(|status| status.is_success()) {
+            self.state.log.note_ordinary(line);
+        } else {
+            let open = self.state.backends.borrow().outstanding(&self.service);
+            let bound = self.state.admission.borrow().bound_requests(&self.service);
+            let line = line.with("open_at_service", open);
+            self.state.log.note(line.with_some("bound", bound.map(|bound| bound as u64)));
+        }
+    }
+}
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -4,7 +4,6 @@
 use super::{patience, stream};
 use crate::callers::{AnswerBody, CallerRequest, Refusal, whole};
 use crate::clock::boot_now;
-use crate::decision_log::{DecisionLog, Fields};
 use crate::state::EntryState;
 use bytes::Bytes;
 use hickorycross_core::Verdict;
@@ -45,11 +44,11 @@
     pub(crate) service: String,
     body: Bytes,
     tried: Vec<String>,
-    sends: u32,
+    pub(super) sends: u32,
     connect_failures: u32,
-    verdict: Verdict,
+    pub(super) verdict: Verdict,
     /// Whether its end was logged.
-    is_ended: Cell<bool>,
+    pub(super) is_ended: Cell<bool>,
 }
 
 impl Drop for Life {
@@ -312,57 +311,6 @@
         *response.headers_mut() = end_to_end(&parts.headers);
         response
     }
-
-    fn line(&self, event: &str) -> Fields {
-        let line = DecisionLog::fields(event).with("request", self.request.id());
-        line.with("route", &self.request.route.name).with("service", &self.service)
-    }
-
-    fn note_send(&self, choice: &Choice, resume_after: Option<u64>) {
-        metrics::counter!("hickorycross_attempts_total").increment(1);
-        let belief = self.state.catalog.borrow();
-        let line = self.line("attempt").with("backend", &choice.server.id);
-        let line = line.with("load", format_args!("{:.1}", choice.load_requests));
-        let line = line.with("others", choice.others).with("sends", self.sends + 1);
-        let line = line.with("left_ms", self.request.limit_at.since(boot_now()));
-        let line = line.with("configuration", self.request.catalog.version);
-        let line = line.with_some("configuration_age_ms", belief.age_ms(boot_now()));
-        let spent = self.state.allowance.borrow().spent(&self.service);
-        let line = line.with("backends_as_of", self.state.backends_as_of.get());
-        let line = line.with("second_sends_spent", spent);
-        self.state.log.note_ordinary(line.with_some("resume_after", resume_after));
-    }
-
-    fn note_attempt_end(&self, id: &str, end: AttemptEnd, is_paused: bool) {
-        metrics::counter!("hickorycross_attempts_failed_total", "end" => end.as_str()).increment(1);
-        let line = self.line("attempt-end").with("backend", id).with("end", end.as_str());
-        let line = line.with("verdict", self.verdict).with("paused", is_paused);
-        self.state.log.note(line.with("sends", self.sends));
-    }
-
-    /// Says how the request ended.
-    pub(crate) fn note_final(&self, outcome: &'static str, status: StatusCode) {
-        self.note_end_as(outcome, Some(status));
-    }
-
-    fn note_end_as(&self, outcome: &'static str, status: Option<StatusCode>) {
-        self.is_ended.set(true);
-        let took_ms = boot_now().since(self.request.arrived_at);
-        metrics::counter!("hickorycross_requests_total", "outcome" => outcome).increment(1);
-        metrics::histogram!("hickorycross_request_seconds").record(took_ms as f64 / 1000.0);
-        let line = self.line("final").with("outcome", outcome);
-        let line = line.with_some("status", status.map(|status| status.as_u16()));
-        let line = line.with("verdict", self.verdict).with("sends", self.sends);
-        let line = line.with("took_ms", took_ms);
-        if status.is_none_or(|status| status.is_success()) {
-            self.state.log.note_ordinary(line);
-        } else {
-            let open = self.state.backends.borrow().outstanding(&self.service);
-            let bound = self.state.admission.borrow().bound_requests(&self.service);
-            let line = line.with("open_at_service", open);
-            self.state.log.note(line.with_some("bound", bound.map(|bound| bound as u64)));
-        }
-    }
 }
 
 /// Whether a status would promise that the request has not run, without the backend server's word.
--- a/crates/direct/src/forward/mod.rs
+++ b/crates/direct/src/forward/mod.rs
@@ -1,11 +1,13 @@
 //! The life of a request from its judged head to its final answer.
 //!
 //! - `life` chooses backend servers and decides about further attempts.
+//! - `account` logs and counts what happens to it.
 //! - `attempt` sends a request once and judges the head of what comes back.
 //! - `pool` keeps connections to backend servers.
 //! - `stream` hands events on and continues a broken stream elsewhere.
 //! - `patience` tells a silent connection from a group that stalls as a whole.
 
+mod account;
 mod attempt;
 mod life;
 mod patience;
