--- a/crates/core/src/routing/mix.rs
+++ b/crates/core/src/routing/mix.rs
@@ -9,6 +9,13 @@
 /// Least share of the starts that is taken to be left to a tier, in thousandths.
 const LEAST_FREE_PERMILLE: f64 = 30.0;
 
+/// Starts within the half-life from which the mix is believed in full; below, in proportion.
+///
+/// A handful of requests says little of the mix: an entry with few callers that sends a short burst
+/// of a high tier would refuse all others beside backend servers with little to do. Entries with
+/// work for a saturated group see hundreds of starts in the half-life.
+const CONFIDENT_STARTS: f64 = 24.0;
+
 /// Counts of one tier, decaying.
 #[derive(Clone, Copy, Debug, Default)]
 struct TierRow {
@@ -48,7 +55,8 @@
         }
         let higher = self.tiers.iter().filter(|&(&other, _)| other < rank);
         let taken: f64 = higher.map(|(_, tier)| tier.sent.max(tier.begun)).sum();
-        (1000.0 * (1.0 - taken / starts)).max(LEAST_FREE_PERMILLE)
+        let confidence = (starts / CONFIDENT_STARTS).min(1.0);
+        (1000.0 * (1.0 - confidence * taken / starts)).max(LEAST_FREE_PERMILLE)
     }
 
     fn row(&mut self, now: Now, rank: u8) -> &mut TierRow {
--- a/crates/core/tests/whole_system.rs
+++ b/crates/core/tests/whole_system.rs
@@ -76,6 +76,6 @@
 // Sequence: seed 403 of the run; an entry with few requests sends a short burst of a high tier.
 // Cause: the share of starts that a high tier takes is learnt from few requests, as if it lasted.
 #[test]
-fn known_fault_a_low_tier_is_refused_after_a_burst() {
+fn a_low_tier_is_not_refused_after_a_burst() {
     assert_eq!(World::new(SEED_OF_A_REFUSAL, Switches::default()).run(), Ok(()));
 }
