--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -84,10 +84,6 @@
 /// A service that answers requests.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Service {
-    /// Path of its health check.
-    pub health_path: String,
-    /// Connections that each backend server takes from all callers together.
-    pub max_connections: u32,
     /// Dimensions of its model groups, if its backend servers are ranks of groups.
     pub group: Option<GroupDimensions>,
 }
@@ -103,8 +99,6 @@
     pub expert_slots_per_rank: u16,
     /// Experts of one set that one change may add to a rank.
     pub spare_slots_per_rank: u16,
-    /// Token steps of a pass.
-    pub steps_per_pass: u32,
 }
 
 /// A team and its API keys.
--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -25,7 +25,6 @@
     experts_per_layer: 12,
     expert_slots_per_rank: 4,
     spare_slots_per_rank: 2,
-    steps_per_pass: 4,
 };
 
 /// What a rank has been told.
--- a/crates/direct/src/agent/program.rs
+++ b/crates/direct/src/agent/program.rs
@@ -44,7 +44,8 @@
         .wrap_err_with(|| format!("cannot listen at {address}"))?;
     tokio::task::spawn_local(operators::serve(listener, Rc::new(AgentPages(exposition))));
     let line = DecisionLog::fields("start").with("instance", &settings.instance);
-    log.note(line.with("backend", backend).with("service", &service));
+    let line = line.with("backend", backend).with("service", &service);
+    log.note(line.with("fences_orders", settings.bounds.fences_orders));
     let fleet = Fleet::new(log.clone(), &service, &settings.seeds);
     let member =
         Member::new(engines, backend, Rc::clone(&fleet), log.clone(), socket, settings.agent_port);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -31,6 +31,6 @@
 pub use clock::{boot_now, wall_ms};
 pub use decision_log::{DecisionLog, Fields};
 pub use entry::run_entry;
-pub use settings::{Bounds, Listen, ProcessSettings, SettingsSource, StoreLimits};
+pub use settings::{Bounds, Listen, ProcessSettings, SettingsSource};
 pub use store::{SharedStore, StoreChange, StoreError, StoreFuture, StoreRead, StoreWatch};
 pub use wire_names::WireNames;
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -21,8 +21,8 @@
     pub service: Option<String>,
     /// Bounds that the fleet keeps.
     pub bounds: Bounds,
-    /// What the store can bear.
-    pub store: StoreLimits,
+    /// Where the store answers.
+    pub store: SocketAddr,
 }
 
 /// Addresses to listen at; those that a role does not serve are missing.
@@ -49,21 +49,10 @@
     pub retry_ratio: f64,
     /// Second sends in a span that need no request, over the whole fleet.
     pub retry_slack: f64,
-    /// Time for which work stalls that depends on a rank that is gone.
-    pub stall_ms: u64,
     /// Whether backend servers refuse orders with an old fencing number.
     pub fences_orders: bool,
 }
 
-/// What the store can bear.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StoreLimits {
-    /// Where it answers.
-    pub address: SocketAddr,
-    /// Reading calls a second of the whole fleet together.
-    pub reads_per_s: u64,
-}
-
 /// Gives the settings again when they may have changed.
 pub trait SettingsSource {
     /// Reads the settings; `None` when they are as they were at the last call.
--- a/crates/direct/src/wire_names.rs
+++ b/crates/direct/src/wire_names.rs
@@ -17,8 +17,6 @@
     pub expected_incarnation: HeaderName,
     /// Says that the backend server did not run the request.
     pub not_run: HeaderName,
-    /// The incarnation that answered.
-    pub incarnation: HeaderName,
     /// Urgency, 0 first.
     pub urgency: HeaderName,
     /// Scheme in front of the key in `Authorization`.
--- a/crates/entry/src/cli/on_platform.rs
+++ b/crates/entry/src/cli/on_platform.rs
@@ -18,7 +18,7 @@
 pub(crate) fn run() -> miette::Result<()> {
     let mut file = SettingsFile::of_environment()?;
     let settings = file.read()?;
-    let store = Rc::new(Store::new(settings.store.address).into_diagnostic()?);
+    let store = Rc::new(Store::new(settings.store).into_diagnostic()?);
     // A machine gives a part of one core: further threads would only take turns.
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().into_diagnostic()?;
