fix(agent): the ranks and leaders of another group of the same service are not heard

Cause: read in the code, not seen: a service may have several groups whose ranks have the same numbers; a leader would have taken one group's word for another's. Test: another_groups_ranks_are_not_heard.

--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -81,6 +81,7 @@
 /// The state of the agent that leads.
 #[derive(Clone, Debug)]
 pub struct Leader {
+    group: String,
     pub(super) own_rank: u16,
     pub(super) fence: u64,
     pub(super) salt: u64,
@@ -94,11 +95,12 @@
 }
 
 impl Leader {
-    /// Begins to lead from `own_rank`. `fence` must be higher than those of earlier leaders, `salt`
+    /// Begins to lead `group` from `own_rank`. `fence` must be higher than those of earlier leaders, `salt`
     /// must differ from theirs.
     #[must_use]
-    pub fn new(own_rank: u16, fence: u64, salt: u64) -> Self {
+    pub fn new(group: &str, own_rank: u16, fence: u64, salt: u64) -> Self {
         Self {
+            group: group.to_owned(),
             own_rank,
             fence,
             salt: salt % VERSION_STEP,
@@ -147,8 +149,20 @@
         !matches!(self.phase, Phase::Steady)
     }
 
+    /// The group that is led.
+    #[must_use]
+    pub fn group(&self) -> &str {
+        &self.group
+    }
+
     /// Takes a rank's status.
+    ///
+    /// A service may have several groups whose ranks have the same numbers. Taking one group's word
+    /// for another's would order maps from ranks that never hear of each other.
     pub fn on_status(&mut self, now: BootMs, status: RankStatus, dimensions: &GroupDimensions) {
+        if status.group != self.group {
+            return;
+        }
         let experts = usize::from(dimensions.experts_per_layer);
         self.demand.add(now, experts, &status.counts.choices);
         if status.highest_fence > self.fence {
--- a/crates/core/tests/map_change.rs
+++ b/crates/core/tests/map_change.rs
@@ -3,7 +3,8 @@
 mod map_change_support;
 
 use googletest::prelude::*;
-use map_change_support::{Trouble, World};
+use hickorycross_core::map_change::Leader;
+use map_change_support::{DIMENSIONS, RANKS, Trouble, World};
 
 /// Virtual time of one run.
 const RUN_MS: u64 = 40_000;
@@ -72,3 +73,23 @@
         }
     }
 }
+
+/// Symptom: a group is told to hold passes and to switch maps that are another group's.
+///
+/// Events: a service has two groups, whose ranks have the same numbers; the leader of one hears the
+/// ranks of the other.
+///
+/// Cause: taking a rank's number for its name.
+#[gtest]
+fn another_groups_ranks_are_not_heard() {
+    let mut world = World::new(1, Trouble::default());
+    let mut leader = Leader::new("another group", 0, 1, 1);
+    for _ in 0..20 {
+        world.run(100);
+        for rank in 0..usize::from(RANKS) {
+            leader.on_status(world.now, world.status(rank), &DIMENSIONS);
+        }
+        expect_that!(leader.tick(world.now, &DIMENSIONS), is_empty());
+    }
+    expect_that!(leader.known_map(), none());
+}
--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -119,7 +119,7 @@
         self.next_fence += 1 << 20;
         let rank = self.rng.random_range(0..RANKS);
         let salt = self.rng.random::<u64>();
-        self.leaders.push(Some(Leader::new(rank, self.next_fence, salt)));
+        self.leaders.push(Some(Leader::new("g", rank, self.next_fence, salt)));
         self.frozen_until.push(BootMs(0));
     }
 
@@ -359,7 +359,7 @@
         }
     }
 
-    fn status(&mut self, rank: usize) -> RankStatus {
+    pub(crate) fn status(&mut self, rank: usize) -> RankStatus {
         let layers = usize::from(DIMENSIONS.layers);
         let experts = DIMENSIONS.experts_per_layer;
         let choices = (0..layers).flat_map(|_| {
--- a/crates/direct/src/agent/datagram.rs
+++ b/crates/direct/src/agent/datagram.rs
@@ -13,6 +13,8 @@
 pub(crate) enum Datagram {
     /// The leader asks for a status, which also says that it leads.
     Poll {
+        /// The group that is led. A service may have several.
+        group: String,
         /// The leader's fence.
         fence: u64,
         /// The map whose experts it knows.
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -58,6 +58,8 @@
     /// Orders under way or ended, by fence and number.
     orders: RefCell<IndexMap<(u64, u64), Option<OrderEnd>>>,
     own_rank: Cell<Option<u16>>,
+    /// The group of the own rank, once it is known.
+    own_group: RefCell<Option<String>>,
     /// Told when a leader has something new to decide upon.
     pub(crate) news: Notify,
     /// How long the own rank's work takes, in thousandths of the usual time.
@@ -89,6 +91,7 @@
             last_counts: RefCell::new(None),
             orders: RefCell::default(),
             own_rank: Cell::new(None),
+            own_group: RefCell::new(None),
             news: Notify::new(),
             pace_permille: Cell::new(1_000),
             silent: SilentRanks::default(),
@@ -138,7 +141,10 @@
 
 async fn handle(member: Rc<Member>, from: SocketAddr, datagram: Datagram) {
     match datagram {
-        Datagram::Poll { fence, known_map, wants_counts } => {
+        Datagram::Poll { group, fence, known_map, wants_counts } => {
+            if !is_own_group(&member, &group).await {
+                return;
+            }
             hear_leader(&member, fence);
             if let Some(status) = status(&member, known_map, wants_counts).await {
                 member.own_rank.set(Some(status.rank));
@@ -158,6 +164,16 @@
     }
 }
 
+/// Whether a leader's group is that of the own rank. The leader of another group must not be followed.
+async fn is_own_group(member: &Member, group: &str) -> bool {
+    if member.own_group.borrow().is_none()
+        && let Ok(report) = member.engine.report().await
+    {
+        *member.own_group.borrow_mut() = report.seat.map(|seat| seat.group);
+    }
+    member.own_group.borrow().as_deref() == Some(group)
+}
+
 /// Notes that somebody leads.
 fn hear_leader(member: &Member, fence: u64) {
     if fence >= member.highest_fence.get() {
@@ -179,6 +195,9 @@
 
 fn take_status(member: &Member, from: SocketAddr, status: RankStatus) {
     let Some(dimensions) = member.fleet.dimensions() else { return };
+    if member.own_group.borrow().as_deref() != Some(&status.group) {
+        return;
+    }
     member.ranks.borrow_mut().insert(status.rank, from);
     member.silent.heard(from.ip());
     let highest = member.highest_fence.get().max(status.highest_fence);
@@ -247,12 +266,13 @@
             let Some(leader) = leading.as_mut() else { continue };
             let actions = leader.tick(now, &dimensions);
             let (fence, known_map) = (leader.fence(), leader.known_map());
+            let group = leader.group().to_owned();
             let is_busy = leader.is_busy();
             if leader.is_deposed() {
                 *leading = None;
             }
             let wants_counts = polls.wants_counts(is_busy, member.fleet.machines().len());
-            (actions, Datagram::Poll { fence, known_map, wants_counts }, is_busy)
+            (actions, Datagram::Poll { group, fence, known_map, wants_counts }, is_busy)
         };
         carry_out(&member, actions).await;
         for machine in polls.due(now, member.fleet.machines(), is_busy) {
@@ -276,11 +296,12 @@
     let Ok(report) = member.engine.report().await else { return };
     let Some(seat) = report.seat else { return };
     member.own_rank.set(Some(seat.rank));
+    *member.own_group.borrow_mut() = Some(seat.group.clone());
     let fence = (wall_ms() * FENCES_PER_MS).max(member.highest_fence.get() + FENCES_PER_MS);
     let fence = fence / FENCES_PER_MS * FENCES_PER_MS + u64::from(seat.rank) % FENCES_PER_MS;
     member.highest_fence.set(fence);
     let salt = rand::rng().random::<u64>();
-    *member.leader.borrow_mut() = Some(Leader::new(seat.rank, fence, salt));
+    *member.leader.borrow_mut() = Some(Leader::new(&seat.group, seat.rank, fence, salt));
     let line = DecisionLog::fields("leader").with("fence", fence).with("rank", seat.rank);
     member.log.note(line.with("outcome", "leads"));
 }
--- a/crates/direct/src/agent/silent.rs
+++ b/crates/direct/src/agent/silent.rs
@@ -11,7 +11,7 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
-use hickorycross_core::map_change::{CountsSample, RankOrder, RankStatus};
+use hickorycross_core::map_change::{CountsSample, Leader, RankOrder, RankStatus};
 use indexmap::{IndexMap, IndexSet};
 use std::cell::RefCell;
 use std::net::{IpAddr, SocketAddr};
@@ -81,6 +81,10 @@
         }
     };
     let Some(status) = status_of(report) else { return };
+    let is_ours = |leader: &Leader| leader.group() == status.group;
+    if !member.leader.borrow().as_ref().is_some_and(is_ours) {
+        return;
+    }
     let line = DecisionLog::fields("rank-from-afar").with("address", address);
     let line = line.with("rank", status.rank).with("epoch", status.epoch);
     member.log.note(line.with_some("held_step", status.held_step).with("outcome", "read"));
