perf(map-change): samples from before a shift of demand are dropped when the shift is seen

The search for a map is left out where even an even one would not gain enough. Decisions every 100 ms, not 150.

--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -33,8 +33,9 @@
 /// Choices that an estimate needs: about as many as a group of 12 ranks makes in two passes.
 const LEAST_CHOICES: f64 = 20_000.0;
 
-/// Pause between two decisions.
-const DECIDE_MS: u64 = 150;
+/// Pause between two decisions. Samples of a pass come in meanwhile, and after a shift those of the
+/// time before have left the newest ones.
+const DECIDE_MS: u64 = 100;
 
 /// What a leader wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -269,7 +270,8 @@
         // A change with a rank whose agent is not heard would hold the group for long.
         let is_aligned =
             self.statuses().all(|status| status.map == *version && !status.is_from_afar);
-        if !is_aligned || self.demand.seen() < LEAST_CHOICES {
+        let has_shifted = self.demand.drop_outdated(now);
+        if !is_aligned || has_shifted || self.demand.seen() < LEAST_CHOICES {
             return;
         }
         let settings = LevelSettings {
@@ -279,11 +281,15 @@
             even_enough: EVEN_ENOUGH,
         };
         let paces = self.paces(present.ranks());
-        let map = level_map(present, self.demand.loads(), &paces, &settings);
         let before = bottleneck_load(present, self.demand.loads(), &paces);
+        let even = self.demand.seen() / present.ranks().max(1) as f64;
+        // No map is better than even; the search takes most of an agent's processor time.
+        if before * (1.0 - LEAST_GAIN) <= even {
+            return;
+        }
+        let map = level_map(present, self.demand.loads(), &paces, &settings);
         let after = bottleneck_load(&map, self.demand.loads(), &paces);
         if after < before * (1.0 - LEAST_GAIN) {
-            let even = self.demand.seen() / present.ranks().max(1) as f64;
             let permille = |load: f64| (load / even * 1000.0) as u64;
             let bottleneck = Some((permille(before), permille(after)));
             self.begin(now, epoch, map, bottleneck, actions);
