perf(map-change): a shift is told from chance, and choices are told in few bits

Cause: in a group of 63 ranks each shift was followed by two changes of 0.75 s each, where demand shifts every 2.2 s. A status with the choices of 2,016 experts has 2.6 KB, so all ranks were asked every 378 ms only; the first samples after a shift are mostly of the time before it, their distance (0.3) lay under the fixed threshold, and the change for the mixture began.

All ranks are asked every 126 ms for the same share of a link. What chance makes of the distance is read off the samples by comparing even with odd ranks, in place of a fixed threshold; samples are kept for 1.5 s. A change must gain an eighth and more than that chance.

Ruled out: halves of the newest samples only as a yardstick (0.05 to 0.29 from look to look at 12 ranks, false shifts); a lower fixed threshold (at 12 ranks steady times reach 0.29).

--- a/crates/core/src/map_change/demand.rs
+++ b/crates/core/src/map_change/demand.rs
@@ -4,66 +4,75 @@
 //! either way: over a long one it holds the time before the shift, over a short one it is noise. So
 //! samples are kept in pieces of time, and what came before a shift is dropped when it is seen.
 
+use super::status::CountsSample;
 use crate::direct::BootMs;
 use std::collections::VecDeque;
 
 /// Time that one piece of samples covers.
 const PIECE_MS: u64 = 50;
 
-/// Time that samples are kept while demand is steady: about ten passes.
-const KEPT_MS: u64 = 800;
+/// Time that samples are kept while demand is steady. In a group of 12 ranks some 60 requests begin
+/// meanwhile, each of which chooses other experts.
+const KEPT_MS: u64 = 1_500;
 
 /// The newest samples, which are compared with those before: ranks are asked for samples about every
 /// 0.1 s, so they are of nearly every rank.
 const NEWEST_MS: u64 = 150;
 
-/// Difference between the newest samples and those before from which demand has shifted. Two
-/// unlike demands differ by up to 2. Seen in steady times: 0.1 to 0.3 in a group of 12 ranks, 0.03 to
-/// 0.15 in one of 63; after a shift 0.7 and more.
-const SHIFT_DISTANCE: f64 = 0.4;
+/// Difference between the newest samples and those before from which demand has shifted, in
+/// multiples of the difference that chance makes.
+const SHIFT_RATIO: f64 = 2.0;
+
+/// The same as a sum over experts of differences of their shares; two unlike demands differ by up to
+/// 2. A smaller shift is not worth a change.
+const LEAST_SHIFT: f64 = 0.1;
+
+/// Loads by layer and expert.
+type Loads = Vec<Vec<f64>>;
 
 /// Choices of experts by layer, as long as they tell of the present demand.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
     pieces: VecDeque<Piece>,
     /// The sum of all pieces.
-    loads: Vec<Vec<f64>>,
+    loads: Loads,
     seen: f64,
 }
 
-/// Samples of a short time.
+/// Samples of a short time, apart for ranks of even and odd numbers.
 #[derive(Clone, Debug)]
 struct Piece {
     begun_at: BootMs,
-    loads: Vec<Vec<f64>>,
+    halves: [Loads; 2],
 }
 
 impl Demand {
     /// Adds one rank's choices.
-    pub fn add(&mut self, now: BootMs, experts_per_layer: usize, choices: &[u32]) {
-        if choices.is_empty() || experts_per_layer == 0 {
+    pub fn add(&mut self, now: BootMs, rank: u16, experts_per_layer: usize, sample: &CountsSample) {
+        if sample.counts.is_empty() || experts_per_layer == 0 {
             return;
         }
-        let layers = choices.len() / experts_per_layer;
+        let layers = sample.counts.len() / experts_per_layer;
+        let nothing = || vec![vec![0.0; experts_per_layer]; layers];
         if self.loads.len() != layers {
             self.clear();
-            self.loads = vec![vec![0.0; experts_per_layer]; layers];
+            self.loads = nothing();
         }
         self.drop_before(now.before(KEPT_MS));
         let is_current = |piece: &Piece| now.since(piece.begun_at) < PIECE_MS;
         if !self.pieces.back().is_some_and(is_current) {
-            let loads = vec![vec![0.0; experts_per_layer]; layers];
-            self.pieces.push_back(Piece { begun_at: now, loads });
+            self.pieces.push_back(Piece { begun_at: now, halves: [nothing(), nothing()] });
         }
         let Some(piece) = self.pieces.back_mut() else { return };
-        let counted = choices.chunks_exact(experts_per_layer);
-        for ((sum, part), choices) in self.loads.iter_mut().zip(&mut piece.loads).zip(counted) {
-            for ((sum, part), choices) in sum.iter_mut().zip(part).zip(choices) {
-                *sum += f64::from(*choices);
-                *part += f64::from(*choices);
-            }
+        let half = &mut piece.halves[usize::from(rank % 2)];
+        let unit = f64::from(sample.unit);
+        let sums = self.loads.iter_mut().flatten().zip(half.iter_mut().flatten());
+        for ((sum, part), count) in sums.zip(&sample.counts) {
+            let choices = f64::from(*count) * unit;
+            *sum += choices;
+            *part += choices;
+            self.seen += choices;
         }
-        self.seen += choices.iter().copied().map(f64::from).sum::<f64>();
     }
 
     /// Loads by layer and expert, in choices.
@@ -78,6 +87,18 @@
         self.seen
     }
 
+    /// How far the shares of experts lie from the true ones by chance, as a sum over experts.
+    ///
+    /// It is read off the samples themselves, by comparing those of half of the ranks with the
+    /// others': requests choose alike in all their passes, so it depends on how many requests there
+    /// are, which nothing tells.
+    #[must_use]
+    pub fn uncertainty(&self) -> f64 {
+        let [even, odd] = self.sums_since(BootMs(0));
+        // Each half is off by the root of two as much as both together, and so is each from the other.
+        distance(&even, &odd) / 2.0
+    }
+
     /// Forgets everything.
     pub fn clear(&mut self) {
         self.pieces.clear();
@@ -91,49 +112,70 @@
     /// shift, the first of which takes as long as the second and brings little.
     pub fn drop_outdated(&mut self, now: BootMs) -> bool {
         let begin = now.before(NEWEST_MS);
-        let newest = self.sum_since(begin);
-        let has_shifted = distance(&self.loads, &newest) > SHIFT_DISTANCE;
+        let newest = total(self.sums_since(begin));
+        let before: Loads =
+            self.loads.iter().zip(&newest).map(|(all, newest)| subtract(all, newest)).collect();
+        let (newest_sum, before_sum) = (sum(&newest), sum(&before));
+        if newest_sum <= 0.0 || before_sum <= 0.0 {
+            return false;
+        }
+        // Chance goes with the root of the number of choices.
+        let parts = self.seen / newest_sum + self.seen / before_sum;
+        let chance = self.uncertainty() * parts.sqrt();
+        let has_shifted = distance(&newest, &before) > (SHIFT_RATIO * chance).max(LEAST_SHIFT);
         if has_shifted {
             self.drop_before(begin);
         }
         has_shifted
     }
 
-    fn sum_since(&self, begin: BootMs) -> Vec<Vec<f64>> {
-        let mut sum: Vec<Vec<f64>> = self.loads.iter().map(|it| vec![0.0; it.len()]).collect();
-        for piece in self.pieces.iter().filter(|piece| piece.begun_at >= begin) {
-            for (sum, part) in sum.iter_mut().flatten().zip(piece.loads.iter().flatten()) {
-                *sum += part;
+    fn sums_since(&self, begin: BootMs) -> [Loads; 2] {
+        [0, 1].map(|half| {
+            let mut sums: Loads = self.loads.iter().map(|it| vec![0.0; it.len()]).collect();
+            for piece in self.pieces.iter().filter(|piece| piece.begun_at >= begin) {
+                let parts = piece.halves[half].iter().flatten();
+                sums.iter_mut().flatten().zip(parts).for_each(|(sum, part)| *sum += part);
             }
-        }
-        sum
+            sums
+        })
     }
 
     fn drop_before(&mut self, begin: BootMs) {
         while let Some(piece) = self.pieces.pop_front_if(|piece| piece.begun_at < begin) {
-            for (sum, part) in self.loads.iter_mut().flatten().zip(piece.loads.iter().flatten()) {
-                *sum -= part;
-                self.seen -= part;
+            for half in &piece.halves {
+                for (sum, part) in self.loads.iter_mut().flatten().zip(half.iter().flatten()) {
+                    *sum -= part;
+                    self.seen -= part;
+                }
             }
         }
     }
 }
 
-/// How much the shares of experts in the newest choices differ from those in the rest of `all`: the
-/// mean over layers of the sum over experts, less where the rest is so little that chance alone
-/// makes it differ.
-fn distance(all: &[Vec<f64>], newest: &[Vec<f64>]) -> f64 {
-    let mut sum = 0.0;
-    for (all, newest) in all.iter().zip(newest) {
-        let newest_sum: f64 = newest.iter().sum();
-        let before_sum = all.iter().sum::<f64>() - newest_sum;
-        if newest_sum <= 0.0 || before_sum <= 0.0 {
-            continue;
+fn total([even, odd]: [Loads; 2]) -> Loads {
+    let mut total = even;
+    total.iter_mut().flatten().zip(odd.iter().flatten()).for_each(|(sum, part)| *sum += part);
+    total
+}
+
+fn subtract(left: &[f64], right: &[f64]) -> Vec<f64> {
+    left.iter().zip(right).map(|(left, right)| left - right).collect()
+}
+
+fn sum(loads: &Loads) -> f64 {
+    loads.iter().flatten().sum()
+}
+
+/// How much the shares of experts differ: the mean over layers of the sum over experts.
+fn distance(left: &Loads, right: &Loads) -> f64 {
+    let of_layer = |(left, right): (&Vec<f64>, &Vec<f64>)| {
+        let (left_sum, right_sum): (f64, f64) = (left.iter().sum(), right.iter().sum());
+        if left_sum <= 0.0 || right_sum <= 0.0 {
+            return 0.0;
         }
-        let pairs = all.iter().zip(newest);
-        let change =
-            |(all, newest): (&f64, &f64)| (newest / newest_sum - (all - newest) / before_sum).abs();
-        sum += pairs.map(change).sum::<f64>() / (1.0 + newest_sum / before_sum).sqrt();
-    }
-    sum / all.len().max(1) as f64
+        let pairs = left.iter().zip(right);
+        pairs.map(|(left, right)| (left / left_sum - right / right_sum).abs()).sum()
+    };
+    let sum: f64 = left.iter().zip(right).map(of_layer).sum();
+    sum / left.len().max(1) as f64
 }
--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -165,7 +165,7 @@
             return;
         }
         let experts = usize::from(dimensions.experts_per_layer);
-        self.demand.add(now, experts, &status.counts.choices);
+        self.demand.add(now, status.rank, experts, &status.counts);
         if status.highest_fence > self.fence {
             self.is_deposed = true;
         }
@@ -289,7 +289,9 @@
         }
         let map = level_map(present, self.demand.loads(), &paces, &settings);
         let after = bottleneck_load(&map, self.demand.loads(), &paces);
-        if after < before * (1.0 - LEAST_GAIN) {
+        // A map fits the chance in its estimate too, which brings nothing afterwards.
+        let least_gain = LEAST_GAIN + self.demand.uncertainty();
+        if after < before * (1.0 - least_gain) {
             let permille = |load: f64| (load / even * 1000.0) as u64;
             let bottleneck = Some((permille(before), permille(after)));
             self.begin(now, epoch, map, bottleneck, actions);
--- a/crates/core/src/map_change/status.rs
+++ b/crates/core/src/map_change/status.rs
@@ -47,9 +47,28 @@
     pub step: u64,
 }
 
-/// Choices of experts between two statuses.
+/// Mean of the numbers that tell of the choices of experts. A rank's own rounding is then a tenth of a
+/// typical number, and less than the chance in its requests; over all ranks it averages out.
+const MEAN_COUNT: u64 = 4;
+
+/// Choices of experts between two statuses, told in few bits: a leader hears them of every rank
+/// several times a second, over the link of a small machine.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CountsSample {
-    /// Choices, layer after layer, expert after expert; empty when there is nothing to compare.
-    pub choices: Vec<u32>,
+    /// Choices that one count stands for.
+    pub unit: u32,
+    /// Counts, layer after layer, expert after expert; empty when there is nothing to compare.
+    pub counts: Vec<u32>,
+}
+
+impl CountsSample {
+    /// Rounds choices to counts that are small on average.
+    #[must_use]
+    pub fn of(choices: &[u32]) -> Self {
+        let sum: u64 = choices.iter().copied().map(u64::from).sum();
+        let unit = (sum / (MEAN_COUNT * choices.len().max(1) as u64)).max(1);
+        let unit = u32::try_from(unit).unwrap_or(u32::MAX);
+        let rounded = |choices: &u32| choices.saturating_add(unit / 2) / unit;
+        Self { unit, counts: choices.iter().map(rounded).collect() }
+    }
 }
--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -380,7 +380,7 @@
             highest_fence: self.agents_fence[rank],
             pace_permille: 1_000,
             is_from_afar: false,
-            counts: CountsSample { choices: choices.collect() },
+            counts: CountsSample::of(&choices.collect::<Vec<_>>()),
             experts: Some(place.experts.clone()),
         }
     }
--- a/crates/core/tests/map_demand.rs
+++ b/crates/core/tests/map_demand.rs
@@ -1,7 +1,7 @@
 //! What the leader of a group takes for the present demand.
 
 use hickorycross_core::direct::BootMs;
-use hickorycross_core::map_change::Demand;
+use hickorycross_core::map_change::{CountsSample, Demand};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -13,7 +13,7 @@
 /// A group and when its demand shifts.
 struct Case {
     name: &'static str,
-    ranks: usize,
+    ranks: u16,
     experts: usize,
     /// Requests that a rank reads between two samples, each of which chooses a few experts often.
     requests: usize,
@@ -78,9 +78,9 @@
         let (mut seen, mut liked) = (0, 0);
         for at_ms in (PAUSE_MS..=END_MS).step_by(PAUSE_MS as usize) {
             liked = usize::from(case.shifts_at_ms.is_some_and(|shift_ms| at_ms > shift_ms));
-            for _ in 0..case.ranks {
-                let choices = choices(case, liked, &mut random);
-                demand.add(BootMs(at_ms), case.experts, &choices);
+            for rank in 0..case.ranks {
+                let sample = CountsSample::of(&choices(case, liked, &mut random));
+                demand.add(BootMs(at_ms), rank, case.experts, &sample);
             }
             seen += usize::from(demand.drop_outdated(BootMs(at_ms)));
         }
@@ -118,3 +118,35 @@
         of_liked.filter(|(expert, _)| is_liked(case, liked, *expert)).map(|(_, load)| load).sum();
     sum / demand.seen()
 }
+
+/// Choices, and what may be told of them.
+struct RoundingCase {
+    name: &'static str,
+    choices: Vec<u32>,
+    unit: u32,
+    counts: Vec<u32>,
+}
+
+#[test]
+fn choices_are_told_in_small_numbers() {
+    let cases = [
+        RoundingCase { name: "none", choices: vec![], unit: 1, counts: vec![] },
+        RoundingCase { name: "idle", choices: vec![0; 3], unit: 1, counts: vec![0; 3] },
+        RoundingCase { name: "few", choices: vec![3, 0, 5], unit: 1, counts: vec![3, 0, 5] },
+        RoundingCase {
+            name: "many",
+            choices: vec![4_000, 0, 240],
+            unit: 353,
+            counts: vec![11, 0, 1],
+        },
+        RoundingCase {
+            name: "as many as there can be",
+            choices: vec![u32::MAX, 0],
+            unit: 536_870_911,
+            counts: vec![8, 0],
+        },
+    ];
+    for RoundingCase { name, choices, unit, counts } in cases {
+        assert_eq!(CountsSample::of(&choices), CountsSample { unit, counts }, "{name}");
+    }
+}
--- a/crates/direct/src/agent/datagram.rs
+++ b/crates/direct/src/agent/datagram.rs
@@ -3,11 +3,39 @@
 //! Datagrams need no connection that could go silent; what is lost is asked for again.
 
 use hickorycross_core::map_change::{OrderEnd, RankOrder, RankStatus};
+use miniz_oxide::deflate::compress_to_vec;
+use miniz_oxide::inflate::{DecompressError, decompress_to_vec_with_limit};
 use serde::{Deserialize, Serialize};
 
 /// Longest message: a map of 64 ranks with 8 layers of 5 slots and 2 bytes a slot, twice over.
 pub(crate) const MOST_BYTES: usize = 16 * 1024;
 
+/// Messages from this length on are deflated: choices of experts and maps. Shorter ones do not get
+/// shorter by it.
+const DEFLATED_FROM_BYTES: usize = 300;
+
+/// Few bits a number is all that can be won; higher levels look for repetitions that are not there.
+const DEFLATE_LEVEL: u8 = 1;
+
+/// First byte of a message as it is.
+const PLAIN: u8 = 0;
+/// First byte of a deflated one.
+const DEFLATED: u8 = 1;
+
+/// Why a datagram holds no message.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Unreadable {
+    /// Neither plain nor deflated.
+    #[error("unknown first byte")]
+    UnknownForm,
+    /// It does not inflate, or to more than [`MOST_BYTES`].
+    #[error("does not inflate: {0:?}")]
+    Deflated(DecompressError),
+    /// It holds something else.
+    #[error(transparent)]
+    Message(#[from] postcard::Error),
+}
+
 /// A message between agents.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum Datagram {
@@ -43,3 +71,37 @@
         end: OrderEnd,
     },
 }
+
+impl Datagram {
+    /// The bytes to send.
+    ///
+    /// # Errors
+    ///
+    /// When the message does not serialise.
+    pub(crate) fn to_bytes(&self) -> Result<Vec<u8>, postcard::Error> {
+        let message = postcard::to_stdvec(self)?;
+        let (form, message) = if message.len() < DEFLATED_FROM_BYTES {
+            (PLAIN, message)
+        } else {
+            (DEFLATED, compress_to_vec(&message, DEFLATE_LEVEL))
+        };
+        Ok([&[form], message.as_slice()].concat())
+    }
+
+    /// Reads what came.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes hold no message, or one longer than [`MOST_BYTES`].
+    pub(crate) fn read(bytes: &[u8]) -> Result<Self, Unreadable> {
+        match bytes.split_first() {
+            Some((&PLAIN, message)) => Ok(postcard::from_bytes(message)?),
+            Some((&DEFLATED, deflated)) => {
+                let message = decompress_to_vec_with_limit(deflated, MOST_BYTES)
+                    .map_err(Unreadable::Deflated)?;
+                Ok(postcard::from_bytes(&message)?)
+            }
+            _ => Err(Unreadable::UnknownForm),
+        }
+    }
+}
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -99,7 +99,7 @@
     }
 
     async fn send(&self, to: SocketAddr, datagram: &Datagram) {
-        match postcard::to_stdvec(datagram) {
+        match datagram.to_bytes() {
             Ok(bytes) => {
                 if let Err(error) = self.socket.send_to(&bytes, to).await {
                     let line = DecisionLog::fields("datagram").with("to", to);
@@ -127,7 +127,7 @@
                 continue;
             }
         };
-        match postcard::from_bytes(&buffer[..length]) {
+        match Datagram::read(&buffer[..length]) {
             Ok(datagram) => {
                 tokio::task::spawn_local(handle(Rc::clone(&member), from, datagram));
             }
--- a/crates/direct/src/agent/polls.rs
+++ b/crates/direct/src/agent/polls.rs
@@ -7,8 +7,8 @@
 const POLL_MS: u64 = 100;
 
 /// The same for each member, in a large group. A status with the choices of 8 layers of 252 experts has
-/// about 2.6 KB; so many of them take half of the smallest link in use (8 Mbit/s).
-const POLL_PER_MEMBER_MS: u64 = 6;
+/// about 1 KB; so many of them take half of the smallest link in use (8 Mbit/s).
+const POLL_PER_MEMBER_MS: u64 = 2;
 
 /// Time in which all members are polled once during a change, when the end of copies counts.
 const BUSY_POLL_MS: u64 = 60;
@@ -17,7 +17,7 @@
 const BUSY_POLL_PER_MEMBER_MS: u64 = 1;
 
 /// Rounds of polls during a change of which one asks a large group for its choices of experts.
-const BUSY_ROUNDS_PER_COUNTS: u64 = 6;
+const BUSY_ROUNDS_PER_COUNTS: u64 = 2;
 
 /// Polls members by turns, spread over time: statuses that all come at once would fill the link of a
 /// small machine, and a full link loses datagrams.
--- a/crates/direct/src/agent/status.rs
+++ b/crates/direct/src/agent/status.rs
@@ -58,11 +58,11 @@
 fn sample(member: &Member, counts: ExpertCounts) -> CountsSample {
     let mut last = member.last_counts.borrow_mut();
     let before = last.as_ref().filter(|last| last.epoch == counts.epoch);
-    let choices = before.map(|before| {
+    let choices: Option<Option<Vec<u32>>> = before.map(|before| {
         let pairs = counts.choices.iter().zip(&before.choices);
         let difference = |(now, before): (&u64, &u64)| now.checked_sub(*before);
         pairs.map(difference).map(|it| it.and_then(|it| u32::try_from(it).ok())).collect()
     });
     *last = Some(counts);
-    CountsSample { choices: choices.flatten().unwrap_or_default() }
+    CountsSample::of(&choices.flatten().unwrap_or_default())
 }
