perf(map-change): ranks with most to copy are told of a map first

Cause: a map goes out to one rank after the other, 10 ms apart; in a group of 63 the last one hears of it after 0.63 s, and if it has copies to make, all others wait for it. A change took 0.73 s to be prepared although most ranks have two or three copies of 0.1 s.

Ruled out: fewer copies a rank (tried before on groups of 12, neutral); the copies themselves are not what was waited for.

--- a/crates/core/src/map_change/change.rs
+++ b/crates/core/src/map_change/change.rs
@@ -5,6 +5,7 @@
 use super::phase::{Orders, Phase, UndoStage};
 use crate::direct::BootMs;
 use crate::placement::ExpertMap;
+use std::cmp::Reverse;
 
 /// Time for the copies of a change: a rank's share of copies takes about 0.1 s each.
 const PREPARE_MS: u64 = 5_000;
@@ -13,9 +14,10 @@
 /// meanwhile; callers leave a stream after 2 s of silence.
 const ARM_MS: u64 = 1_200;
 
-/// Experts of a map that a link takes in a millisecond: at up to 2 bytes each, half of the smallest
-/// link in use (8 Mbit/s). A link that is full loses datagrams, also those that say who leads.
-const MAP_EXPERTS_PER_MS: usize = 250;
+/// Experts of a map that a link takes in a millisecond: at 1.3 bytes each, deflated, half of the
+/// smallest link in use (8 Mbit/s). A link that is full loses datagrams, also those that say who
+/// leads.
+const MAP_EXPERTS_PER_MS: usize = 400;
 
 /// Distance between the names of two maps; lower digits tell leaders apart.
 ///
@@ -46,13 +48,28 @@
         let version = (newest / VERSION_STEP + 1) * VERSION_STEP + self.salt;
         let experts: usize =
             map.layers.iter().flat_map(|it| &it.experts_of_rank).map(Vec::len).sum();
-        let kind = OrderKind::Prepare { version, map };
-        let mut orders = self.orders_to_all(epoch, &kind);
+        let ranks = self.by_copies(&map);
+        let mut orders = self.orders_to(&ranks, epoch, &OrderKind::Prepare { version, map });
         orders.spread(now, (experts / MAP_EXPERTS_PER_MS) as u64);
         self.phase = Phase::Preparing { version, orders, give_up_at: now.after(PREPARE_MS) };
         self.note("uneven", version, epoch, bottleneck, actions);
     }
 
+    /// Ranks, those with most to copy first.
+    ///
+    /// A map goes out to one rank after the other, for 0.4 s in a group of 63. A rank with five
+    /// copies that hears of it last would let all others wait for half a second more.
+    fn by_copies(&self, map: &ExpertMap) -> Vec<u16> {
+        let mut ranks: Vec<u16> = self.seats.keys().copied().collect();
+        let Some((_, present)) = &self.map else { return ranks };
+        let mut copies = vec![0_u32; present.ranks()];
+        for load in present.loads_towards(map) {
+            copies[usize::from(load.rank)] += 1;
+        }
+        ranks.sort_by_key(|rank| Reverse(copies.get(usize::from(*rank)).copied()));
+        ranks
+    }
+
     pub(super) fn prepare(
         &mut self,
         now: BootMs,
--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -89,7 +89,7 @@
     next_number: u64,
     pub(super) seats: IndexMap<u16, Seat>,
     demand: Demand,
-    map: Option<(u64, ExpertMap)>,
+    pub(super) map: Option<(u64, ExpertMap)>,
     pub(super) phase: Phase,
     decide_at: BootMs,
     is_deposed: bool,
