feat(direct): the decision log says how many lines are missing

Cause: read in the code: a full buffer was counted on the metrics address only, so that a request whose lines were dropped looked like one never seen; a failed write was passed over and not even counted.

Change: before the next line that can be written, one line says how many were dropped; failed writes count as dropped.

--- a/crates/direct/src/decision_log.rs
+++ b/crates/direct/src/decision_log.rs
@@ -2,10 +2,9 @@
 
 use crate::clock::{boot_now, wall_ms};
 use std::fmt::{Display, Write as _};
-use std::io::Write as _;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 
 /// Lines that may wait for the reader. At 200 bytes a line this is about 200 KB.
 const MOST_WAITING: usize = 1024;
@@ -45,6 +44,12 @@
         self
     }
 
+    fn into_line(self) -> String {
+        let mut line = self.0;
+        line.push('\n');
+        line
+    }
+
     /// Adds a field if there is a value.
     #[must_use]
     pub fn with_some(self, name: &str, value: Option<impl Display>) -> Self {
@@ -70,19 +75,14 @@
     /// # Errors
     ///
     /// When the system gives no thread.
-    pub fn start_with(mut output: Box<dyn std::io::Write + Send>) -> std::io::Result<Self> {
+    pub fn start_with(output: Box<dyn std::io::Write + Send>) -> std::io::Result<Self> {
         let (lines, received) = sync_channel::<String>(MOST_WAITING);
-        let waiting = Arc::new(AtomicU64::new(0));
-        let drained = Arc::clone(&waiting);
-        std::thread::Builder::new().name("decision-log".to_owned()).spawn(move || {
-            for line in received {
-                drained.fetch_sub(1, Ordering::Relaxed);
-                // Nobody can be told that the log's own reader is gone; the count of dropped lines
-                // shows it on the metrics address.
-                let _ = output.write_all(line.as_bytes());
-            }
-        })?;
-        Ok(Self { lines, waiting, dropped: Arc::new(AtomicU64::new(0)) })
+        let log = Self { lines, waiting: Arc::default(), dropped: Arc::default() };
+        let (waiting, dropped) = (Arc::clone(&log.waiting), Arc::clone(&log.dropped));
+        std::thread::Builder::new()
+            .name("decision-log".to_owned())
+            .spawn(move || write_all(output, &received, &waiting, &dropped))?;
+        Ok(log)
     }
 
     /// Begins a line about `event`.
@@ -110,8 +110,7 @@
     }
 
     fn send(&self, fields: Fields, most: u64) {
-        let mut line = fields.0;
-        line.push('\n');
+        let line = fields.into_line();
         if self.waiting.load(Ordering::Relaxed) >= most {
             self.count_dropped();
             return;
@@ -126,7 +125,40 @@
     }
 
     fn count_dropped(&self) {
-        self.dropped.fetch_add(1, Ordering::Relaxed);
-        metrics::counter!("hickorycross_log_lines_dropped_total").increment(1);
+        count_dropped(&self.dropped);
+    }
+}
+
+/// Writes lines until the log is gone, and says how many were dropped as soon as one can be written.
+///
+/// Without that word, somebody who looks for a request in the log would take it for one that the
+/// process has never seen.
+fn write_all(
+    mut output: Box<dyn std::io::Write + Send>,
+    lines: &Receiver<String>,
+    waiting: &AtomicU64,
+    dropped: &AtomicU64,
+) {
+    let mut said = 0;
+    for line in lines {
+        waiting.fetch_sub(1, Ordering::Relaxed);
+        let now_dropped = dropped.load(Ordering::Relaxed);
+        if now_dropped > said {
+            let told = DecisionLog::fields("log").with("outcome", "lines-dropped");
+            let told = told.with("lines", now_dropped - said).with("lines_total", now_dropped);
+            // What could not be said is said before a later line.
+            if output.write_all(told.into_line().as_bytes()).is_ok() {
+                said = now_dropped;
+            }
+        }
+        // Nobody reads the log any more, so that it cannot say why; the metrics address counts it.
+        if output.write_all(line.as_bytes()).is_err() {
+            count_dropped(dropped);
+        }
     }
 }
+
+fn count_dropped(dropped: &AtomicU64) {
+    dropped.fetch_add(1, Ordering::Relaxed);
+    metrics::counter!("hickorycross_log_lines_dropped_total").increment(1);
+}
