refactor(map-change,direct): deciding and leading stand in modules of their own

`map_change/leader.rs` (400 lines) decided, led and kept the seats; what decides is now `decide.rs`. `agent/member.rs` (330 lines) answered and led; what leads is now `lead.rs`. No change of behaviour.

--- a/crates/core/src/map_change/mod.rs
+++ b/crates/core/src/map_change/mod.rs
@@ -18,6 +18,7 @@
 //! - [`Demand`] estimates the load of each expert.
 
 mod change;
+mod decide;
 mod demand;
 mod leader;
 mod order;
--- a/crates/direct/src/agent/program.rs
+++ b/crates/direct/src/agent/program.rs
@@ -1,6 +1,7 @@
 //! A running agent.
 
 use super::fleet::{self, Fleet};
+use super::lead;
 use super::member::{self, Member};
 use super::rank::RankEngines;
 use super::{silent, tell};
@@ -51,7 +52,7 @@
         Member::new(engines, backend, Rc::clone(&fleet), log.clone(), socket, settings.agent_port);
     tokio::task::spawn_local(fleet::follow(Rc::clone(&fleet)));
     tokio::task::spawn_local(member::hear(Rc::clone(&member)));
-    tokio::task::spawn_local(member::lead(Rc::clone(&member)));
+    tokio::task::spawn_local(lead::lead(Rc::clone(&member)));
     tokio::task::spawn_local(silent::follow(Rc::clone(&member)));
     tokio::task::spawn_local(tell::follow(member, backend));
     let following = reload.follow(move |settings| fleet.set_seeds(&settings.seeds));
