--- a/crates/core/src/map_change/decide.rs
+++ b/crates/core/src/map_change/decide.rs
@@ -6,13 +6,16 @@
 use crate::placement::{ExpertMap, LayerPlacement, LevelSettings, bottleneck_load, level_map};
 
 /// Least part of the bottleneck that a change must take away. Below it, copies cost more time than
-/// they bring before demand shifts again.
+/// they bring before demand shifts again. Score of a site with a group of 12 ranks, one run each:
+/// 0.79 without it, 0.85 with it.
 const LEAST_GAIN: f64 = 0.12;
 
-/// Copies for one rank in one change: at 0.1 s each, the change is there in half a second.
+/// Copies for one rank in one change: at 0.1 s each, the change is there in half a second. Three and
+/// four made no difference in groups of 12 ranks.
 const NEW_PER_RANK: u16 = 5;
 
-/// Most loaded rank against the mean from which a layer is even enough.
+/// Most loaded rank against the mean from which a layer is even enough; chosen by its order of
+/// magnitude, other figures were not measured.
 const EVEN_ENOUGH: f64 = 1.08;
 
 /// Choices that an estimate needs, so that it is not of a single request. A group of 12 ranks makes
