refactor(direct): a rank's report becomes a status in one place

An agent's own status and the one read from afar filled the same fifteen fields in two functions. One function now turns the report into a status; each caller adds what is its own. No change of behaviour.

--- a/crates/direct/src/agent/silent.rs
+++ b/crates/direct/src/agent/silent.rs
@@ -7,11 +7,12 @@
 
 use super::execute::{SHOW_PAUSE_AFAR_MS, execute};
 use super::member::Member;
-use super::rank::{RankEngine, RankReport};
+use super::rank::RankEngine;
+use super::status::status_of;
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
-use hickorycross_core::map_change::{CountsSample, Leader, RankOrder, RankStatus};
+use hickorycross_core::map_change::{Leader, RankOrder, RankStatus};
 use indexmap::{IndexMap, IndexSet};
 use std::cell::RefCell;
 use std::net::{IpAddr, SocketAddr};
@@ -80,7 +81,8 @@
             return;
         }
     };
-    let Some(status) = status_of(report) else { return };
+    let Some(told) = status_of(report) else { return };
+    let status = RankStatus { is_from_afar: true, ..told };
     let is_ours = |leader: &Leader| leader.group() == status.group;
     if !member.leader.borrow().as_ref().is_some_and(is_ours) {
         return;
@@ -96,27 +98,6 @@
     }
 }
 
-fn status_of(report: RankReport) -> Option<RankStatus> {
-    let seat = report.seat?;
-    Some(RankStatus {
-        group: seat.group,
-        rank: seat.rank,
-        ranks: seat.ranks,
-        epoch: seat.epoch,
-        is_open: seat.is_open,
-        step: report.step,
-        map: report.map,
-        prepared: report.prepared,
-        armed: report.armed,
-        held_step: report.held_step,
-        highest_fence: 0,
-        pace_permille: report.pace_permille,
-        is_from_afar: true,
-        counts: CountsSample::default(),
-        experts: None,
-    })
-}
-
 /// Gives an order to a rank whose agent is silent.
 pub(crate) fn order(
     member: &Rc<Member>,
--- a/crates/direct/src/agent/status.rs
+++ b/crates/direct/src/agent/status.rs
@@ -1,7 +1,7 @@
 //! What an agent says of its rank.
 
 use super::member::Member;
-use super::rank::{ExpertCounts, RankReport, RankSeat};
+use super::rank::{ExpertCounts, RankReport};
 use hickorycross_core::map_change::{CountsSample, RankStatus};
 
 /// Reads the rank and tells of it.
@@ -12,32 +12,27 @@
 ) -> Option<RankStatus> {
     let report = member.engine.report().await.ok()?;
     member.pace_permille.set(report.pace_permille);
-    let seat = report.seat.clone()?;
+    let told = status_of(report)?;
     let counts = if wants_counts {
         sample(member, member.engine.counts().await.ok()?)
     } else {
         CountsSample::default()
     };
-    let experts = if known_map == Some(report.map) {
+    let experts = if known_map == Some(told.map) {
         None
     } else {
         let lists = member.engine.lists().await.ok()?;
-        (lists.map == report.map).then_some(lists.experts)
+        (lists.map == told.map).then_some(lists.experts)
     };
-    Some(status_of(member, report, seat.rank, counts, experts, &seat))
+    Some(RankStatus { highest_fence: member.highest_fence.get(), counts, experts, ..told })
 }
 
-fn status_of(
-    member: &Member,
-    report: RankReport,
-    rank: u16,
-    counts: CountsSample,
-    experts: Option<Vec<Vec<u16>>>,
-    seat: &RankSeat,
-) -> RankStatus {
-    RankStatus {
-        group: seat.group.clone(),
-        rank,
+/// What a rank's report alone says of it: no fence, choices or lists of experts.
+pub(crate) fn status_of(report: RankReport) -> Option<RankStatus> {
+    let seat = report.seat?;
+    Some(RankStatus {
+        group: seat.group,
+        rank: seat.rank,
         ranks: seat.ranks,
         epoch: seat.epoch,
         is_open: seat.is_open,
@@ -46,12 +41,12 @@
         prepared: report.prepared,
         armed: report.armed,
         held_step: report.held_step,
-        highest_fence: member.highest_fence.get(),
+        highest_fence: 0,
         pace_permille: report.pace_permille,
         is_from_afar: false,
-        counts,
-        experts,
-    }
+        counts: CountsSample::default(),
+        experts: None,
+    })
 }
 
 /// Choices since the last sample; none when the rank has started anew.
