refactor(direct): entry and agent start, listen and end by the same code

Both programs set metrics, log, signals and reload up in the same lines, listened with the same report and waited 5 ms, without a name, for the last line. These stand once in `process.rs`. No change of behaviour.

--- a/crates/direct/src/agent/program.rs
+++ b/crates/direct/src/agent/program.rs
@@ -7,15 +7,12 @@
 use super::{silent, tell};
 use crate::decision_log::DecisionLog;
 use crate::operators::{self, AgentPages};
-use crate::reload::Reload;
+use crate::process::{Process, cannot_listen, end, listen};
 use crate::settings::{ProcessSettings, SettingsSource};
-use hickorycross_runtime::exposition::Exposition;
-use hickorycross_runtime::signals::StopSignals;
 use miette::{Context, IntoDiagnostic};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 
 /// Runs an agent until it is told to stop.
 ///
@@ -28,21 +25,15 @@
     engines: Rc<dyn RankEngines>,
     source: Box<dyn SettingsSource>,
 ) -> miette::Result<()> {
-    let exposition = Exposition::install().into_diagnostic()?;
-    let log = DecisionLog::start().into_diagnostic()?;
-    let mut signals = StopSignals::install().into_diagnostic()?;
-    let reload = Reload::install(source, log.clone()).into_diagnostic()?;
+    let Process { exposition, log, mut signals, reload } = Process::start(source)?;
     let backend = settings.backend.ok_or_else(|| miette::miette!("no backend server is named"))?;
     let service = settings.service.clone().unwrap_or_default();
     let address = SocketAddr::new(backend.ip(), settings.agent_port);
     let socket = UdpSocket::bind(address)
         .await
         .into_diagnostic()
-        .wrap_err_with(|| format!("cannot listen at {address}"))?;
-    let listener = TcpListener::bind(address)
-        .await
-        .into_diagnostic()
-        .wrap_err_with(|| format!("cannot listen at {address}"))?;
+        .wrap_err_with(|| cannot_listen(address))?;
+    let listener = listen(address).await?;
     tokio::task::spawn_local(operators::serve(listener, Rc::new(AgentPages(exposition))));
     let line = DecisionLog::fields("start").with("instance", &settings.instance);
     let line = line.with("backend", backend).with("service", &service);
@@ -58,8 +49,6 @@
     let following = reload.follow(move |settings| fleet.set_seeds(&settings.seeds));
     tokio::task::spawn_local(following);
     signals.next().await;
-    log.note(DecisionLog::fields("stop").with("instance", &settings.instance));
-    // The log's thread gets a moment for the last line.
-    tokio::time::sleep(Duration::from_millis(5)).await;
+    end(&log, DecisionLog::fields("stop").with("instance", &settings.instance)).await;
     Ok(())
 }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -3,19 +3,15 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::operators::EntryPages;
-use crate::reload::Reload;
+use crate::process::{Process, end, listen};
 use crate::settings::{ProcessSettings, SettingsSource};
 use crate::state::EntryState;
 use crate::store::SharedStore;
 use crate::wire_names::WireNames;
 use crate::{callers, exchange, follow, operators};
 use hickorycross_runtime::exposition::Exposition;
-use hickorycross_runtime::signals::StopSignals;
-use miette::{Context, IntoDiagnostic};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 
 /// Time after the request to stop in which callers' connections are still taken.
 ///
@@ -43,17 +39,14 @@
     store: Rc<dyn SharedStore>,
     source: Box<dyn SettingsSource>,
 ) -> miette::Result<()> {
-    let exposition = Exposition::install().into_diagnostic()?;
-    let log = DecisionLog::start().into_diagnostic()?;
-    let mut signals = StopSignals::install().into_diagnostic()?;
-    let reload = Reload::install(source, log.clone()).into_diagnostic()?;
+    let Process { exposition, log, mut signals, reload } = Process::start(source)?;
     let callers_at =
         settings.listen.callers.ok_or_else(|| miette::miette!("no callers' address"))?;
     let line = DecisionLog::fields("start").with("instance", &settings.instance);
     log.note(line.with("failure_domain", &settings.failure_domain).with("callers_at", callers_at));
     let state = EntryState::new(settings, names, log);
     listen_for_processes(&state, &exposition).await?;
-    let listener = bind(callers_at).await?;
+    let listener = listen(callers_at).await?;
     tokio::task::spawn_local(follow::follow_catalog(Rc::clone(&state), Rc::clone(&store)));
     tokio::task::spawn_local(follow::follow_backends(Rc::clone(&state), store));
     tokio::task::spawn_local(exchange::follow_peers(Rc::clone(&state)));
@@ -64,9 +57,8 @@
     let accepting = tokio::task::spawn_local(callers::accept(Rc::clone(&state), listener));
     signals.next().await;
     drain(&state, &accepting).await;
-    state.log.note(DecisionLog::fields("stop").with("open_requests", state.open_requests.get()));
-    // The log's thread gets a moment for the last line.
-    tokio::time::sleep(Duration::from_millis(5)).await;
+    let line = DecisionLog::fields("stop").with("open_requests", state.open_requests.get());
+    end(&state.log, line).await;
     Ok(())
 }
 
@@ -74,22 +66,15 @@
     state: &Rc<EntryState>,
     exposition: &Exposition,
 ) -> miette::Result<()> {
-    let listen = state.settings.borrow().listen;
-    for address in [listen.ready, listen.control].into_iter().flatten() {
-        let listener = bind(address).await?;
+    let addresses = state.settings.borrow().listen;
+    for address in [addresses.ready, addresses.control].into_iter().flatten() {
+        let listener = listen(address).await?;
         let pages = EntryPages { state: Rc::clone(state), exposition: exposition.clone() };
         tokio::task::spawn_local(operators::serve(listener, Rc::new(pages)));
     }
     Ok(())
 }
 
-async fn bind(address: SocketAddr) -> miette::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .into_diagnostic()
-        .wrap_err_with(|| format!("cannot listen at {address}"))
-}
-
 /// Finishes what runs. Connections are still taken until the balancer has noticed.
 async fn drain(state: &EntryState, accepting: &tokio::task::JoinHandle<()>) {
     let started_at = boot_now();
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,6 +18,7 @@
 mod follow;
 mod forward;
 mod operators;
+mod process;
 mod reload;
 mod settings;
 mod state;
