feat(direct,platform): incarnations are told apart by birth, foreign entries name nobody, requests are taken back

A backend server may start again under its name: an incarnation is its name and birth in the table of backend servers, the pool of connections and the samples of choices. A newer one forgets failures, open requests and leaving of the one before and ends its work (it may have run); an older word changes nothing. Expect-Instance names only the name, so a request that meets the newer birth may run there; it was promised nothing else.

Entries of the list are decoded one by one. One that cannot be understood names nobody, is said once and keeps nobody from the others (before: the whole read failed). A good entry that is overwritten gets no new work until the backend server's own entry is back.

--- a/crates/core/src/direct/backend_table.rs
+++ b/crates/core/src/direct/backend_table.rs
@@ -51,8 +51,11 @@
 /// One incarnation of a backend server, as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendServer {
-    /// Names this incarnation and no other.
+    /// Its name. A backend server that starts again may have the name that it had.
     pub id: String,
+    /// When it started, in Unix milliseconds by its own clock, which tells incarnations of one name
+    /// apart; 0 when it does not say.
+    pub born_ms: u64,
     /// The service that it belongs to.
     pub service: String,
     /// Where it listens.
@@ -65,6 +68,16 @@
     pub state: BackendState,
 }
 
+impl BackendServer {
+    /// Whether this is an earlier incarnation than `other` of the same name.
+    ///
+    /// One that does not say when it started is taken for the same.
+    #[must_use]
+    pub const fn is_before(&self, other: &Self) -> bool {
+        self.born_ms != 0 && self.born_ms < other.born_ms
+    }
+}
+
 /// Where a row of the table comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listing {
@@ -72,6 +85,9 @@
     Listed,
     /// It vanished while the store was away, and is usable until then.
     LapsedUntil(BootMs),
+    /// The store holds something under its name that cannot be read: it gets no new work until the
+    /// store holds its entry again.
+    Unreadable,
 }
 
 /// A backend server with what this entry saw of it.
@@ -113,25 +129,43 @@
     }
 
     /// Takes over what the platform says of one backend server. Returns whether anything changed.
-    pub fn put(&mut self, server: BackendServer) -> bool {
-        match self.rows.get_mut(&server.id) {
-            Some(row) => {
-                let changed = row.server != server || row.listing != Listing::Listed;
-                let left = row.server.state == BackendState::Leaving;
-                row.listing = Listing::Listed;
-                row.server = server;
-                // A stale replica may show an older entry; who has said that it leaves never
-                // comes back as the same incarnation.
-                if left {
-                    row.server.state = BackendState::Leaving;
-                }
-                changed
-            }
-            None => {
-                self.rows.insert(server.id.clone(), Row::new(server));
-                true
-            }
+    ///
+    /// A newer incarnation of the same name knows nothing of before: failures, pauses and open
+    /// requests of the earlier one are forgotten, and so is that it was leaving. An earlier one, as a
+    /// stale replica may show it, changes nothing.
+    pub fn put(&mut self, mut server: BackendServer) -> bool {
+        let Some(row) = self.rows.get_mut(&server.id) else {
+            self.rows.insert(server.id.clone(), Row::new(server));
+            return true;
+        };
+        if server.is_before(&row.server) {
+            return false;
+        }
+        if row.server.is_before(&server) {
+            *row = Row::new(server);
+            return true;
         }
+        server.born_ms = server.born_ms.max(row.server.born_ms);
+        // A stale replica may show an older entry; who has said that it leaves never comes back as
+        // the same incarnation.
+        if row.server.state == BackendState::Leaving {
+            server.state = BackendState::Leaving;
+        }
+        let changed = row.server != server || row.listing != Listing::Listed;
+        row.listing = Listing::Listed;
+        row.server = server;
+        changed
+    }
+
+    /// Notes that the store holds something unreadable under a name. Returns whether that changed
+    /// anything.
+    ///
+    /// Whoever wrote it, the backend server's own entry is no longer there to say that it takes work.
+    pub fn note_unreadable(&mut self, id: &str) -> bool {
+        let Some(row) = self.rows.get_mut(id) else { return false };
+        let changed = row.listing != Listing::Unreadable;
+        row.listing = Listing::Unreadable;
+        changed
     }
 
     /// Drops an incarnation that the platform no longer lists. Returns whether it was known.
@@ -184,9 +218,19 @@
         over
     }
 
+    /// Whether a newer incarnation has taken the name of this one.
+    #[must_use]
+    pub fn is_superseded(&self, server: &BackendServer) -> bool {
+        self.rows.get(&server.id).is_some_and(|row| server.is_before(&row.server))
+    }
+
+    fn row_of(&mut self, server: &BackendServer) -> Option<&mut Row> {
+        self.rows.get_mut(&server.id).filter(|row| !server.is_before(&row.server))
+    }
+
     /// Notes that a backend server itself says that it leaves.
-    pub fn note_leaving(&mut self, id: &str) -> bool {
-        let Some(row) = self.rows.get_mut(id) else { return false };
+    pub fn note_leaving(&mut self, server: &BackendServer) -> bool {
+        let Some(row) = self.row_of(server) else { return false };
         let was_ready = row.server.state == BackendState::Ready;
         row.server.state = BackendState::Leaving;
         was_ready
@@ -194,8 +238,9 @@
 
     /// Whether an incarnation is known and takes new work.
     #[must_use]
-    pub fn takes_work(&self, id: &str) -> bool {
-        self.rows.get(id).is_some_and(|row| row.server.state == BackendState::Ready)
+    pub fn takes_work(&self, id: &str, born_ms: u64) -> bool {
+        let is_it = |row: &&Row| row.server.born_ms == born_ms && row.takes_work();
+        self.rows.get(id).filter(is_it).is_some()
     }
 
     /// Notes how long the work of the backend server at `address` takes, in thousandths of the
@@ -225,8 +270,7 @@
     }
 
     fn open(&self, service: &str) -> impl Iterator<Item = &Row> {
-        let ready = |row: &&Row| row.server.state == BackendState::Ready;
-        self.rows.values().filter(move |row| row.server.service == service).filter(ready)
+        self.rows.values().filter(move |row| row.server.service == service && row.takes_work())
     }
 
     fn load(&self, row: &Row, now: BootMs) -> f64 {
@@ -241,30 +285,30 @@
     }
 
     /// Counts a request sent to a backend server.
-    pub fn note_sent(&mut self, id: &str) {
-        if let Some(row) = self.rows.get_mut(id) {
+    pub fn note_sent(&mut self, server: &BackendServer) {
+        if let Some(row) = self.row_of(server) {
             row.outstanding += 1;
         }
     }
 
     /// Counts the end of a request at a backend server.
-    pub fn note_ended(&mut self, id: &str) {
-        if let Some(row) = self.rows.get_mut(id) {
+    pub fn note_ended(&mut self, server: &BackendServer) {
+        if let Some(row) = self.row_of(server) {
             row.outstanding = row.outstanding.saturating_sub(1);
         }
     }
 
     /// Notes an answer of a backend server.
-    pub fn note_success(&mut self, id: &str) {
-        if let Some(row) = self.rows.get_mut(id) {
+    pub fn note_success(&mut self, server: &BackendServer) {
+        if let Some(row) = self.row_of(server) {
             row.failures_in_row = 0;
             row.failure_share *= 1.0 - FAILURE_WEIGHT;
         }
     }
 
     /// Notes a failure that a backend server is blamed for. Returns until when it is paused.
-    pub fn note_failure(&mut self, id: &str, now: BootMs) -> Option<BootMs> {
-        let row = self.rows.get_mut(id)?;
+    pub fn note_failure(&mut self, server: &BackendServer, now: BootMs) -> Option<BootMs> {
+        let row = self.row_of(server)?;
         row.failures_in_row += 1;
         row.failure_share = row.failure_share * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
         let beyond = row.failures_in_row.checked_sub(FAILURES_BEFORE_PAUSE)?;
@@ -292,6 +336,12 @@
         self.open(service).map(|row| row.server.slots).sum()
     }
 
+    /// The newest incarnation of a name.
+    #[must_use]
+    pub fn server(&self, id: &str) -> Option<BackendServer> {
+        self.rows.get(id).map(|row| row.server.clone())
+    }
+
     /// All backend servers, in no order that means anything.
     pub fn servers(&self) -> impl Iterator<Item = &BackendServer> {
         self.rows.values().map(|row| &row.server)
@@ -299,6 +349,10 @@
 }
 
 impl Row {
+    fn takes_work(&self) -> bool {
+        self.server.state == BackendState::Ready && self.listing != Listing::Unreadable
+    }
+
     fn new(server: BackendServer) -> Self {
         Self {
             server,
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -186,6 +186,7 @@
 fn server(id: &str, port: u16, domain: &str) -> BackendServer {
     BackendServer {
         id: id.to_owned(),
+        born_ms: 0,
         service: "svc".to_owned(),
         address: SocketAddr::from(([10, 0, 0, 1], port)),
         failure_domain: domain.to_owned(),
@@ -211,9 +212,9 @@
 fn the_least_loaded_backend_server_is_chosen() {
     let mut table = table();
     expect_that!(chosen(&table, &[], 0), some(eq("one")));
-    table.note_sent("one");
+    table.note_sent(&server("one", 1, "a"));
     expect_that!(chosen(&table, &[], 0), some(eq("two")));
-    table.note_ended("one");
+    table.note_ended(&server("one", 1, "a"));
     expect_that!(chosen(&table, &["one"], 0), some(eq("two")));
     expect_that!(chosen(&table, &["one", "two"], 0), none());
     table.note_pace(SocketAddr::from(([10, 0, 0, 1], 1)), 5_000, BootMs(0));
@@ -229,15 +230,23 @@
 #[gtest]
 fn failing_backend_servers_are_paused() {
     let mut table = table();
-    expect_that!(table.note_failure("one", BootMs(0)), none(), "one failure is no sign");
-    expect_that!(table.note_failure("one", BootMs(0)), some(eq(BootMs(400))));
-    expect_that!(table.note_failure("one", BootMs(0)), some(eq(BootMs(800))));
+    expect_that!(
+        table.note_failure(&server("one", 1, "a"), BootMs(0)),
+        none(),
+        "one failure is no sign"
+    );
+    expect_that!(table.note_failure(&server("one", 1, "a"), BootMs(0)), some(eq(BootMs(400))));
+    expect_that!(table.note_failure(&server("one", 1, "a"), BootMs(0)), some(eq(BootMs(800))));
     expect_that!(chosen(&table, &[], 100), some(eq("two")));
     expect_that!(chosen(&table, &["two"], 100), some(eq("one")), "better than none");
     for _ in 0..8 {
-        table.note_failure("one", BootMs(0));
+        table.note_failure(&server("one", 1, "a"), BootMs(0));
     }
-    expect_that!(table.note_failure("one", BootMs(0)), some(eq(BootMs(2_000))), "bounded");
+    expect_that!(
+        table.note_failure(&server("one", 1, "a"), BootMs(0)),
+        some(eq(BootMs(2_000))),
+        "bounded"
+    );
 }
 
 struct LapseCase {
@@ -288,10 +297,80 @@
 #[gtest]
 fn leaving_is_for_good() {
     let mut table = table();
-    expect_true!(table.note_leaving("one"));
+    expect_true!(table.note_leaving(&server("one", 1, "a")));
     table.put(server("one", 1, "a"));
     expect_that!(chosen(&table, &["two"], 0), none());
-    expect_false!(table.takes_work("one"));
+    expect_false!(table.takes_work("one", 0));
+}
+
+struct BirthCase {
+    name: &'static str,
+    /// Births of the entries that are heard one after the other, and the state that each tells.
+    heard: &'static [(u64, BackendState)],
+    /// Whether the backend server gets work after that.
+    takes_work: bool,
+    /// Its open requests, of one that was sent to the first incarnation.
+    outstanding: u32,
+}
+
+/// Symptom: a backend server that started again under its name never gets work, or a request that its
+/// earlier life held is counted for ever.
+///
+/// Events: it leaves or crashes, starts again under the same name and says a newer birth; a stale
+/// replica or a peer's late word shows the older entry after that.
+///
+/// Cause: taking the name alone for the incarnation.
+#[gtest]
+fn a_newer_birth_knows_nothing_of_before() {
+    use BackendState::{Leaving, Ready};
+    let cases = [
+        BirthCase { name: "the same", heard: &[(5, Ready)], takes_work: true, outstanding: 1 },
+        BirthCase { name: "newer", heard: &[(6, Ready)], takes_work: true, outstanding: 0 },
+        BirthCase {
+            name: "newer after leaving",
+            heard: &[(5, Leaving), (6, Ready)],
+            takes_work: true,
+            outstanding: 0,
+        },
+        BirthCase {
+            name: "older after newer",
+            heard: &[(6, Ready), (5, Leaving)],
+            takes_work: true,
+            outstanding: 0,
+        },
+        BirthCase { name: "unsaid", heard: &[(0, Leaving)], takes_work: false, outstanding: 1 },
+    ];
+    for case in cases {
+        let born = |born_ms, state| BackendServer { born_ms, state, ..server("one", 1, "a") };
+        let mut table = BackendTable::new("a");
+        let first = born(5, Ready);
+        table.put(first.clone());
+        table.note_sent(&first);
+        for (born_ms, state) in case.heard {
+            table.put(born(*born_ms, *state));
+        }
+        expect_that!(chosen(&table, &[], 0).is_some(), eq(case.takes_work), "{}", case.name);
+        expect_that!(table.outstanding("svc"), eq(case.outstanding), "{}", case.name);
+        let newest_ms = case.heard.iter().map(|(born_ms, _)| *born_ms).max().unwrap_or(0);
+        expect_that!(table.is_superseded(&first), eq(newest_ms > 5), "{}", case.name);
+        table.note_ended(&first);
+        expect_that!(table.outstanding("svc"), eq(0), "{}", case.name);
+    }
+}
+
+/// Symptom: requests go to a backend server of which the store says nothing that can be read.
+///
+/// Events: another writer overwrites its entry; later it writes its own again.
+///
+/// Cause: keeping what was in force for want of something better.
+#[gtest]
+fn an_overwritten_entry_names_nobody_until_it_is_back() {
+    let mut table = table();
+    expect_true!(table.note_unreadable("one"));
+    expect_false!(table.note_unreadable("one"), "it is said once");
+    expect_that!(chosen(&table, &["two"], 0), none());
+    expect_true!(table.put(server("one", 1, "a")));
+    expect_that!(chosen(&table, &["two"], 0), some(eq("one")));
 }
 
 /// Peers and seeds are asked by turns; silent peers are forgotten, seeds are not.
--- a/crates/direct/src/agent/rank.rs
+++ b/crates/direct/src/agent/rank.rs
@@ -52,6 +52,8 @@
 pub struct ExpertCounts {
     /// The group's epoch.
     pub epoch: u64,
+    /// When the rank started, in Unix milliseconds; 0 when it does not say. It counts anew from then.
+    pub born_ms: u64,
     /// Choices, layer after layer, expert after expert.
     pub choices: Vec<u64>,
 }
--- a/crates/direct/src/agent/status.rs
+++ b/crates/direct/src/agent/status.rs
@@ -52,7 +52,8 @@
 /// Choices since the last sample; none when the rank has started anew.
 fn sample(member: &Member, counts: ExpertCounts) -> CountsSample {
     let mut last = member.last_counts.borrow_mut();
-    let before = last.as_ref().filter(|last| last.epoch == counts.epoch);
+    let before =
+        last.as_ref().filter(|last| last.epoch == counts.epoch && last.born_ms == counts.born_ms);
     let choices: Option<Option<Vec<u32>>> = before.map(|before| {
         let pairs = counts.choices.iter().zip(&before.choices);
         let difference = |(now, before): (&u64, &u64)| now.checked_sub(*before);
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -106,6 +106,6 @@
 async fn prune_connections(state: Rc<EntryState>) {
     loop {
         tokio::time::sleep(Duration::from_millis(PRUNE_PAUSE_MS)).await;
-        state.pool.prune(|id| state.backends.borrow().takes_work(id));
+        state.pool.prune(|id, born_ms| state.backends.borrow().takes_work(id, born_ms));
     }
 }
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -3,8 +3,8 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::state::EntryState;
-use crate::store::{SharedStore, StoreChange, StoreError};
-use hickorycross_core::direct::{Adoption, BootMs, Catalog};
+use crate::store::{BackendList, SharedStore, StoreChange, StoreError, UnreadableBackend};
+use hickorycross_core::direct::{Adoption, BackendServer, BootMs, Catalog};
 use rand::RngExt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +28,9 @@
 /// Failed calls in a row after which the store counts as lost.
 const FAILURES_UNTIL_LOST: u32 = 2;
 
+/// Unreadable entries of which it is remembered that they were said.
+const MOST_UNREADABLE_SAID: usize = 64;
+
 /// What a follower knows of the store's state.
 #[derive(Debug, Default)]
 struct Contact {
@@ -139,8 +142,16 @@
     let read = store.read_backends().await?;
     contact.note_answer(&state.log, "backend-servers");
     let now = boot_now();
-    let listed = read.value.len();
-    let gone = state.backends.borrow_mut().replace_all(read.value, now, contact.returned_at);
+    let BackendList { servers, unreadable } = read.value;
+    let listed = servers.len();
+    // What stands under a name that cannot be read does not say that the backend server is gone.
+    let kept: Vec<BackendServer> =
+        unreadable.iter().filter_map(|it| state.backends.borrow().server(&it.id)).collect();
+    let servers = servers.into_iter().chain(kept).collect();
+    let gone = state.backends.borrow_mut().replace_all(servers, now, contact.returned_at);
+    for entry in &unreadable {
+        note_unreadable_backend(state, entry);
+    }
     state.backends_as_of.set(read.as_of);
     for id in gone {
         note_gone(state, &id, read.as_of);
@@ -171,7 +182,10 @@
     match change {
         StoreChange::Backend(server) => {
             let line = DecisionLog::fields("backend-server").with("incarnation", &server.id);
-            let line = line.with("address", server.address).with("as_of", as_of);
+            let line = line
+                .with("born_ms", server.born_ms)
+                .with("address", server.address)
+                .with("as_of", as_of);
             if state.backends.borrow_mut().put(server.clone()) {
                 state.log.note(line.with("outcome", format!("{:?}", server.state)));
             }
@@ -181,10 +195,27 @@
                 note_gone(state, id, as_of);
             }
         }
+        StoreChange::BackendUnreadable(entry) => note_unreadable_backend(state, entry),
         change => note_unreadable(state, change),
     }
 }
 
+/// Takes note of an entry that cannot be read, and says so once for each fault.
+fn note_unreadable_backend(state: &EntryState, entry: &UnreadableBackend) {
+    let changed = state.backends.borrow_mut().note_unreadable(&entry.id);
+    let mut said = state.unreadable_backends.borrow_mut();
+    if !changed && said.get(&entry.id) == Some(&entry.fault) {
+        return;
+    }
+    if said.len() >= MOST_UNREADABLE_SAID {
+        said.shift_remove_index(0);
+    }
+    said.insert(entry.id.clone(), entry.fault.clone());
+    metrics::counter!("hickorycross_store_unreadable_total").increment(1);
+    let line = DecisionLog::fields("backend-server").with("incarnation", &entry.id);
+    state.log.note(line.with("fault", &entry.fault).with("outcome", "not-readable"));
+}
+
 fn note_gone(state: &EntryState, id: &str, as_of: u64) {
     let line = DecisionLog::fields("backend-server").with("incarnation", id);
     state.log.note(line.with("as_of", as_of).with("outcome", "gone"));
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -43,7 +43,7 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.state.backends.borrow_mut().note_ended(&self.server.id);
+        self.state.backends.borrow_mut().note_ended(&self.server);
         self.state.room.notify_one();
     }
 }
@@ -94,7 +94,7 @@
             return;
         }
         if let Some(connection) = self.connection.take() {
-            self.state.pool.put(&self.server.id, connection, self.keep_idle_ms);
+            self.state.pool.put(&self.server, connection, self.keep_idle_ms);
         }
     }
 }
@@ -104,13 +104,13 @@
     state: &Rc<EntryState>,
     request: &CallerRequest,
     body: &Bytes,
-    server: BackendServer,
+    server: &BackendServer,
     resume_after: Option<u64>,
 ) -> Brought {
-    state.backends.borrow_mut().note_sent(&server.id);
+    state.backends.borrow_mut().note_sent(server);
     let mut attempt = Attempt {
         state: Rc::clone(state),
-        server,
+        server: server.clone(),
         connection: None,
         keep_idle_ms: None,
         is_last_on_connection: true,
@@ -123,8 +123,8 @@
     };
     let outgoing = outgoing(state, request, body, &attempt.server, resume_after);
     let sending = connection.sender.try_send_request(outgoing);
-    let service = attempt.server.service.clone();
-    let waited = patience::wait(state, &request.route, &service, request.limit_at, sending).await;
+    let waited =
+        patience::wait(state, &request.route, &attempt.server, request.limit_at, sending).await;
     attempt.connection = Some(connection);
     match waited {
         Ok(Ok(response)) => judge_head(state, request, response, attempt).await,
@@ -134,6 +134,7 @@
             None => Brought::End(AttemptEnd::Broken),
         },
         Err(Impatience::Silent) => Brought::End(AttemptEnd::Silent),
+        Err(Impatience::Superseded) => Brought::End(AttemptEnd::Broken),
         Err(Impatience::Limit) => Brought::Limit { sent: true },
     }
 }
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -1,13 +1,14 @@
 //! Chooses backend servers for a request and decides about further attempts.
 
 use super::attempt::{self, Attempt, Brought, Reply, end_to_end};
-use super::{patience, stream};
+use super::patience::{self, Impatience};
+use super::stream;
 use crate::callers::{AnswerBody, CallerRequest, Refusal, whole};
 use crate::clock::boot_now;
 use crate::state::EntryState;
 use bytes::Bytes;
 use hickorycross_core::Verdict;
-use hickorycross_core::direct::{AttemptEnd, Choice, Route, judge_attempt};
+use hickorycross_core::direct::{AttemptEnd, BackendServer, Choice, Route, judge_attempt};
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
@@ -81,7 +82,7 @@
     };
     match life.bring().await {
         Ok(Done::Whole(parts, body)) => life.hand_on(parts, body),
-        Ok(Done::Stream(reply)) => stream::respond(life, reply),
+        Ok(Done::Stream(reply)) => stream::respond(life, *reply),
         Err(refusal) => {
             life.note_final(refusal.as_str(), refusal.status());
             refusal.into_response()
@@ -92,7 +93,7 @@
 /// What a life ends with.
 enum Done {
     Whole(response::Parts, Bytes),
-    Stream(Reply),
+    Stream(Box<Reply>),
 }
 
 /// Chooses among the services of a route by their weights.
@@ -114,20 +115,20 @@
             let reply = self.obtain(None).await?;
             let response = &reply.response;
             if is_event_stream(response.headers()) && response.status().is_success() {
-                return Ok(Done::Stream(reply));
+                return Ok(Done::Stream(Box::new(reply)));
             }
             let Reply { response, attempt } = reply;
             let (parts, body) = response.into_parts();
             if parts.status.is_server_error() && self.retry_failed_answer(&attempt) {
                 continue;
             }
-            match self.collect(body).await {
+            match self.collect(&attempt.server, body).await {
                 Ok(bytes) => {
                     self.note_success(&attempt, parts.status);
                     attempt.finish();
                     return Ok(Done::Whole(parts, bytes));
                 }
-                Err(end) => self.note_end(&attempt.server.id, end)?,
+                Err(end) => self.note_end(&attempt.server, end)?,
             }
         }
     }
@@ -142,14 +143,13 @@
             self.take_allowance()?;
             self.note_send(&choice, resume_after);
             let server = choice.server;
-            let id = server.id.clone();
-            self.tried.push(id.clone());
+            self.tried.push(server.id.clone());
             self.sends += 1;
             let sending =
-                attempt::send(&self.state, &self.request, &self.body, server, resume_after);
+                attempt::send(&self.state, &self.request, &self.body, &server, resume_after);
             match sending.await {
                 Brought::Answer(reply) => return Ok(*reply),
-                Brought::End(end) => self.note_end(&id, end)?,
+                Brought::End(end) => self.note_end(&server, end)?,
                 Brought::Limit { sent } => {
                     if sent {
                         self.verdict = self.verdict.max(Verdict::MayHaveRun);
@@ -247,26 +247,30 @@
         if !may || !has_other {
             return false;
         }
-        self.state.backends.borrow_mut().note_failure(&attempt.server.id, boot_now());
+        self.state.backends.borrow_mut().note_failure(&attempt.server, boot_now());
         self.verdict = Verdict::Ran;
         true
     }
 
     /// Reads an answer to its end.
-    async fn collect(&self, body: Incoming) -> Result<Bytes, AttemptEnd> {
+    async fn collect(&self, server: &BackendServer, body: Incoming) -> Result<Bytes, AttemptEnd> {
         let reading = Limited::new(body, MOST_ANSWER_BYTES).collect();
-        let Life { state, request, service, .. } = self;
-        let read = patience::wait(state, &request.route, service, request.limit_at, reading).await;
+        let Life { state, request, .. } = self;
+        let read = patience::wait(state, &request.route, server, request.limit_at, reading).await;
         match read {
             Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(_)) => Err(AttemptEnd::Broken),
-            Err(_) => Err(AttemptEnd::Silent),
+            Ok(Err(_)) | Err(Impatience::Superseded) => Err(AttemptEnd::Broken),
+            Err(Impatience::Silent | Impatience::Limit) => Err(AttemptEnd::Silent),
         }
     }
 
     /// Takes note of an attempt that brought nothing; gives the refusal when there is to be no
     /// further one.
-    pub(crate) fn note_end(&mut self, id: &str, end: AttemptEnd) -> Result<(), Refusal> {
+    pub(crate) fn note_end(
+        &mut self,
+        server: &BackendServer,
+        end: AttemptEnd,
+    ) -> Result<(), Refusal> {
         let judgement = judge_attempt(end);
         self.verdict = self.verdict.max(judgement.verdict);
         if end == AttemptEnd::NothingSent {
@@ -276,13 +280,13 @@
         let mut backends = self.state.backends.borrow_mut();
         let mut paused_until = None;
         if judgement.blames_backend {
-            paused_until = backends.note_failure(id, boot_now());
+            paused_until = backends.note_failure(server, boot_now());
         }
         if end == AttemptEnd::OtherIncarnation {
-            backends.note_leaving(id);
+            backends.note_leaving(server);
         }
         drop(backends);
-        self.note_attempt_end(id, end, paused_until.is_some());
+        self.note_attempt_end(&server.id, end, paused_until.is_some());
         let may_repeat = self.verdict.permits_retry(self.request.route.kind.is_idempotent());
         let has_tries = self.sends < self.request.route.max_attempts
             && self.connect_failures < MOST_CONNECT_FAILURES;
@@ -292,9 +296,9 @@
     pub(crate) fn note_success(&self, attempt: &Attempt, status: StatusCode) {
         let mut backends = self.state.backends.borrow_mut();
         if status.is_server_error() {
-            backends.note_failure(&attempt.server.id, boot_now());
+            backends.note_failure(&attempt.server, boot_now());
         } else {
-            backends.note_success(&attempt.server.id);
+            backends.note_success(&attempt.server);
         }
     }
 
--- a/crates/direct/src/forward/patience.rs
+++ b/crates/direct/src/forward/patience.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::boot_now;
 use crate::state::EntryState;
-use hickorycross_core::direct::{BootMs, RequestKind, Route};
+use hickorycross_core::direct::{BackendServer, BootMs, RequestKind, Route};
 use std::future::Future;
 use std::time::Duration;
 
@@ -29,16 +29,19 @@
     Silent,
     /// The caller's or the route's time is over.
     Limit,
+    /// The backend server has started again and holds nothing of before.
+    Superseded,
 }
 
 /// Waits for `work`, but not past the request's limit nor for a connection that seems lost.
 pub(crate) async fn wait<T>(
     state: &EntryState,
     route: &Route,
-    service: &str,
+    server: &BackendServer,
     limit_at: BootMs,
     work: impl Future<Output = T>,
 ) -> Result<T, Impatience> {
+    let service = &*server.service;
     let started = Started { at: boot_now(), bursts: bursts(state, service) };
     let mut work = std::pin::pin!(work);
     loop {
@@ -53,6 +56,10 @@
         if is_silent(state, route, service, started) {
             return Err(Impatience::Silent);
         }
+        // Behind a cut its connection neither answers nor breaks.
+        if state.backends.borrow().is_superseded(server) {
+            return Err(Impatience::Superseded);
+        }
     }
 }
 
--- a/crates/direct/src/forward/pool.rs
+++ b/crates/direct/src/forward/pool.rs
@@ -47,10 +47,10 @@
     }
 }
 
-/// Idle connections by incarnation.
+/// Idle connections by incarnation: its name and birth.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
-    idle: RefCell<IndexMap<String, Vec<Connection>>>,
+    idle: RefCell<IndexMap<(String, u64), Vec<Connection>>>,
 }
 
 impl Pool {
@@ -60,7 +60,7 @@
         server: &BackendServer,
         fresh: bool,
     ) -> std::io::Result<Connection> {
-        if !fresh && let Some(connection) = self.take_idle(&server.id) {
+        if !fresh && let Some(connection) = self.take_idle(server) {
             return Ok(connection);
         }
         let connecting = connect(server.address);
@@ -70,9 +70,9 @@
         }
     }
 
-    fn take_idle(&self, id: &str) -> Option<Connection> {
+    fn take_idle(&self, server: &BackendServer) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(id)?;
+        let connections = idle.get_mut(&key_of(server))?;
         let now = boot_now();
         // The library closes a connection on which bytes came that nobody asked for.
         connections.retain(|it| it.usable_until > now && it.sender.is_ready());
@@ -83,32 +83,47 @@
 
     /// Keeps a connection whose answer was read to its end, for `keep_idle_ms` by the backend
     /// server's word.
-    pub(crate) fn put(&self, id: &str, mut connection: Connection, keep_idle_ms: Option<u64>) {
+    pub(crate) fn put(
+        &self,
+        server: &BackendServer,
+        mut connection: Connection,
+        keep_idle_ms: Option<u64>,
+    ) {
         let kept_ms = keep_idle_ms.map(|ms| ms.saturating_sub(IDLE_MARGIN_MS));
         let usable_ms = kept_ms.unwrap_or(KEEP_IDLE_MS).min(KEEP_IDLE_MS);
         connection.usable_until = boot_now().after(usable_ms);
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(id.to_owned()).or_default();
+        let connections = idle.entry(key_of(server)).or_default();
         if connections.len() < MOST_IDLE {
             connections.push(connection);
         }
     }
 
     /// Closes connections that are past their time, and those of incarnations that are gone.
-    pub(crate) fn prune(&self, is_known: impl Fn(&str) -> bool) {
+    pub(crate) fn prune(&self, is_known: impl Fn(&str, u64) -> bool) {
         let now = boot_now();
-        self.idle.borrow_mut().retain(|id, connections| {
+        self.idle.borrow_mut().retain(|(id, born_ms), connections| {
             connections.retain(|it| it.usable_until > now && !it.sender.is_closed());
-            !connections.is_empty() && is_known(id)
+            !connections.is_empty() && is_known(id, *born_ms)
         });
     }
 }
 
+/// Names an incarnation: connections to an earlier one of the same name lead nowhere.
+fn key_of(server: &BackendServer) -> (String, u64) {
+    (server.id.clone(), server.born_ms)
+}
+
 async fn connect(address: SocketAddr) -> std::io::Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let unacknowledged = Duration::from_millis(UNACKNOWLEDGED_MS);
-    socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged))?;
+    let socket = socket2::SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(unacknowledged))?;
+    // A request may wait in the system's buffers while its backend server's machine is frozen or cut
+    // off. An ordinary close would deliver it when the machine is back, seconds after its caller has
+    // left; one would see backend servers begin work that nobody waits for. A reset takes it back.
+    socket.set_linger(Some(Duration::ZERO))?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(std::io::Error::other)?;
     let driver = tokio::task::spawn_local(async move {
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -7,7 +7,9 @@
 use crate::clock::boot_now;
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use hickorycross_core::direct::{AttemptEnd, BootMs, EventCutter, RequestKind, StreamEvent};
+use hickorycross_core::direct::{
+    AttemptEnd, BackendServer, BootMs, EventCutter, RequestKind, StreamEvent,
+};
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
@@ -26,6 +28,8 @@
 struct Relay {
     life: Life,
     attempt: Option<Attempt>,
+    /// Where the events come from.
+    server: BackendServer,
     body: Incoming,
     cutter: EventCutter,
     /// The last event that the caller has got.
@@ -51,6 +55,7 @@
     let last_event_at = life.request.arrived_at;
     let relay = Relay {
         life,
+        server: attempt.server.clone(),
         attempt: Some(attempt),
         body,
         cutter: EventCutter::default(),
@@ -103,9 +108,10 @@
     /// Reads more bytes; `false` at the end of the answer. Fails with how the attempt ended, or
     /// with nothing when the request's time is over.
     async fn read(&mut self) -> Result<bool, Option<AttemptEnd>> {
-        let Life { state, request, service, .. } = &self.life;
+        let Life { state, request, .. } = &self.life;
         let reading = self.body.frame();
-        let read = patience::wait(state, &request.route, service, request.limit_at, reading).await;
+        let server = &self.server;
+        let read = patience::wait(state, &request.route, server, request.limit_at, reading).await;
         match read {
             Ok(Some(Ok(frame))) => {
                 if let Ok(bytes) = frame.into_data() {
@@ -118,6 +124,7 @@
             Ok(None) => Ok(false),
             Ok(Some(Err(_))) => Err(Some(AttemptEnd::Broken)),
             Err(Impatience::Silent) => Err(Some(AttemptEnd::Silent)),
+            Err(Impatience::Superseded) => Err(Some(AttemptEnd::Broken)),
             Err(Impatience::Limit) => Err(None),
         }
     }
@@ -164,11 +171,10 @@
     /// Goes on at another backend server after the last event that the caller has got. Gives a step
     /// when there is no other way than to end the answer.
     async fn continue_after(&mut self, end: AttemptEnd) -> Option<Step> {
-        let attempt = self.attempt.take();
-        let id = attempt.as_ref().map(|attempt| attempt.server.id.clone()).unwrap_or_default();
-        drop(attempt);
+        drop(self.attempt.take());
+        let server = self.server.clone();
         let may_resume = self.life.request.route.kind == RequestKind::ResumableStream;
-        if self.life.note_end(&id, end).is_err() || !may_resume {
+        if self.life.note_end(&server, end).is_err() || !may_resume {
             return Some(self.break_off("broke-off"));
         }
         let Ok(Reply { response, attempt }) = self.life.obtain(self.last_id).await else {
@@ -179,6 +185,7 @@
         }
         self.body = response.into_body();
         self.cutter = EventCutter::default();
+        self.server = attempt.server.clone();
         self.attempt = Some(attempt);
         None
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -33,5 +33,8 @@
 pub use decision_log::{DecisionLog, Fields};
 pub use entry::run_entry;
 pub use settings::{Bounds, Listen, ProcessSettings, SettingsSource};
-pub use store::{SharedStore, StoreChange, StoreError, StoreFuture, StoreRead, StoreWatch};
+pub use store::{
+    BackendList, SharedStore, StoreChange, StoreError, StoreFuture, StoreRead, StoreWatch,
+    UnreadableBackend,
+};
 pub use wire_names::WireNames;
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -66,6 +66,8 @@
     pub(crate) backends: RefCell<BackendTable>,
     /// The store's revision of the list of backend servers.
     pub(crate) backends_as_of: Cell<u64>,
+    /// Entries of backend servers that could not be read, and the fault that was said.
+    pub(crate) unreadable_backends: RefCell<IndexMap<String, String>>,
     pub(crate) allowance: RefCell<RetryAllowance>,
     pub(crate) admission: RefCell<Admission>,
     pub(crate) peers: RefCell<PeerTable>,
@@ -95,6 +97,7 @@
             catalog: RefCell::default(),
             backends: RefCell::new(backends),
             backends_as_of: Cell::new(0),
+            unreadable_backends: RefCell::default(),
             allowance: RefCell::new(allowance),
             admission: RefCell::new(Admission::new(ADMISSION)),
             peers: RefCell::new(peers),
--- a/crates/direct/src/store.rs
+++ b/crates/direct/src/store.rs
@@ -16,6 +16,27 @@
     pub as_of: u64,
 }
 
+/// Entries of backend servers, decoded one by one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct BackendList {
+    /// Those that could be understood.
+    pub servers: Vec<BackendServer>,
+    /// The others.
+    pub unreadable: Vec<UnreadableBackend>,
+}
+
+/// An entry of a backend server that could not be understood.
+///
+/// Others may write where backend servers write. Such an entry names no backend server to use, and
+/// must not keep an entry from those that can be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableBackend {
+    /// The name under which it stands.
+    pub id: String,
+    /// What is wrong.
+    pub fault: String,
+}
+
 /// One change in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreChange {
@@ -25,6 +46,8 @@
     Backend(BackendServer),
     /// A backend server's entry is gone; holds the incarnation.
     BackendGone(String),
+    /// A backend server's entry was overwritten by something that could not be understood.
+    BackendUnreadable(UnreadableBackend),
     /// A value could not be understood.
     Unreadable {
         /// Its key.
@@ -69,7 +92,7 @@
     fn watch_catalog(&self, after: u64, wait_ms: u64) -> StoreFuture<'_, StoreWatch>;
 
     /// Reads the entries of all backend servers.
-    fn read_backends(&self) -> StoreFuture<'_, StoreRead<Vec<BackendServer>>>;
+    fn read_backends(&self) -> StoreFuture<'_, StoreRead<BackendList>>;
 
     /// Waits up to `wait_ms` for changes of backend servers after revision `after`.
     fn watch_backends(&self, after: u64, wait_ms: u64) -> StoreFuture<'_, StoreWatch>;
