perf(map-change): orders are given again sooner, and cost a full link little

Change: on the own machine an order is given again after 12 ms; from afar copies are given every 15 ms and the first answer of any counts; ranks void with what they hold, in a few bytes; choices are not asked for while a pass is held; nobody leads before it knows the machines; the part of late requests grows to all slots in 1 s.

--- a/crates/core/src/direct/outlook.rs
+++ b/crates/core/src/direct/outlook.rs
@@ -21,9 +21,9 @@
 /// Time for the first pass of a group that has formed anew.
 const FIRST_PASS_MS: u64 = 150;
 
-/// Time after a group's return in which requests of the outage still wait: about as long as callers
-/// wait for a first event.
-const RECOVERY_MS: u64 = 1_500;
+/// Time after a group's return in which requests of the outage leave room: until the group has an even
+/// map, well before the callers that wait leave.
+const RECOVERY_MS: u64 = 1_000;
 
 /// Part of a group's slots that late requests may take right after its return.
 const FIRST_LATE_PART: f64 = 0.35;
--- a/crates/core/src/map_change/change.rs
+++ b/crates/core/src/map_change/change.rs
@@ -239,12 +239,12 @@
     ///
     /// Some platforms' ranks heed no fence. An order to arm that was left unanswered may be carried out
     /// seconds later, between the disarming and the pass; one would see that pass begin with two maps. A
-    /// rank arms only for a map that it has prepared, so each one prepares the map in use under a new
+    /// rank arms only for a map that it has prepared, so each one prepares what it holds under a new
     /// name, for which nothing is copied.
     fn orders_to_void(&mut self, epoch: u64) -> Orders {
-        let Some(map) = self.map_in_use() else { return Orders::default() };
         let version = self.next_version();
-        self.orders_to_all(epoch, &OrderKind::Prepare { version, map })
+        let experts_per_layer = self.experts_per_layer;
+        self.orders_to_all(epoch, &OrderKind::Void { version, experts_per_layer })
     }
 
     pub(super) fn undo(
--- a/crates/core/src/map_change/decide.rs
+++ b/crates/core/src/map_change/decide.rs
@@ -130,33 +130,18 @@
         if self.map.as_ref().is_some_and(|(known, _)| *known == version) {
             return;
         }
-        let are_alike = self.statuses().all(|status| status.map == version);
-        self.map = self.told_map().filter(|_| are_alike).map(|map| (version, map));
-    }
-
-    /// The map in use, also when one rank is not heard: that one holds what no other does.
-    pub(super) fn map_in_use(&self) -> Option<ExpertMap> {
-        let version = self.statuses().map(|status| status.map).next()?;
-        let known = self.map.as_ref().filter(|(known, _)| *known == version);
-        known.map(|(_, map)| map.clone()).or_else(|| self.told_map())
-    }
-
-    fn told_map(&self) -> Option<ExpertMap> {
-        let ranks = self.statuses().map(|status| status.ranks).next()?;
-        let told = |rank| self.statuses().find(|status| status.rank == rank);
-        let lists: Vec<Option<&RankStatus>> = (0..ranks).map(told).collect();
-        let heard = || lists.iter().flatten().map(|status| status.experts.as_ref());
-        let layers = heard().map(|experts| experts.map(Vec::len)).min()??;
-        let layer = |layer: usize| {
-            let on_others: Vec<u16> =
-                heard().flatten().flat_map(|experts| experts[layer].iter().copied()).collect();
-            let of = |status: &Option<&RankStatus>| match status.and_then(|it| it.experts.as_ref())
-            {
-                Some(experts) => experts[layer].clone(),
-                None => (0..self.experts_per_layer).filter(|it| !on_others.contains(it)).collect(),
-            };
-            LayerPlacement { experts_of_rank: lists.iter().map(of).collect() }
-        };
-        Some(ExpertMap { layers: (0..layers).map(layer).collect() })
+        self.map = None;
+        let mut ranks: Vec<&RankStatus> = self.statuses().collect();
+        ranks.sort_by_key(|status| status.rank);
+        let lists: Option<Vec<&Vec<Vec<u16>>>> = ranks
+            .iter()
+            .map(|status| status.experts.as_ref().filter(|_| status.map == version))
+            .collect();
+        let Some(lists) = lists else { return };
+        let layers = lists.iter().map(|list| list.len()).min().unwrap_or(0);
+        let layers = (0..layers).map(|layer| LayerPlacement {
+            experts_of_rank: lists.iter().map(|list| list[layer].clone()).collect(),
+        });
+        self.map = Some((version, ExpertMap { layers: layers.collect() }));
     }
 }
--- a/crates/core/src/map_change/order.rs
+++ b/crates/core/src/map_change/order.rs
@@ -24,6 +24,13 @@
         /// The map.
         map: ExpertMap,
     },
+    /// Prepare what the rank holds already, so that no earlier map is prepared any more.
+    Void {
+        /// Names it; higher than all before.
+        version: u64,
+        /// Experts of a layer.
+        experts_per_layer: u16,
+    },
     /// Switch to a prepared map as a pass begins.
     Arm {
         /// The map.
@@ -53,6 +60,7 @@
     pub const fn as_str(&self) -> &'static str {
         match self {
             Self::Prepare { .. } => "prepare",
+            Self::Void { .. } => "void",
             Self::Arm { .. } => "arm",
             Self::Disarm => "disarm",
             Self::HoldNext => "hold-next",
--- a/crates/core/src/placement/layer.rs
+++ b/crates/core/src/placement/layer.rs
@@ -20,6 +20,25 @@
     pub layers: Vec<LayerPlacement>,
 }
 
+impl ExpertMap {
+    /// A map of `ranks` ranks in which the rank `own` has the experts in `held`, layer by layer, and the
+    /// others share all further ones evenly.
+    #[must_use]
+    pub fn around(own: u16, ranks: u16, held: &[Vec<u16>], experts_per_layer: u16) -> Self {
+        let others: Vec<usize> = (0..ranks).filter(|it| *it != own).map(usize::from).collect();
+        let layer = |held: &Vec<u16>| {
+            let mut experts_of_rank = vec![Vec::new(); usize::from(ranks)];
+            experts_of_rank[usize::from(own)].clone_from(held);
+            let further = (0..experts_per_layer).filter(|expert| !held.contains(expert));
+            for (expert, rank) in further.zip(others.iter().cycle()) {
+                experts_of_rank[*rank].push(expert);
+            }
+            LayerPlacement { experts_of_rank }
+        };
+        Self { layers: held.iter().map(layer).collect() }
+    }
+}
+
 /// One expert's weights to be loaded by one rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ExpertLoad {
--- a/crates/core/tests/map_orders.rs
+++ b/crates/core/tests/map_orders.rs
@@ -101,6 +101,23 @@
     }
 }
 
+/// A rank can be told to prepare what it holds without being told the map: the others' rows need only
+/// hold all further experts, within their slots.
+#[test]
+fn a_map_around_a_rank_holds_every_expert() {
+    for own in [0, 7, RANKS - 1] {
+        let experts = dimensions().experts_per_layer;
+        let map = ExpertMap::around(own, RANKS, &[held(own), vec![3, 4, 5, 6, 7]], experts);
+        assert_eq!(map.layers[0].experts_of_rank[usize::from(own)], held(own));
+        for layer in &map.layers {
+            let all: Vec<u16> = layer.experts_of_rank.iter().flatten().copied().collect();
+            assert!((0..experts).all(|expert| all.contains(&expert)), "rank {own}");
+            let most = layer.experts_of_rank.iter().map(Vec::len).max();
+            assert!(most <= Some(usize::from(SLOTS)), "rank {own}: {most:?}");
+        }
+    }
+}
+
 const PAUSE_MS: u64 = 100;
 /// A shift in the middle between two samples, so that one sample is of both demands.
 const SHIFT_MS: u64 = 2_050;
--- a/crates/direct/src/agent/execute.rs
+++ b/crates/direct/src/agent/execute.rs
@@ -2,7 +2,10 @@
 
 use super::rank::{OrderReply, RankEngine, RankError, RankReport};
 use crate::decision_log::DecisionLog;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hickorycross_core::map_change::{OrderEnd, OrderKind, RankOrder};
+use hickorycross_core::placement::ExpertMap;
 use std::time::Duration;
 
 /// Sends of one order. With half of all answers lost, the chance that none of so many comes is one
@@ -15,6 +18,13 @@
 /// The same for a rank on another machine, whose word is some hundred milliseconds old.
 pub(crate) const SHOW_PAUSE_AFAR_MS: u64 = 60;
 
+/// Pause before an order to a rank on another machine is given once more; an answer usually comes
+/// within 6 ms.
+const AGAIN_AFAR_MS: u64 = 15;
+
+/// Copies of one order to a rank on another machine that are under way together.
+const MOST_COPIES: u32 = 4;
+
 /// Times that the rank is asked whether an accepted order shows.
 const SHOW_LOOKS: u32 = 6;
 
@@ -29,6 +39,7 @@
     is_current: &dyn Fn() -> bool,
     log: &DecisionLog,
 ) -> Option<OrderEnd> {
+    let is_void = matches!(order.kind, OrderKind::Void { .. });
     for send in 1..=MOST_SENDS {
         // Where ranks heed no fence, an order that is given again and again would outlive its leader,
         // and arm a rank that the next one has just disarmed.
@@ -52,12 +63,19 @@
             return Some(OrderEnd::Done);
         }
         let is_next = matches!(order.kind, OrderKind::HoldNext);
-        let meant = with_step(order, &report);
+        let meant = match order.kind {
+            OrderKind::Void { version, experts_per_layer } => {
+                let held = prepare_held(engine, &report, version, experts_per_layer).await;
+                let Some(kind) = held else { continue };
+                Some(RankOrder { kind, ..*order })
+            }
+            _ => with_step(order, &report),
+        };
         let order = meant.as_ref().unwrap_or(order);
         let armed = report.armed.map(|armed| armed.version);
         match engine.order(order, armed).await {
             // The copies take time; that they are complete is read from the statuses.
-            Ok(OrderReply::Accepted) if matches!(order.kind, OrderKind::Prepare { .. }) => {
+            Ok(OrderReply::Accepted) if copies(&order.kind) && !is_void => {
                 note(log, order, send, "done");
                 return Some(OrderEnd::Done);
             }
@@ -113,7 +131,7 @@
         }
         let next = OrderKind::Hold { step: report.step + 1 };
         let kind = if is_next { next } else { order.kind.clone() };
-        match target.order(&RankOrder { kind, ..*order }, None).await {
+        match first_answer(target, &RankOrder { kind, ..*order }).await {
             Ok(OrderReply::Accepted) => {
                 note(log, order, send, "done");
                 return Some(OrderEnd::Done);
@@ -134,6 +152,49 @@
     None
 }
 
+/// Gives an order again and again while no answer comes, and takes the first answer of any of them.
+///
+/// A group stands meanwhile. The link of a small machine may be full for some tens of milliseconds, so
+/// that an answer is neither soon nor lost; giving up on it each time would never get one.
+async fn first_answer(target: &dyn RankEngine, order: &RankOrder) -> Result<OrderReply, RankError> {
+    let mut given = FuturesUnordered::new();
+    given.push(target.order(order, None));
+    let mut copies = 1;
+    loop {
+        let again = tokio::time::sleep(Duration::from_millis(AGAIN_AFAR_MS));
+        tokio::select! {
+            Some(answer) = given.next() => match answer {
+                Err(error) if given.is_empty() => return Err(error),
+                Err(_) => {}
+                answered => return answered,
+            },
+            () = again, if copies < MOST_COPIES => {
+                given.push(target.order(order, None));
+                copies += 1;
+            }
+        }
+    }
+}
+
+/// Whether an order takes a rank some time, and is done when a later status shows it.
+const fn copies(kind: &OrderKind) -> bool {
+    matches!(kind, OrderKind::Prepare { .. })
+}
+
+/// An order to prepare what a rank holds. Ranks do not compare maps; the other ranks' rows only make
+/// this one valid, and it is never switched to.
+async fn prepare_held(
+    engine: &dyn RankEngine,
+    report: &RankReport,
+    version: u64,
+    experts_per_layer: u16,
+) -> Option<OrderKind> {
+    let seat = report.seat.as_ref()?;
+    let lists = engine.lists().await.ok()?;
+    let map = ExpertMap::around(seat.rank, seat.ranks, &lists.experts, experts_per_layer);
+    Some(OrderKind::Prepare { version, map })
+}
+
 /// Names the pass that a `HoldNext` is about: the one after that which runs now, or the one that is
 /// held already by an earlier copy of the order.
 fn with_step(order: &RankOrder, report: &RankReport) -> Option<RankOrder> {
@@ -148,9 +209,10 @@
 fn is_spared(report: &RankReport, order: &RankOrder) -> bool {
     match &order.kind {
         OrderKind::Disarm | OrderKind::HoldNext | OrderKind::Hold { .. } => false,
-        OrderKind::Prepare { .. } | OrderKind::Arm { .. } | OrderKind::Go { .. } => {
-            shows(report, order)
-        }
+        OrderKind::Prepare { .. }
+        | OrderKind::Void { .. }
+        | OrderKind::Arm { .. }
+        | OrderKind::Go { .. } => shows(report, order),
     }
 }
 
@@ -169,7 +231,9 @@
 /// Whether a rank's report shows that an order was carried out.
 fn shows(report: &RankReport, order: &RankOrder) -> bool {
     match &order.kind {
-        OrderKind::Prepare { version, .. } => report.prepared == Some(*version),
+        OrderKind::Prepare { version, .. } | OrderKind::Void { version, .. } => {
+            report.prepared == Some(*version)
+        }
         OrderKind::Arm { version, step } => {
             report.armed.is_some_and(|armed| armed.version == *version && armed.step == *step)
         }
--- a/crates/direct/src/agent/fleet.rs
+++ b/crates/direct/src/agent/fleet.rs
@@ -11,8 +11,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Pause between questions while nothing is known yet.
-const FIRST_PAUSE_MS: u64 = 300;
+/// Pause between questions while nothing is known yet. After a loss of all power the entries start in the
+/// same moment; some seeds may be gone.
+const FIRST_PAUSE_MS: u64 = 100;
 
 /// Pause between questions. New members and dimensions may be learnt this much later.
 const PAUSE_MS: u64 = 2_000;
--- a/crates/direct/src/agent/lead.rs
+++ b/crates/direct/src/agent/lead.rs
@@ -20,9 +20,9 @@
 /// Silence of a leader after which the member of rank 0 leads: several polls.
 const LEADER_SILENT_MS: u64 = 600;
 
-/// The same for a member that has heard no leader since it started: two rounds of polls. After all
-/// machines have lost power the group is back within a second, and needs a map at once.
-const NEVER_HEARD_MS: u64 = 300;
+/// The same for a member that has heard no leader since it learnt of the group's machines: a round of
+/// polls. After all machines have lost power the group is back within a second, and needs a map at once.
+const NEVER_HEARD_MS: u64 = 130;
 
 /// Silence added for each rank, so that members do not begin to lead at the same moment.
 const SILENT_PER_RANK_MS: u64 = 60;
@@ -52,7 +52,9 @@
             if leader.is_deposed() {
                 *leading = None;
             }
-            let wants_counts = polls.wants_counts(is_busy, member.fleet.machines().len());
+            // While a pass is held the link is for orders and their ends.
+            let wants_counts =
+                holder.is_none() && polls.wants_counts(is_busy, member.fleet.machines().len());
             let poll = Datagram::Poll { group, fence, known_map, wants_counts, holds: false };
             (actions, poll, holder, is_busy)
         };
@@ -80,6 +82,11 @@
     if member.leader.borrow().is_some() {
         return;
     }
+    // A leader that knows nobody to poll is heard by nobody, and all others would lead as well.
+    if member.fleet.machines().is_empty() {
+        member.leader_heard_at.set(now);
+        return;
+    }
     // Without its rank's number each of many agents that start together would take itself for the first.
     let Some(own_rank) = own_rank(member).await else { return };
     let added_ms = u64::from(own_rank) * SILENT_PER_RANK_MS;
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -70,7 +70,7 @@
         port: u16,
     ) -> Rc<Self> {
         Rc::new(Self {
-            engine: engines.at(backend),
+            engine: engines.beside(backend),
             engines,
             heeds_fences,
             fleet,
--- a/crates/direct/src/agent/rank.rs
+++ b/crates/direct/src/agent/rank.rs
@@ -108,6 +108,9 @@
 
 /// Gives clients of ranks by their address, also of those on other machines.
 pub trait RankEngines {
-    /// The client of the rank at `address`.
+    /// The client of the rank at `address` on the own machine, which answers within milliseconds.
+    fn beside(&self, address: SocketAddr) -> Rc<dyn RankEngine>;
+
+    /// The client of the rank at `address` on another machine.
     fn at(&self, address: SocketAddr) -> Rc<dyn RankEngine>;
 }
