perf(map-change): the rank that holds is polled once in 20 ms

Cause: each answer of the holder's agent brought the leader to its loop, which polled the holder again: both did nothing else while a pass was held.

Change: a pause of 20 ms between such polls.

--- a/crates/direct/src/agent/lead.rs
+++ b/crates/direct/src/agent/lead.rs
@@ -36,6 +36,7 @@
 /// Leads whenever no leader is heard, for ever.
 pub(crate) async fn lead(member: Rc<Member>) {
     let mut polls = Polls::default();
+    let mut poll_holder_at = BootMs(0);
     loop {
         // A change stands still between an answer and the next look at it.
         let _ = tokio::time::timeout(Duration::from_millis(TICK_MS), member.news.notified()).await;
@@ -59,7 +60,11 @@
             (actions, poll, holder, is_busy)
         };
         carry_out(&member, actions).await;
-        if let Some(holder) = holder {
+        if let Some(holder) = holder
+            && now >= poll_holder_at
+        {
+            // Each answer brings the loop here again; without a pause both would do nothing else.
+            poll_holder_at = now.after(TICK_MS);
             poll_holder(&member, holder, &poll).await;
         }
         for machine in polls.due(now, member.fleet.machines(), is_busy) {
