--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -141,14 +141,20 @@
         waits_until(&self.request.route, self.heard_at)
     }
 
-    /// Until when the request waits for room. One whose caller cannot come back waits for as long as
-    /// the caller does.
+    /// Until when the request waits for room.
+    ///
+    /// Right after an outage room comes soon, and the request waits for as long as its caller does. At
+    /// other times a group without room is slow for long: a request that is sent after most of its
+    /// caller's patience only takes a place from others. One whose caller cannot come back waits for the
+    /// time of a first event.
     fn room_until(&self, entered_at: BootMs) -> BootMs {
-        let is_last = self.request.used_ms > 0 || self.is_waiting;
-        if is_last && self.request.route.kind.is_stream() {
+        let target_ms = self.request.route.target_latency_ms;
+        let is_recovering = self.outlook(|outlook| outlook.late_part(boot_now()) < 1.0);
+        if self.request.route.kind.is_stream() && (self.is_waiting || is_recovering) {
             return self.patient_until();
         }
-        entered_at.after(self.request.route.target_latency_ms / ROOM_WAIT_DIVISOR)
+        let is_last = self.request.used_ms > 0;
+        entered_at.after(if is_last { target_ms } else { target_ms / ROOM_WAIT_DIVISOR })
     }
 
     fn has_room(&self) -> bool {
