feat(direct): streams leave a rank that holds up its whole group

Cause: the ranks of a group make each pass together, so one slow rank makes every stream of the group late for as long as it has work of its own.

Change: an entry that hears that a rank is slow (1.5 times and more, a tenth of the ranks at most) sends no new work there, and continues its streams elsewhere, if there is an attempt, a second send and room for them. Agents tell of a changed pace within 0.1 s instead of 0.5 s.

--- a/crates/core/src/direct/backend_table.rs
+++ b/crates/core/src/direct/backend_table.rs
@@ -42,6 +42,17 @@
 /// gone must not keep work away from its backend server for good.
 const PACE_KEPT_MS: u64 = 3_000;
 
+/// Pace from which a rank is left, in thousandths of the usual time.
+///
+/// The ranks of a group make each pass together, so one that is slow makes every stream of the group
+/// slow for as long as it has work of its own; without any it holds up nobody. A pass of a busy group
+/// takes half of the pause that callers were promised: from twice as long on all of them are late.
+const LEFT_PACE_PERMILLE: u32 = 1_500;
+
+/// Part of the ranks that are left at most, as a divisor. The others take their work over; in a busy
+/// group a tenth of the slots is free.
+const LEFT_DIVISOR: usize = 10;
+
 /// Whether a backend server takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum BackendState {
@@ -288,7 +299,10 @@
     ) -> Option<Choice> {
         let open: Vec<&Row> =
             self.open(service).filter(|row| !tried.contains(&row.server.id)).collect();
-        let awake: Vec<&Row> = open.iter().copied().filter(|row| row.paused_until <= now).collect();
+        let leaves = self.leaves_slow(service, now);
+        let is_awake =
+            |row: &&Row| row.paused_until <= now && !(leaves && row.holds_up_its_group(now));
+        let awake: Vec<&Row> = open.iter().copied().filter(is_awake).collect();
         let rows = if awake.is_empty() { open } else { awake };
         let load_requests = rows.iter().map(|row| self.load(row, now)).min_by(f64::total_cmp)?;
         // Entries do not see each other's requests: if each took the first one among equals, the first
@@ -300,6 +314,20 @@
         Some(Choice { server, load_requests, others: rows.len() - 1 })
     }
 
+    /// Whether streams at a backend server should go on elsewhere, because it holds its group up.
+    #[must_use]
+    pub fn is_left(&self, server: &BackendServer, now: BootMs) -> bool {
+        let row = self.rows.get(&server.id);
+        row.is_some_and(|row| row.holds_up_its_group(now)) && self.leaves_slow(&server.service, now)
+    }
+
+    /// Whether slow ranks of a service are left: when they are few enough for the others to take their
+    /// work over.
+    fn leaves_slow(&self, service: &str, now: BootMs) -> bool {
+        let slow = self.open(service).filter(|row| row.holds_up_its_group(now)).count();
+        slow <= (self.open(service).count() / LEFT_DIVISOR).max(1)
+    }
+
     fn open(&self, service: &str) -> impl Iterator<Item = &Row> {
         let is_open = move |row: &&Row| row.server.service == service && row.takes_work();
         self.rows.values().filter(is_open).filter(|row| !self.replaced.contains(&row.server.id))
@@ -327,8 +355,7 @@
         let distance = if is_near { 0.0 } else { OTHER_DOMAIN_PENALTY_REQUESTS };
         let requests =
             f64::from(row.outstanding) + distance + row.failure_share * FAILURE_PENALTY_REQUESTS;
-        let is_slow = row.pace_until > now;
-        let pace_permille = if is_slow { row.pace_permille } else { USUAL_PACE_PERMILLE };
+        let pace_permille = row.pace_permille(now);
         // The next request counts as well, so that a slow server is no choice even when it is idle.
         (requests + 1.0) * f64::from(pace_permille) / f64::from(USUAL_PACE_PERMILLE) - 1.0
     }
@@ -398,6 +425,15 @@
 }
 
 impl Row {
+    /// How long its work takes, as far as is known, in thousandths of the usual time.
+    fn pace_permille(&self, now: BootMs) -> u32 {
+        if self.pace_until > now { self.pace_permille } else { USUAL_PACE_PERMILLE }
+    }
+
+    fn holds_up_its_group(&self, now: BootMs) -> bool {
+        self.pace_permille(now) >= LEFT_PACE_PERMILLE
+    }
+
     fn takes_work(&self) -> bool {
         self.server.state == BackendState::Ready && self.listing != Listing::Unreadable
     }
--- a/crates/core/src/direct/outcome.rs
+++ b/crates/core/src/direct/outcome.rs
@@ -17,6 +17,8 @@
     Silent,
     /// What came was not an answer to this request.
     Spoiled,
+    /// The entry left it, because it is slow and holds its whole group up.
+    Left,
 }
 
 impl AttemptEnd {
@@ -30,6 +32,7 @@
             Self::Broken => "broken",
             Self::Silent => "silent",
             Self::Spoiled => "spoiled",
+            Self::Left => "left",
         }
     }
 }
@@ -54,6 +57,7 @@
         AttemptEnd::Rejected | AttemptEnd::OtherIncarnation => {
             Judgement { verdict: Verdict::NotRun, blames_backend: false }
         }
+        AttemptEnd::Left => Judgement { verdict: Verdict::MayHaveRun, blames_backend: false },
         AttemptEnd::Broken | AttemptEnd::Silent | AttemptEnd::Spoiled => {
             Judgement { verdict: Verdict::MayHaveRun, blames_backend: true }
         }
--- a/crates/core/src/direct/retry_allowance.rs
+++ b/crates/core/src/direct/retry_allowance.rs
@@ -53,14 +53,20 @@
     /// Takes one second send out of the budget; says whether there was one left.
     #[must_use]
     pub fn take(&mut self, now: BootMs, service: &str) -> bool {
+        let has_one = self.has_one(now, service);
+        if has_one {
+            self.sends(now, service).second.push_back(now);
+        }
+        has_one
+    }
+
+    /// Whether a second send is left in the budget.
+    #[must_use]
+    pub fn has_one(&mut self, now: BootMs, service: &str) -> bool {
         let AllowanceSettings { ratio, slack, .. } = self.settings;
         let sends = self.sends(now, service);
         let allowed = ratio * sends.first.len() as f64 + slack;
-        if sends.second.len() as f64 + 1.0 > allowed {
-            return false;
-        }
-        sends.second.push_back(now);
-        true
+        sends.second.len() as f64 + 1.0 <= allowed
     }
 
     /// Second sends in the present window.
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -227,6 +227,52 @@
     );
 }
 
+struct SlowRanks {
+    name: &'static str,
+    ranks: u16,
+    /// Ranks, from the first one on, that are slow, and how slow in thousandths.
+    slow: u16,
+    pace_permille: u32,
+    /// Whether the first rank is left, and gets no new work.
+    is_left: bool,
+}
+
+const SLOW_RANKS: &[SlowRanks] = &[
+    SlowRanks { name: "one", ranks: 16, slow: 1, pace_permille: 3_300, is_left: true },
+    SlowRanks { name: "a little slow", ranks: 16, slow: 1, pace_permille: 1_300, is_left: false },
+    SlowRanks { name: "few of many", ranks: 72, slow: 7, pace_permille: 2_000, is_left: true },
+    SlowRanks { name: "more than few", ranks: 72, slow: 8, pace_permille: 2_000, is_left: false },
+    SlowRanks { name: "all", ranks: 16, slow: 16, pace_permille: 3_300, is_left: false },
+];
+
+/// Symptom: all streams of a group pause for longer than promised while one of its ranks is slow.
+///
+/// Events: a rank turns slow with streams under way, and idle ones are few.
+///
+/// Cause: work that stays at the slow rank, or goes there because the others have more. When many are
+/// slow the others could not take it over.
+#[gtest]
+fn slow_ranks_are_left_while_they_are_few() {
+    for case in SLOW_RANKS {
+        let mut table = BackendTable::new("a");
+        let ranks: Vec<BackendServer> =
+            (0..case.ranks).map(|rank| server(&format!("r{rank}"), rank, "a")).collect();
+        for (index, rank) in (0..).zip(&ranks) {
+            table.put(rank.clone());
+            if index < case.slow {
+                table.note_pace(rank.address, case.pace_permille, BootMs(0));
+            } else {
+                // Busy enough for an idle rank to be chosen though it is slow.
+                (0..9).for_each(|_| table.note_sent(rank));
+            }
+        }
+        let choice = table.choose("svc", &[], BootMs(10), 0.0).map(|choice| choice.server.id);
+        expect_that!(choice.as_deref() != Some("r0"), eq(case.is_left), "{}: new work", case.name);
+        expect_that!(table.is_left(&ranks[0], BootMs(10)), eq(case.is_left), "{}", case.name);
+        expect_false!(table.is_left(&ranks[0], BootMs(10_000)), "{}: an old word", case.name);
+    }
+}
+
 /// Failures in a row pause a backend server, unless no other is left.
 #[gtest]
 fn failing_backend_servers_are_paused() {
--- a/crates/direct/src/agent/tell.rs
+++ b/crates/direct/src/agent/tell.rs
@@ -10,14 +10,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Pause between looks at the rank.
-const LOOK_MS: u64 = 500;
+/// Pause between looks at what the rank last said of its pace; the leader has it asked about as often.
+const LOOK_MS: u64 = 100;
 
 /// Pace in thousandths from which a rank counts as slow.
 const SLOW_PERMILLE: u32 = 1_200;
 
 /// Looks after which a slow pace is said again: entries believe it for 3 s.
-const LOOKS_UNTIL_SAID_AGAIN: u32 = 4;
+const LOOKS_UNTIL_SAID_AGAIN: u32 = 20;
 
 /// Looks at the rank's pace for ever.
 pub(crate) async fn follow(member: Rc<Member>, backend: SocketAddr) {
--- a/crates/direct/src/forward/mod.rs
+++ b/crates/direct/src/forward/mod.rs
@@ -5,11 +5,13 @@
 //! - `attempt` sends a request once and judges the head of what comes back.
 //! - `room` says when a request may be sent.
 //! - `pool` keeps connections to backend servers.
+//! - `leave` says when a stream leaves a rank that holds up its group.
 //! - `stream` hands events on and continues a broken stream elsewhere.
 //! - `patience` tells a silent connection from a group that stalls as a whole.
 
 mod account;
 mod attempt;
+mod leave;
 mod life;
 mod patience;
 mod pool;
--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -157,7 +157,7 @@
         entered_at.after(if is_last { target_ms } else { target_ms / ROOM_WAIT_DIVISOR })
     }
 
-    fn has_room(&self) -> bool {
+    pub(super) fn has_room(&self) -> bool {
         let backends = self.state.backends.borrow();
         let share = f64::from(backends.slots(&self.service)) / self.state.entries() as f64;
         let open = backends.outstanding(&self.service);
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -92,6 +92,12 @@
                     }
                 }
             }
+            if self.life.is_to_leave(&self.server) {
+                if let Some(end) = self.continue_after(AttemptEnd::Left).await {
+                    return end;
+                }
+                continue;
+            }
             match self.read().await {
                 Ok(true) => {}
                 Ok(false) => return self.finish(),
