feat(direct): requests wait for a pass that has room for them

Cause: from a shift of demand until the next map, prompts and running answers make a group's passes two to three times as long; longer passes collect more requests, and those make the next one longer.

Change: an entry sees passes end, since all ranks' events come together. It counts the bytes that it sends in each, and keeps what it sends next to what a pass of three quarters of the promised pause has room for. A request waits for half of the time for its first event at most, a late one for all of it.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 //! - [`RetryAllowance`] bounds second sends; [`judge_attempt`] tells what an attempt proves.
 //! - [`GroupOutlook`] tells whether a group makes passes; [`waits_until`], [`come_back_ms`] and
 //!   [`urgency`] say what becomes of requests while it does not, and in which order after that.
+//! - [`Passes`] tells how long a group's passes take, and how many requests may begin in the next one.
 //! - [`EventCutter`] cuts an event stream into whole events, so that it can be resumed.
 //! - [`PeerTable`] holds the other processes of the fleet.
 //!
@@ -22,6 +23,7 @@
 mod event_cutter;
 mod outcome;
 mod outlook;
+mod passes;
 mod peer_table;
 mod retry_allowance;
 mod waiting;
@@ -36,6 +38,7 @@
 pub use event_cutter::{EventCutter, StreamEvent};
 pub use outcome::{AttemptEnd, Judgement, judge_attempt};
 pub use outlook::{GroupOutlook, Outage, Passage};
+pub use passes::Passes;
 pub use peer_table::{Peer, PeerTable};
 pub use retry_allowance::{AllowanceSettings, RetryAllowance};
 pub use waiting::{FirstDeadlines, come_back_ms, urgency, waits_until};
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -107,7 +107,7 @@
     server: &BackendServer,
     resume_after: Option<u64>,
 ) -> Brought {
-    state.note_sent_to_group(&server.service);
+    state.note_sent_to_group(&server.service, body.len());
     state.backends.borrow_mut().note_sent(server);
     let mut attempt = Attempt {
         state: Rc::clone(state),
--- a/crates/direct/src/forward/patience.rs
+++ b/crates/direct/src/forward/patience.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::boot_now;
 use crate::state::EntryState;
-use hickorycross_core::direct::{BackendServer, BootMs, RequestKind, Route};
+use hickorycross_core::direct::{BackendServer, BootMs, Passes, RequestKind, Route};
 use std::future::Future;
 use std::time::Duration;
 
@@ -57,7 +57,7 @@
     work: impl Future<Output = T>,
 ) -> Result<T, Impatience> {
     let service = &*server.service;
-    let started = Started { at: boot_now(), bursts: bursts(state, service) };
+    let started = Started { at: boot_now(), passes: passes(state, service) };
     let mut work = std::pin::pin!(work);
     loop {
         let left_ms = limit_at.since(boot_now());
@@ -82,11 +82,11 @@
 #[derive(Clone, Copy)]
 struct Started {
     at: BootMs,
-    bursts: u64,
+    passes: u64,
 }
 
-fn bursts(state: &EntryState, service: &str) -> u64 {
-    state.progress.borrow().get(service).map_or(0, |progress| progress.bursts)
+fn passes(state: &EntryState, service: &str) -> u64 {
+    state.passes.borrow().get(service).map_or(0, Passes::ended)
 }
 
 fn is_silent(
@@ -101,7 +101,7 @@
         RequestKind::Idempotent => silent_ms > route.target_latency_ms * SILENT_TARGETS,
         RequestKind::NonIdempotent | RequestKind::Stream => false,
         RequestKind::ResumableStream => {
-            let missed = bursts(state, service) - started.bursts;
+            let missed = passes(state, service) - started.passes;
             let most_ms = if awaited == Awaited::Head { SILENT_HEAD_MS } else { SILENT_ALONE_MS };
             silent_ms > most_ms && missed >= PASSES_MISSED
         }
--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -15,6 +15,10 @@
 /// A caller that is refused soon can come back and still be served; one that waited for long cannot.
 const ROOM_WAIT_DIVISOR: u64 = 10;
 
+/// Part of the time for a first event that a request waits for a pass in which it may begin, as a
+/// divisor. In a group that is even a first event takes less than half of its time.
+const PASS_WAIT_DIVISOR: u64 = 2;
+
 /// Time in which a group that is broken turns a request away: some times the way there and back.
 const TURNED_AWAY_MS: u64 = 25;
 
@@ -33,7 +37,11 @@
             let now = boot_now();
             let room_until = self.room_until(entered_at);
             let wait_until = match self.passage(now) {
-                Passage::Open if self.has_room() => return Ok(false),
+                Passage::Open if self.has_room() && self.may_begin(entered_at) => return Ok(false),
+                Passage::Open if self.has_room() => {
+                    self.wait_for_pass(entered_at).await?;
+                    continue;
+                }
                 Passage::Probe if self.may_probe() => return Ok(true),
                 Passage::Open if now >= room_until => return Err(self.full()),
                 Passage::Open => room_until,
@@ -51,6 +59,31 @@
         }
     }
 
+    /// Whether the request may be sent without making a pass too long, or has waited for that for as
+    /// long as it can.
+    fn may_begin(&self, entered_at: BootMs) -> bool {
+        let now = boot_now();
+        let passes = self.state.passes.borrow();
+        now >= self.pass_until(entered_at)
+            || passes.get(&self.service).is_none_or(|passes| passes.may_send(now))
+    }
+
+    /// Until when the request waits for a pass in which it may begin; one that is late already gives
+    /// way to those that are not.
+    fn pass_until(&self, entered_at: BootMs) -> BootMs {
+        let target_ms = self.request.route.target_latency_ms;
+        entered_at.after(if self.is_late() { target_ms } else { target_ms / PASS_WAIT_DIVISOR })
+    }
+
+    async fn wait_for_pass(&self, entered_at: BootMs) -> Result<(), Refusal> {
+        let until = self.pass_until(entered_at).min(self.request.limit_at);
+        let left_ms = until.since(boot_now()).max(1);
+        let ended = self.state.pass_ended.notified();
+        // Whatever ends the wait, everything is looked at anew.
+        let _ = tokio::time::timeout(Duration::from_millis(left_ms), ended).await;
+        self.check_time_and_key()
+    }
+
     /// Notes a request that was neither answered nor turned away for a moment as a proof that the
     /// group takes requests again.
     pub(super) fn watch_probe(&self) -> ProbeWatch {
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -151,7 +151,12 @@
         let span_ms = now.since(self.last_event_at.max(self.life.sent_at));
         let bound_ms = if self.events == 0 { SLOW_FIRST_MS } else { SLOW_GAP_MS };
         state.admission.borrow_mut().note_pace(service, span_ms <= bound_ms, now);
-        state.progress.borrow_mut().entry(service.clone()).or_default().note(now);
+        let target_gap_ms = self.life.request.route.target_gap_ms;
+        let mut passes = state.passes.borrow_mut();
+        if passes.entry(service.clone()).or_default().note_event(now, target_gap_ms) {
+            state.pass_ended.notify_waiters();
+        }
+        drop(passes);
         state.outlooks.borrow_mut().entry(service.clone()).or_default().note_event(now);
         if self.events == 0 {
             let took_ms = now.since(self.last_event_at);
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -7,7 +7,7 @@
 use crate::wire_names::WireNames;
 use hickorycross_core::direct::{
     Admission, AdmissionSettings, AllowanceSettings, BackendTable, BootMs, CatalogBelief,
-    FirstDeadlines, GroupOutlook, PeerTable, RetryAllowance,
+    FirstDeadlines, GroupOutlook, Passes, PeerTable, RetryAllowance,
 };
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -46,28 +46,6 @@
 /// Callers are spread unevenly over entries; backend servers reject what is too much together.
 pub(crate) const UNEVEN_ENTRIES: f64 = 1.6;
 
-/// How the streams of one service go on, as this entry sees it.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Progress {
-    /// When one of them last gave an event.
-    pub(crate) newest_at: BootMs,
-    /// Moments at which events came, bursts counted once: about the passes of their group.
-    pub(crate) bursts: u64,
-}
-
-/// Pause between events that belong to different bursts. All ranks of a group end a pass together.
-const BURST_PAUSE_MS: u64 = 20;
-
-impl Progress {
-    /// Notes an event.
-    pub(crate) fn note(&mut self, now: BootMs) {
-        if now.since(self.newest_at) > BURST_PAUSE_MS {
-            self.bursts += 1;
-        }
-        self.newest_at = now;
-    }
-}
-
 /// Counts requests that wait and were not sent yet.
 #[derive(Debug, Default)]
 pub(crate) struct Unsent(Rc<Cell<usize>>);
@@ -118,11 +96,13 @@
     /// How much time callers of a route give their requests.
     pub(crate) first_deadlines: RefCell<IndexMap<String, FirstDeadlines>>,
     /// How the streams of a service go on.
-    pub(crate) progress: RefCell<IndexMap<String, Progress>>,
+    pub(crate) passes: RefCell<IndexMap<String, Passes>>,
     /// Requests that wait and were not sent yet.
     pub(crate) unsent: Unsent,
     /// Told whenever a request to a backend server ends.
     pub(crate) room: Notify,
+    /// Told whenever a pass of a group ends.
+    pub(crate) pass_ended: Notify,
     pub(crate) is_draining: Cell<bool>,
     pub(crate) open_requests: Cell<usize>,
     pub(crate) open_connections: Cell<usize>,
@@ -151,9 +131,10 @@
             random: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
             outlooks: RefCell::default(),
             first_deadlines: RefCell::default(),
-            progress: RefCell::default(),
+            passes: RefCell::default(),
             unsent: Unsent::default(),
             room: Notify::new(),
+            pass_ended: Notify::new(),
             is_draining: Cell::new(false),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
@@ -193,11 +174,12 @@
         self.allowance.borrow_mut().set(allowance_of(&self.settings.borrow(), peers));
     }
 
-    /// Notes that a request is about to be sent to a service.
-    pub(crate) fn note_sent_to_group(&self, service: &str) {
+    /// Notes that a request of `bytes` is about to be sent to a service.
+    pub(crate) fn note_sent_to_group(&self, service: &str, bytes: usize) {
         let open = self.backends.borrow().outstanding(service);
         let mut outlooks = self.outlooks.borrow_mut();
         outlooks.entry(service.to_owned()).or_default().note_sent(boot_now(), open);
+        self.passes.borrow_mut().entry(service.to_owned()).or_default().note_sent(bytes);
     }
 
     /// Other entries that are known, and this one.
