perf(map-change): agents pass the map of a large group on

Cause: a change of a group of 72 ranks took 0.75 s, 0.4 s of it until every rank had its map: 3 KB to each, one after the other over the leader's link.

Change: when a map would take up the leader's link for more than 0.1 s, some agents get it at once and pass it on to a few others each. A relay that is gone passes nothing on; the leader gives the order again after 0.3 s, by itself. The model of map changes plays relays that are frozen.

--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -28,6 +28,8 @@
         rank: u16,
         /// The rank whose agent gives the order: usually the same.
         giver: u16,
+        /// The rank whose agent passes the order on, which has one of the same kind in the same tick.
+        via: Option<u16>,
         /// Names the order; the agent answers with it.
         number: u64,
         /// The order.
--- a/crates/core/src/map_change/phase.rs
+++ b/crates/core/src/map_change/phase.rs
@@ -5,6 +5,11 @@
 use crate::direct::BootMs;
 use indexmap::IndexMap;
 
+/// Longest time for which orders of one kind may take up the leader's link; one that is full for longer
+/// holds up whatever else the leader says. Sent by the leader alone, a map was at all ranks of a group of
+/// 72 after 0.45 s, the longest part of a change.
+const MOST_LINK_MS: u64 = 100;
+
 /// Where a change stands.
 #[derive(Clone, Debug)]
 pub(crate) enum Phase {
@@ -94,6 +99,8 @@
 #[derive(Clone, Debug)]
 struct OrderRow {
     giver: u16,
+    /// The rank whose agent passes the first copy of the order on.
+    via: Option<u16>,
     number: u64,
     order: RankOrder,
     end: Option<OrderEnd>,
@@ -108,14 +115,34 @@
 
     /// Adds an order that is sent at once, and given by the agent beside the rank `giver`.
     pub(crate) fn add_given_by(&mut self, giver: u16, rank: u16, number: u64, order: RankOrder) {
-        let row = OrderRow { giver, number, order, end: None, send_at: BootMs(0) };
+        let row = OrderRow { giver, via: None, number, order, end: None, send_at: BootMs(0) };
         self.rows.insert(rank, row);
     }
 
-    /// Lets the orders be sent one after the other, `pause_ms` apart.
-    pub(crate) fn spread(&mut self, now: BootMs, pause_ms: u64) {
+    /// Lets the orders be sent so that each takes up the leader's link for `link_ms`.
+    ///
+    /// A few go out one after the other. Of many, some agents get theirs at once and pass it on to a
+    /// few others each, over their own links.
+    pub(crate) fn spread(&mut self, now: BootMs, link_ms: u64) {
+        let count = self.rows.len();
+        if count as u64 * link_ms > MOST_LINK_MS {
+            self.pass_on(count.isqrt() + 1);
+            return;
+        }
         for (index, row) in (0..).zip(self.rows.values_mut()) {
-            row.send_at = now.after(index * pause_ms);
+            row.send_at = now.after(index * link_ms);
+        }
+    }
+
+    /// Lets the first agent of every `chunk` pass the order on to the others.
+    fn pass_on(&mut self, chunk: usize) {
+        let ranks: Vec<u16> = self.rows.keys().copied().collect();
+        for ranks in ranks.chunks(chunk) {
+            for rank in &ranks[1..] {
+                if let Some(row) = self.rows.get_mut(rank) {
+                    row.via = Some(ranks[0]);
+                }
+            }
         }
     }
 
@@ -154,7 +181,9 @@
         due.map(|(rank, row)| {
             row.send_at = now.after(again_ms);
             let (rank, giver, number) = (*rank, row.giver, row.number);
-            LeaderAction::Send { rank, giver, number, order: row.order.clone() }
+            // An agent that is gone passes nothing on; the leader itself gives the order again.
+            let via = row.via.take();
+            LeaderAction::Send { rank, giver, via, number, order: row.order.clone() }
         })
         .collect()
     }
--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -4,7 +4,8 @@
 
 use hickorycross_core::direct::{BootMs, GroupDimensions};
 use hickorycross_core::map_change::{
-    Armed, CountsSample, Deposed, Leader, LeaderAction, OrderEnd, OrderKind, RankOrder, RankStatus,
+    Armed, CountsSample, Deposed, Leader, LeaderAction, OrderEnd, OrderKind,
+    RankOrder, RankStatus,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
@@ -423,9 +424,13 @@
                 }
             }
             for action in leader.tick(self.now, &DIMENSIONS) {
-                let LeaderAction::Send { rank, giver, number, order } = action else { continue };
+                let LeaderAction::Send { rank, giver, via, number, order } = action else {
+                    continue;
+                };
                 let (rank, giver) = (usize::from(rank), usize::from(giver));
-                if giver == rank {
+                if via.is_some_and(|via| self.is_frozen(usize::from(via))) {
+                    // Nobody passes it on.
+                } else if giver == rank {
                     self.take_order(index, rank, number, order, &mut leader);
                 } else {
                     self.order_from_afar(giver, rank, number, &order, &mut leader);
--- a/crates/direct/src/agent/datagram.rs
+++ b/crates/direct/src/agent/datagram.rs
@@ -6,6 +6,7 @@
 use miniz_oxide::deflate::compress_to_vec;
 use miniz_oxide::inflate::{DecompressError, decompress_to_vec_with_limit};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// Longest message: a map of 64 ranks with 8 layers of 5 slots and 2 bytes a slot, twice over.
 pub(crate) const MOST_BYTES: usize = 16 * 1024;
@@ -62,6 +63,24 @@
         /// The order.
         order: RankOrder,
     },
+    /// The leader gives an order, which the agent also passes on to others.
+    Relay {
+        /// Names the order to the agent's own rank.
+        number: u64,
+        /// The order to all of them.
+        order: RankOrder,
+        /// Where the others are, and the names of their orders.
+        legs: Vec<(SocketAddr, u64)>,
+    },
+    /// An order that another agent passes on.
+    Relayed {
+        /// Where the leader is, who is told of the order's end.
+        leader: SocketAddr,
+        /// Names the order.
+        number: u64,
+        /// The order.
+        order: RankOrder,
+    },
     /// The leader asks the agent of the rank that holds to arm the rank beside the leader.
     ArmBeside {
         /// The rank beside the leader.
--- a/crates/direct/src/agent/lead.rs
+++ b/crates/direct/src/agent/lead.rs
@@ -5,6 +5,7 @@
 use super::member::Member;
 use super::polls::Polls;
 use super::rank::RankSeat;
+use super::relay::Relays;
 use crate::clock::{boot_now, wall_ms};
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
@@ -146,11 +147,15 @@
     member.log.note(line.with("outcome", "leads"));
 }
 
-async fn carry_out(member: &Rc<Member>, actions: Vec<LeaderAction>) {
+async fn carry_out(member: &Rc<Member>, mut actions: Vec<LeaderAction>) {
+    let mut relays = Relays::take_from(&mut actions);
     for action in actions {
         match action {
             LeaderAction::Note(note) => note_decision(member, &note),
-            LeaderAction::Send { rank, giver, number, order } => {
+            LeaderAction::Send { rank, giver, number, order, .. } if giver == rank => {
+                relays.give(member, rank, number, order).await;
+            }
+            LeaderAction::Send { rank, giver, number, order, .. } => {
                 give(member, rank, giver, number, order).await;
             }
         }
@@ -158,7 +163,13 @@
 }
 
 /// Has an order given: by the agent beside the rank, by this one, or by another.
-async fn give(member: &Rc<Member>, rank: u16, giver: u16, number: u64, order: RankOrder) {
+pub(super) async fn give(
+    member: &Rc<Member>,
+    rank: u16,
+    giver: u16,
+    number: u64,
+    order: RankOrder,
+) {
     let agent_of = |rank: u16| member.ranks.borrow().get(&rank).copied();
     if giver != rank && member.own_rank.get() == Some(giver) {
         let Some(holder) = agent_of(rank) else { return };
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -5,6 +5,7 @@
 use super::execute::{SHOW_PAUSE_MS, execute};
 use super::fleet::Fleet;
 use super::rank::{ExpertCounts, RankEngine, RankEngines};
+use super::relay;
 use super::silent::SilentRanks;
 use super::status::status;
 use super::watch::{self, Watched};
@@ -152,6 +153,13 @@
         }
         Datagram::Status(status) => take_status(&member, from, status),
         Datagram::Order { number, order } => take_order(&member, from, number, order).await,
+        Datagram::Relay { number, order, legs } => {
+            relay::pass_on(&member, from, &order, &legs).await;
+            take_order(&member, from, number, order).await;
+        }
+        Datagram::Relayed { leader, number, order } => {
+            take_order(&member, leader, number, order).await;
+        }
         Datagram::ArmBeside { rank, number, order } => {
             if order.fence >= member.highest_fence.get() {
                 afar::arm_beside(&member, from, rank, number, order).await;
--- a/crates/direct/src/agent/mod.rs
+++ b/crates/direct/src/agent/mod.rs
@@ -3,7 +3,7 @@
 //! - `rank` is what a platform must give; `execute` carries one order out for certain, `afar` does so
 //!   at ranks on other machines.
 //! - `datagram` is what agents say to each other; `member` answers and follows, `lead` leads, `polls`
-//!   says when a leader asks whom, `status` what is answered.
+//!   says when a leader asks whom, `status` what is answered; `relay` passes orders to many on.
 //! - `silent` stands in for agents that are not heard; `watch` takes over from a leader that goes
 //!   silent while this rank holds a pass for it; `tell` tells entries of a slow rank.
 //! - `program` starts and stops the process.
@@ -17,6 +17,7 @@
 mod polls;
 mod program;
 mod rank;
+mod relay;
 mod silent;
 mod status;
 mod tell;
--- /dev/null
+++ b/crates/direct/src/agent/relay.rs
@@ -0,0 +1,73 @@
+//! Orders that go to many ranks at once, passed on by some of their agents.
+//!
+//! A map for a group of 72 ranks has some 3 KB. Sent to each of them over the link of one small machine
+//! it takes half a second, in which the group stays uneven. Each of a few agents passes it on to a few
+//! others instead, over its own link.
+
+use super::datagram::Datagram;
+use super::lead::give;
+use super::member::Member;
+use hickorycross_core::map_change::{LeaderAction, RankOrder};
+use indexmap::IndexMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Orders to be passed on, by the rank whose agent does so.
+#[derive(Default)]
+pub(super) struct Relays(IndexMap<u16, Vec<(u16, u64, RankOrder)>>);
+
+impl Relays {
+    /// Takes those orders out of `actions` that other agents pass on.
+    pub(super) fn take_from(actions: &mut Vec<LeaderAction>) -> Self {
+        let mut relays = Self::default();
+        actions.retain(|action| match action {
+            LeaderAction::Send { rank, via: Some(via), number, order, .. } => {
+                relays.0.entry(*via).or_default().push((*rank, *number, order.clone()));
+                false
+            }
+            LeaderAction::Send { .. } | LeaderAction::Note(_) => true,
+        });
+        relays
+    }
+
+    /// Gives the order to `rank` together with those that its agent is to pass on.
+    pub(super) async fn give(
+        &mut self,
+        member: &Rc<Member>,
+        rank: u16,
+        number: u64,
+        order: RankOrder,
+    ) {
+        let others = self.0.swap_remove(&rank).unwrap_or_default();
+        let relay = member.ranks.borrow().get(&rank).copied();
+        let Some(relay) = relay.filter(|_| !others.is_empty() && !member.silent.has(rank)) else {
+            give(member, rank, rank, number, order).await;
+            for (rank, number, order) in others {
+                give(member, rank, rank, number, order).await;
+            }
+            return;
+        };
+        let mut legs = Vec::new();
+        for (rank, number, order) in others {
+            let agent = member.ranks.borrow().get(&rank).copied();
+            match agent.filter(|_| !member.silent.has(rank)) {
+                Some(agent) => legs.push((agent, number)),
+                None => give(member, rank, rank, number, order).await,
+            }
+        }
+        member.send(relay, &Datagram::Relay { number, order, legs }).await;
+    }
+}
+
+/// Passes an order of the leader at `leader` on.
+pub(super) async fn pass_on(
+    member: &Member,
+    leader: SocketAddr,
+    order: &RankOrder,
+    legs: &[(SocketAddr, u64)],
+) {
+    for (agent, number) in legs {
+        let (number, order) = (*number, order.clone());
+        member.send(*agent, &Datagram::Relayed { leader, number, order }).await;
+    }
+}
--- a/crates/direct/src/agent/silent.rs
+++ b/crates/direct/src/agent/silent.rs
@@ -42,6 +42,11 @@
         self.engines.borrow().get(&rank).cloned()
     }
 
+    /// Whether a rank's agent is not heard.
+    pub(crate) fn has(&self, rank: u16) -> bool {
+        self.engines.borrow().contains_key(&rank)
+    }
+
     fn is_silent(&self, machine: IpAddr) -> bool {
         let heard_at = self.heard_at.borrow().get(&machine).copied();
         heard_at.is_none_or(|at| boot_now().since(at) > SILENT_MS)
