--- /dev/null
+++ b/crates/core/tests/direct_random.rs
@@ -0,0 +1,80 @@
+//! Properties of what an entry reads and counts, on inputs drawn with a fixed seed.
+
+use googletest::prelude::*;
+use hickorycross_core::direct::{BootMs, EventCutter, Passes};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+/// Time without an end of a pass after which nothing is held back.
+const FORGOTTEN_MS: u64 = 600;
+
+fn runner() -> TestRunner {
+    TestRunner::new(Config {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..Config::default()
+    })
+}
+
+/// Symptom: a caller misses an event, or gets a torn one.
+///
+/// Events: bytes arrive in pieces of any length, also cut within a line end.
+///
+/// Cause: judging a piece by itself.
+#[gtest]
+fn events_are_the_same_however_their_bytes_arrive() {
+    let event = ("[a-z ]{0,12}", 0_u64..1_000, proptest::bool::ANY);
+    let input = (vec(event, 0..8), vec(1_usize..20, 1..8), "[a-z:]{0,6}");
+    let played = runner().run(&input, |(events, cuts, torn)| {
+        let written = |(text, id, is_dos): &(String, u64, bool)| {
+            let end = if *is_dos { "\r\n" } else { "\n" };
+            format!("id: {id}{end}data: x{text}{end}{end}")
+        };
+        let mut bytes: Vec<u8> = events.iter().map(written).collect::<String>().into_bytes();
+        bytes.extend(torn.as_bytes());
+        let mut cutter = EventCutter::default();
+        let mut read = Vec::new();
+        let mut rest = &bytes[..];
+        for length in cuts.iter().cycle() {
+            let (piece, after) = rest.split_at((*length).min(rest.len()));
+            cutter.push(piece);
+            read.extend(std::iter::from_fn(|| cutter.next_event()));
+            rest = after;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        let ids: Vec<u64> = read.iter().filter_map(|event| event.id).collect();
+        prop_assert_eq!(ids, events.iter().map(|(_, id, _)| *id).collect::<Vec<_>>());
+        let whole: Vec<u8> = read.iter().flat_map(|event| event.bytes.to_vec()).collect();
+        prop_assert_eq!(&whole[..], &bytes[..bytes.len() - torn.len()]);
+        prop_assert_eq!(cutter.torn_bytes(), torn.len());
+        Ok(())
+    });
+    expect_that!(played, ok(anything()));
+}
+
+/// Symptom: requests wait though nothing is known of the group.
+///
+/// Events: passes of any length, requests of any size, and then silence.
+///
+/// Cause: an allowance of a group that stands, or of an entry without streams.
+#[gtest]
+fn nothing_is_held_back_once_passes_are_not_seen() {
+    let step = (1_u64..700, 0_usize..4, 1_usize..1_000_000);
+    let input = (vec(step, 0..40), proptest::option::of(1_u64..1_000));
+    let played = runner().run(&input, |(steps, target_gap_ms)| {
+        let mut passes = Passes::default();
+        let mut now = BootMs(10_000);
+        for (pause_ms, requests, bytes) in steps {
+            now = now.after(pause_ms);
+            let _ = passes.note_event(now, target_gap_ms);
+            (0..requests).for_each(|_| passes.note_sent(bytes));
+        }
+        prop_assert!(passes.may_send(now.after(FORGOTTEN_MS)));
+        Ok(())
+    });
+    expect_that!(played, ok(anything()));
+}
