--- a/crates/direct/src/agent/datagram.rs
+++ b/crates/direct/src/agent/datagram.rs
@@ -37,6 +37,15 @@
     Message(#[from] postcard::Error),
 }
 
+/// One of the agents to which an order is passed on.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct Leg {
+    /// Where the agent is.
+    pub(crate) agent: SocketAddr,
+    /// Names its order.
+    pub(crate) number: u64,
+}
+
 /// A message between agents.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum Datagram {
@@ -69,8 +78,8 @@
         number: u64,
         /// The order to all of them.
         order: RankOrder,
-        /// Where the others are, and the names of their orders.
-        legs: Vec<(SocketAddr, u64)>,
+        /// The others.
+        legs: Vec<Leg>,
     },
     /// An order that another agent passes on.
     Relayed {
--- a/crates/direct/src/agent/relay.rs
+++ b/crates/direct/src/agent/relay.rs
@@ -4,7 +4,7 @@
 //! it takes half a second, in which the group stays uneven. Each of a few agents passes it on to a few
 //! others instead, over its own link.
 
-use super::datagram::Datagram;
+use super::datagram::{Datagram, Leg};
 use super::lead::give;
 use super::member::Member;
 use hickorycross_core::map_change::{LeaderAction, RankOrder};
@@ -12,9 +12,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// An order to be passed on.
+struct Passed {
+    rank: u16,
+    /// Names the order.
+    number: u64,
+    order: RankOrder,
+}
+
 /// Orders to be passed on, by the rank whose agent does so.
 #[derive(Default)]
-pub(super) struct Relays(IndexMap<u16, Vec<(u16, u64, RankOrder)>>);
+pub(super) struct Relays {
+    by_relay: IndexMap<u16, Vec<Passed>>,
+}
 
 impl Relays {
     /// Takes those orders out of `actions` that other agents pass on.
@@ -22,7 +32,8 @@
         let mut relays = Self::default();
         actions.retain(|action| match action {
             LeaderAction::Send { rank, via: Some(via), number, order, .. } => {
-                relays.0.entry(*via).or_default().push((*rank, *number, order.clone()));
+                let passed = Passed { rank: *rank, number: *number, order: order.clone() };
+                relays.by_relay.entry(*via).or_default().push(passed);
                 false
             }
             LeaderAction::Send { .. } | LeaderAction::Note(_) => true,
@@ -38,20 +49,20 @@
         number: u64,
         order: RankOrder,
     ) {
-        let others = self.0.swap_remove(&rank).unwrap_or_default();
+        let others = self.by_relay.swap_remove(&rank).unwrap_or_default();
         let relay = member.ranks.borrow().get(&rank).copied();
         let Some(relay) = relay.filter(|_| !others.is_empty() && !member.silent.has(rank)) else {
             give(member, rank, rank, number, order).await;
-            for (rank, number, order) in others {
+            for Passed { rank, number, order } in others {
                 give(member, rank, rank, number, order).await;
             }
             return;
         };
         let mut legs = Vec::new();
-        for (rank, number, order) in others {
+        for Passed { rank, number, order } in others {
             let agent = member.ranks.borrow().get(&rank).copied();
             match agent.filter(|_| !member.silent.has(rank)) {
-                Some(agent) => legs.push((agent, number)),
+                Some(agent) => legs.push(Leg { agent, number }),
                 None => give(member, rank, rank, number, order).await,
             }
         }
@@ -60,13 +71,8 @@
 }
 
 /// Passes an order of the leader at `leader` on.
-pub(super) async fn pass_on(
-    member: &Member,
-    leader: SocketAddr,
-    order: &RankOrder,
-    legs: &[(SocketAddr, u64)],
-) {
-    for (agent, number) in legs {
+pub(super) async fn pass_on(member: &Member, leader: SocketAddr, order: &RankOrder, legs: &[Leg]) {
+    for Leg { agent, number } in legs {
         let (number, order) = (*number, order.clone());
         member.send(*agent, &Datagram::Relayed { leader, number, order }).await;
     }
