fix(agent): a hold whose answer was lost is asked for again with the pass that is held

Cause: a rank on another machine is asked to hold the pass after the next one. If it did and its answer was lost, a later copy of the order named a later pass; the rank refused it, since it held another one, and each further copy too, while the group stood before the held pass for good. With the next pass held, as before, every copy named the same pass once the group stood.

Change: a refusal makes the agent ask for the next pass and for the one meant by turns. Refusals are logged now.

Not covered: the model of map changes takes the held pass from the rank itself and does not play this way.

--- a/crates/direct/src/agent/execute.rs
+++ b/crates/direct/src/agent/execute.rs
@@ -76,8 +76,8 @@
                 note(log, order, send, "fenced");
                 return Some(OrderEnd::Fenced);
             }
-            // The pass began meanwhile; the next one is to be held.
-            Ok(OrderReply::Conflict) if is_ahead => {}
+            // The pass began meanwhile; a later one is to be held.
+            Ok(OrderReply::Conflict) if is_ahead => note(log, order, send, "conflict"),
             Ok(OrderReply::Conflict | OrderReply::Unusable(_)) => {
                 // An earlier copy of the order may have been carried out meanwhile.
                 let end = if comes_to_show(engine, order, show_pause_ms).await {
@@ -106,13 +106,15 @@
     log: &DecisionLog,
 ) -> Option<OrderEnd> {
     let is_ahead = matches!(order.kind, OrderKind::HoldAhead { .. });
+    let next = RankOrder { kind: OrderKind::HoldAhead { steps: 1 }, ..*order };
+    let mut is_standing = false;
     for send in 1..=MOST_SENDS {
         let report = match begin(own, order, send, is_current, log).await {
             Begin::Go(report) => report,
             Begin::Unread => continue,
             Begin::End(end) => return Some(end),
         };
-        let meant = ahead(order, &report);
+        let meant = ahead(if is_standing { &next } else { order }, &report);
         match first_answer(target, meant.as_ref().unwrap_or(order)).await {
             Ok(OrderReply::Accepted) => {
                 note(log, order, send, "done");
@@ -122,8 +124,13 @@
                 note(log, order, send, "fenced");
                 return Some(OrderEnd::Fenced);
             }
-            // The pass began meanwhile; the next one is to be held.
-            Ok(OrderReply::Conflict) if is_ahead => {}
+            // The pass began meanwhile, or an earlier copy of the order, whose answer was lost, holds
+            // another one. The group may stand before that one: asked for a later one only, the rank
+            // would refuse each time, and the group would stand for ever.
+            Ok(OrderReply::Conflict) if is_ahead => {
+                note(log, order, send, "conflict");
+                is_standing = !is_standing;
+            }
             Ok(OrderReply::Conflict | OrderReply::Unusable(_)) => {
                 note(log, order, send, "refused");
                 return Some(OrderEnd::Refused);
