test(map-change): the model's agents do not know what a rank on another machine holds

They asked for the pass that the rank held, which only its own agent can know, so the model did not show that a hold whose answer was lost could be refused for ever.

--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -104,6 +104,8 @@
     /// What an agent was told to arm beside a leader: that leader's fence, and whether it is armed.
     armed_beside: Vec<Option<(u64, bool)>>,
     agents_fence: Vec<u64>,
+    /// Whether an agent asks ranks of other machines to hold the next pass.
+    asks_next: Vec<bool>,
     tasks: Vec<Vec<Task>>,
     ended: Vec<IndexMap<(usize, u64), OrderEnd>>,
     late: Vec<LateOrder>,
@@ -137,6 +139,7 @@
             watches: vec![None; count],
             armed_beside: vec![None; count],
             agents_fence: vec![0; count],
+            asks_next: vec![false; count],
             tasks: vec![Vec::new(); count],
             ended: vec![IndexMap::new(); count],
             late: Vec::new(),
@@ -346,7 +349,7 @@
                     self.end(rank, &task, OrderEnd::Fenced);
                     continue;
                 }
-                match self.attempt(rank, &task.order) {
+                match self.attempt(rank, rank, &task.order) {
                     Some(end) => {
                         self.end(rank, &task, end);
                         self.freeze_giver(rank, &task.order);
@@ -360,11 +363,21 @@
         }
     }
 
-    fn attempt(&mut self, rank: usize, order: &RankOrder) -> Option<OrderEnd> {
+    /// The pass that an agent asks a rank to hold. It knows what the own rank holds already; of another
+    /// machine's rank it does not, and with each refusal it asks for the next pass or the one meant.
+    fn step_ahead(&self, giver: usize, rank: usize, steps: u8) -> u64 {
+        if giver == rank {
+            return self.ranks[rank].held_step.unwrap_or(self.step + u64::from(steps));
+        }
+        self.step + if self.asks_next[giver] { 1 } else { u64::from(steps) }
+    }
+
+    /// The agent of the rank `giver` gives an order to `rank` once.
+    fn attempt(&mut self, giver: usize, rank: usize, order: &RankOrder) -> Option<OrderEnd> {
         let mut order = order.clone();
         let is_ahead = matches!(order.kind, OrderKind::HoldAhead { .. });
         if let OrderKind::HoldAhead { steps } = order.kind {
-            let step = self.ranks[rank].held_step.unwrap_or(self.step + u64::from(steps));
+            let step = self.step_ahead(giver, rank, steps);
             order.kind = OrderKind::Hold { step };
         }
         let order = &order;
@@ -384,7 +397,10 @@
         }
         match end {
             OrderEnd::Fenced => Some(end),
-            OrderEnd::Refused if is_ahead => None,
+            OrderEnd::Refused if is_ahead => {
+                self.asks_next[giver] = !self.asks_next[giver];
+                None
+            }
             _ if self.shows(rank, order) => Some(OrderEnd::Done),
             _ => Some(OrderEnd::Refused),
         }
@@ -488,7 +504,7 @@
         if self.is_frozen(rank) {
             return;
         }
-        if let Some(end) = self.attempt(rank, order) {
+        if let Some(end) = self.attempt(giver, rank, order) {
             leader.on_end(rank as u16, number, end);
             self.freeze_giver(giver, order);
             if is_arm && end == OrderEnd::Done {
