--- a/crates/core/src/direct/choice.rs
+++ b/crates/core/src/direct/choice.rs
@@ -19,8 +19,8 @@
 /// takes half of the pause that callers were promised: from twice as long on all of them are late.
 const LEFT_PACE_PERMILLE: u32 = 1_500;
 
-/// Part of the ranks that are left at most, as a divisor. The others take their work over; in a busy
-/// group a tenth of the slots is free.
+/// Part of the ranks that are left at most, as a divisor. The others take their work over, for which a
+/// group that is nine tenths full has just room. Other figures were not measured.
 const LEFT_DIVISOR: usize = 10;
 
 /// A chosen backend server.
--- a/crates/core/tests/map_relay.rs
+++ b/crates/core/tests/map_relay.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// A rank's word while half of the experts of every rank are in demand in one half of the group.
+/// A rank's word while every second expert is in demand, all of which ranks with even numbers hold.
 fn status(case: &Case, rank: u16) -> RankStatus {
     let experts = dimensions(case).experts_per_layer;
     let held: Vec<u16> = (0..EXPERTS_PER_RANK).map(|row| row * case.ranks + rank).collect();
