perf(placement): steps of a change are tried without allocating

Change: places of a step stand in arrays, changed loads in one vector that is kept; the coolest ranks are selected, not sorted; imbalances are reckoned for the layer that changed. Ruled out: fewer tried takers, which would change the maps.

--- a/crates/core/src/placement/level.rs
+++ b/crates/core/src/placement/level.rs
@@ -45,19 +45,22 @@
         .zip(loads)
         .map(|(placed, loads)| LayerLevel::new(placed, loads, paces, settings))
         .collect();
-    let mut is_open = vec![true; layers.len()];
+    let mut scratch = Vec::new();
+    // A layer that cannot become more even counts as even.
+    let mut imbalances: Vec<f64> = layers.iter().map(LayerLevel::imbalance).collect();
     for _ in 0..MOST_STEPS * layers.len() {
-        let open = (0..layers.len()).filter(|index| is_open[*index]);
-        let worst = open
-            .max_by(|left, right| layers[*left].imbalance().total_cmp(&layers[*right].imbalance()));
-        let Some(worst) = worst else { break };
-        if layers[worst].imbalance() <= settings.even_enough {
+        let worst = imbalances.iter().enumerate().max_by(|left, right| left.1.total_cmp(right.1));
+        let Some((worst, imbalance)) = worst else { break };
+        if *imbalance <= settings.even_enough {
             break;
         }
-        match layers[worst].best_step(&new_by_rank) {
-            Some(step) => layers[worst].apply(&step, &mut new_by_rank),
-            None => is_open[worst] = false,
-        }
+        imbalances[worst] = match layers[worst].best_step(&new_by_rank, &mut scratch) {
+            Some(step) => {
+                layers[worst].apply(&step, &mut new_by_rank);
+                layers[worst].imbalance()
+            }
+            None => 0.0,
+        };
     }
     ExpertMap { layers: layers.into_iter().map(LayerLevel::into_placement).collect() }
 }
@@ -79,14 +82,39 @@
 /// One expert on one rank.
 type Place = (usize, u16);
 
+/// Most places that one step adds, or gives up.
+const MOST_PLACES: usize = 2;
+
+/// A few places, without a place on the heap: a change of a group of 129 ranks tries some 50,000 steps.
+#[derive(Clone, Copy, Debug, Default)]
+struct Places {
+    places: [Place; MOST_PLACES],
+    length: usize,
+}
+
+impl Places {
+    fn of<const N: usize>(places: [Place; N]) -> Self {
+        let mut all = [Place::default(); MOST_PLACES];
+        all[..N].copy_from_slice(&places);
+        Self { places: all, length: N }
+    }
+
+    fn as_slice(&self) -> &[Place] {
+        &self.places[..self.length]
+    }
+}
+
 /// Places added and given up by one step.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Step {
-    added: Vec<Place>,
-    removed: Vec<Place>,
+    added: Places,
+    removed: Places,
     decrease: f64,
 }
 
+/// What a step changes in the loads of ranks; kept between steps, so that it need not be allocated.
+type Changes = Vec<(usize, f64)>;
+
 /// A layer's placement under change.
 #[derive(Clone, Debug)]
 struct LayerLevel<'a> {
@@ -143,81 +171,89 @@
         self.rank_loads.iter().copied().fold(0.0, f64::max) / self.mean
     }
 
-    fn best_step(&self, new_in_all: &[u16]) -> Option<Step> {
-        let mut order: Vec<usize> = (0..self.rank_loads.len()).collect();
-        order.sort_by(|left, right| self.rank_loads[*left].total_cmp(&self.rank_loads[*right]));
-        let hot = *order.last()?;
+    fn best_step(&self, new_in_all: &[u16], scratch: &mut Changes) -> Option<Step> {
+        let by_load = |left: &usize, right: &usize| {
+            self.rank_loads[*left].total_cmp(&self.rank_loads[*right])
+        };
+        let mut ranks: Vec<usize> = (0..self.rank_loads.len()).collect();
+        let hot = *ranks.iter().max_by(|left, right| by_load(left, right))?;
+        if ranks.len() > TAKERS {
+            ranks.select_nth_unstable_by(TAKERS, by_load);
+            ranks.truncate(TAKERS);
+        }
+        ranks.retain(|taker| *taker != hot);
         let mut best: Option<Step> = None;
         for expert in &self.experts_of_rank[hot] {
-            for step in self.steps(hot, *expert, &order) {
-                let is_better = best.as_ref().is_none_or(|best| step.decrease > best.decrease);
-                if is_better && self.fits(&step, new_in_all) {
-                    best = Some(step);
+            self.steps(hot, *expert, &ranks, &mut |added, removed| {
+                let decrease = self.decrease(&added, &removed, scratch);
+                let is_better = best.as_ref().is_none_or(|best| decrease > best.decrease);
+                if is_better && self.fits(&added, new_in_all) {
+                    best = Some(Step { added, removed, decrease });
                 }
-            }
+            });
         }
         best.filter(|step| step.decrease > LEAST_DECREASE * self.mean * self.mean)
     }
 
-    /// Ways to take load of one expert from the most loaded rank.
-    fn steps(&self, hot: usize, expert: u16, order: &[usize]) -> Vec<Step> {
-        let mut steps = Vec::new();
+    /// Tries the ways to take load of one expert from the most loaded rank; `attempt` gets the places
+    /// that each adds and gives up.
+    fn steps(
+        &self,
+        hot: usize,
+        expert: u16,
+        takers: &[usize],
+        attempt: &mut dyn FnMut(Places, Places),
+    ) {
         let given = (hot, expert);
         if self.ranks_of_expert[usize::from(expert)].len() > 1 {
-            steps.push(self.judged(vec![], vec![given]));
+            attempt(Places::of([]), Places::of([given]));
         }
-        let cool = order.iter().copied().take(TAKERS).filter(|taker| *taker != hot);
-        for taker in cool.filter(|taker| !self.experts_of_rank[*taker].contains(&expert)) {
-            let taken = (taker, expert);
-            if self.experts_of_rank[taker].len() < usize::from(self.settings.slots_per_rank) {
-                steps.push(self.judged(vec![taken], vec![]));
-                steps.push(self.judged(vec![taken], vec![given]));
+        for taker in takers {
+            if self.experts_of_rank[*taker].contains(&expert) {
                 continue;
             }
-            for displaced in &self.experts_of_rank[taker] {
-                let victim = (taker, *displaced);
+            let taken = (*taker, expert);
+            if self.experts_of_rank[*taker].len() < usize::from(self.settings.slots_per_rank) {
+                attempt(Places::of([taken]), Places::of([]));
+                attempt(Places::of([taken]), Places::of([given]));
+                continue;
+            }
+            for displaced in &self.experts_of_rank[*taker] {
+                let victim = (*taker, *displaced);
                 if self.ranks_of_expert[usize::from(*displaced)].len() > 1 {
-                    steps.push(self.judged(vec![taken], vec![victim]));
-                    steps.push(self.judged(vec![taken], vec![victim, given]));
+                    attempt(Places::of([taken]), Places::of([victim]));
+                    attempt(Places::of([taken]), Places::of([victim, given]));
                 } else if !self.experts_of_rank[hot].contains(displaced) {
-                    steps.push(self.judged(vec![taken, (hot, *displaced)], vec![victim, given]));
+                    attempt(Places::of([taken, (hot, *displaced)]), Places::of([victim, given]));
                 }
             }
         }
-        steps
     }
 
-    /// Adds the decrease of the sum of squares of the ranks' loads.
-    fn judged(&self, added: Vec<Place>, removed: Vec<Place>) -> Step {
-        let mut changes: Vec<(usize, f64)> = Vec::new();
-        let mut experts: Vec<u16> = added.iter().chain(&removed).map(|place| place.1).collect();
-        experts.sort_unstable();
-        experts.dedup();
-        for expert in experts {
-            self.push_changes(&mut changes, expert, &added, &removed);
+    /// The decrease of the sum of squares of the ranks' loads.
+    fn decrease(&self, added: &Places, removed: &Places, changes: &mut Changes) -> f64 {
+        let (added, removed) = (added.as_slice(), removed.as_slice());
+        changes.clear();
+        let mut places = added.iter().chain(removed);
+        let Some((_, first)) = places.next() else { return 0.0 };
+        self.push_changes(changes, *first, added, removed);
+        // A step is about two experts at most.
+        if let Some((_, second)) = places.find(|place| place.1 != *first) {
+            self.push_changes(changes, *second, added, removed);
         }
-        changes.sort_by_key(|change| change.0);
+        changes.sort_unstable_by_key(|change| change.0);
         let mut decrease = 0.0;
-        let mut index = 0;
-        while index < changes.len() {
-            let rank = changes[index].0;
-            let same = changes[index..].iter().take_while(|change| change.0 == rank);
-            let (count, delta) = same.fold((0, 0.0), |(count, sum), it| (count + 1, sum + it.1));
+        for of_rank in changes.chunk_by(|left, right| left.0 == right.0) {
+            let rank = of_rank[0].0;
+            let delta: f64 = of_rank.iter().map(|change| change.1).sum();
             let load = self.rank_loads[rank];
             let changed = load + delta * self.paces[rank];
             decrease += load * load - changed * changed;
-            index += count;
         }
-        Step { added, removed, decrease }
+        decrease
     }
 
-    fn push_changes(
-        &self,
-        changes: &mut Vec<(usize, f64)>,
-        expert: u16,
-        added: &[Place],
-        removed: &[Place],
-    ) {
+    fn push_changes(&self, changes: &mut Changes, expert: u16, added: &[Place], removed: &[Place]) {
         let holders = &self.ranks_of_expert[usize::from(expert)];
         let is_removed = |rank: &usize| removed.contains(&(*rank, expert));
         let new = added.iter().filter(|place| place.1 == expert);
@@ -236,20 +272,20 @@
         !self.present.experts_of_rank[place.0].contains(&place.1)
     }
 
-    fn fits(&self, step: &Step, new_in_all: &[u16]) -> bool {
-        step.added.iter().filter(|place| self.is_copy(place)).all(|place| {
+    fn fits(&self, added: &Places, new_in_all: &[u16]) -> bool {
+        added.as_slice().iter().filter(|place| self.is_copy(place)).all(|place| {
             self.new_by_rank[place.0] < self.settings.new_per_rank_and_layer
                 && new_in_all[place.0] < self.settings.new_per_rank
         })
     }
 
     fn apply(&mut self, step: &Step, new_in_all: &mut [u16]) {
-        for (rank, expert) in &step.removed {
+        for (rank, expert) in step.removed.as_slice() {
             self.experts_of_rank[*rank].retain(|held| held != expert);
             self.ranks_of_expert[usize::from(*expert)].retain(|holder| holder != rank);
             self.count_copy(&(*rank, *expert), new_in_all, false);
         }
-        for (rank, expert) in &step.added {
+        for (rank, expert) in step.added.as_slice() {
             self.experts_of_rank[*rank].push(*expert);
             self.ranks_of_expert[usize::from(*expert)].push(*rank);
             self.count_copy(&(*rank, *expert), new_in_all, true);
