perf(direct): changes of backend servers that come in a row are read together

Change: after a watch that brought changes, a pause of 0.2 s. Ruled out: longer waits, which would make keys and configuration older.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -21,6 +21,11 @@
 /// time for a leaving backend server to be heard of.
 const BACKENDS_WAIT_MS: u64 = 2_500;
 
+/// Pause after a watch that brought changes of backend servers, so that what changes in a row is read
+/// together. A fleet's start or a release changes a hundred of them within seconds; each entry made a call
+/// for each. A leaving backend server serves on for seconds, so a fifth of one is no loss.
+const CHANGES_PAUSE_MS: u64 = 200;
+
 /// Shortest and longest pause after a failed call, in milliseconds, drawn at random so that all
 /// entries do not come back to the store at the same moment.
 const PAUSE_MS: std::ops::Range<u64> = 120..360;
@@ -170,6 +175,9 @@
         for id in state.backends.borrow_mut().expire(boot_now()) {
             note_gone(state, &id, after);
         }
+        if !watch.changes.is_empty() {
+            tokio::time::sleep(Duration::from_millis(CHANGES_PAUSE_MS)).await;
+        }
     }
 }
 
