--- a/crates/core/tests/map_orders.rs
+++ b/crates/core/tests/map_orders.rs
@@ -1,11 +1,15 @@
 //! When a leader decides upon a new map, and how it tells its ranks.
 
+#[path = "support/rank_status.rs"]
+mod rank_status;
+
 use hickorycross_core::direct::{BootMs, GroupDimensions};
 use hickorycross_core::map_change::{
     CountsSample, Leader, LeaderAction, OrderEnd, OrderKind, RankStatus,
 };
 use hickorycross_core::placement::{ExpertMap, LayerPlacement, bottleneck_load};
 use indexmap::IndexMap;
+use rank_status::open_rank;
 use std::sync::Arc;
 
 const RANKS: u16 = 16;
@@ -48,21 +52,9 @@
 
 fn status_with(rank: u16, choices: &[u32]) -> RankStatus {
     RankStatus {
-        group: "g".to_owned(),
-        rank,
-        ranks: RANKS,
-        epoch: 1,
-        is_open: true,
-        step: 1,
-        map: 0,
-        prepared: None,
-        armed: None,
-        held_step: None,
-        highest_fence: 0,
-        pace_permille: 1_000,
-        is_from_afar: false,
         counts: CountsSample::of(choices),
         experts: Some(vec![held(rank)]),
+        ..open_rank(rank, RANKS)
     }
 }
 
--- a/crates/core/tests/map_polls.rs
+++ b/crates/core/tests/map_polls.rs
@@ -1,9 +1,13 @@
 //! Whom a leader asks, and what an agent that collects for it tells.
 
+#[path = "support/rank_status.rs"]
+mod rank_status;
+
 use googletest::prelude::*;
 use hickorycross_core::direct::BootMs;
 use hickorycross_core::map_change::{Collection, CountsSample, Polls, RankStatus, Sections};
 use indexmap::{IndexMap, IndexSet};
+use rank_status::open_rank;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// Bytes that a count takes on its way, deflated: 4,128 counts take 1.9 KB.
@@ -123,23 +127,7 @@
 }
 
 fn status(rank: u16, counts: &[u32]) -> RankStatus {
-    RankStatus {
-        group: "g".to_owned(),
-        rank,
-        ranks: 3,
-        epoch: 1,
-        is_open: true,
-        step: 1,
-        map: 0,
-        prepared: None,
-        armed: None,
-        held_step: None,
-        highest_fence: 0,
-        pace_permille: 1_000,
-        is_from_afar: false,
-        counts: CountsSample { unit: 10, counts: counts.to_vec() },
-        experts: None,
-    }
+    RankStatus { counts: CountsSample { unit: 10, counts: counts.to_vec() }, ..open_rank(rank, 3) }
 }
 
 fn agent(rank: u16) -> SocketAddr {
--- a/crates/core/tests/map_relay.rs
+++ b/crates/core/tests/map_relay.rs
@@ -1,10 +1,14 @@
 //! How the map for a large group reaches its ranks.
 
+#[path = "support/rank_status.rs"]
+mod rank_status;
+
 use hickorycross_core::direct::{BootMs, GroupDimensions};
 use hickorycross_core::map_change::{
     CountsSample, Leader, LeaderAction, OrderEnd, OrderKind, RankStatus,
 };
 use indexmap::{IndexMap, IndexSet};
+use rank_status::open_rank;
 
 const LAYERS: u16 = 8;
 const EXPERTS_PER_RANK: u16 = 4;
@@ -47,21 +51,9 @@
     let choices = (0..experts).map(|it| if it % 2 == 0 { 9_000 } else { 1_000 });
     let choices: Vec<u32> = choices.collect::<Vec<_>>().repeat(usize::from(LAYERS));
     RankStatus {
-        group: "g".to_owned(),
-        rank,
-        ranks: case.ranks,
-        epoch: 1,
-        is_open: true,
-        step: 1,
-        map: 0,
-        prepared: None,
-        armed: None,
-        held_step: None,
-        highest_fence: 0,
-        pace_permille: 1_000,
-        is_from_afar: false,
         counts: CountsSample::of(&choices),
         experts: Some(vec![held; usize::from(LAYERS)]),
+        ..open_rank(rank, case.ranks)
     }
 }
 
--- a/crates/core/tests/map_told.rs
+++ b/crates/core/tests/map_told.rs
@@ -1,5 +1,8 @@
 //! How little of a leader's link the maps of a large group take.
 
+#[path = "support/rank_status.rs"]
+mod rank_status;
+
 use googletest::prelude::*;
 use hickorycross_core::direct::{BootMs, GroupDimensions};
 use hickorycross_core::map_change::{
@@ -7,6 +10,7 @@
 };
 use hickorycross_core::placement::{ExpertMap, MapChange};
 use indexmap::IndexMap;
+use rank_status::open_rank;
 use std::sync::Arc;
 
 const RANKS: u16 = 129;
@@ -37,21 +41,12 @@
     let choices: Vec<u32> = choices.collect();
     let held = (0..EXPERTS).filter(|expert| expert % RANKS == rank).collect();
     RankStatus {
-        group: "g".to_owned(),
-        rank,
-        ranks: RANKS,
-        epoch: 1,
-        is_open: true,
         step,
         map,
         prepared,
-        armed: None,
-        held_step: None,
-        highest_fence: 0,
-        pace_permille: 1_000,
-        is_from_afar: false,
         counts: CountsSample::of(&choices),
         experts: (map == 0).then(|| vec![held; usize::from(LAYERS)]),
+        ..open_rank(rank, RANKS)
     }
 }
 
