refactor(agent): what an agent knows stands apart from what it does with it

Seven files imported each other in a circle around the member, and member.rs held state, hearing and orders. Now member, state, silent and link hold state; hear, take_order, give, collect, stand_in, lead and watch act on it, and import no file that imports them. Code is moved, not changed; log lines and messages are the same.

--- a/crates/direct/src/agent/afar.rs
+++ b/crates/direct/src/agent/afar.rs
@@ -9,26 +9,11 @@
 use super::execute::{SHOW_PAUSE_AFAR_MS, execute, execute_afar};
 use super::member::Member;
 use super::rank::RankEngine;
+use super::state::ArmedBeside;
 use hickorycross_core::map_change::{OrderEnd, RankOrder};
-use indexmap::IndexSet;
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Orders on their way, by rank and number. The leader sends again sooner than an answer from afar
-/// can come.
-#[derive(Default)]
-pub(crate) struct UnderWay(RefCell<IndexSet<(u16, u64)>>);
-
-/// What an agent has ordered the rank beside a leader to do, for which its own rank holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct ArmedBeside {
-    /// The leader's fence.
-    pub(super) fence: u64,
-    /// Whether the rank is armed. It may or may not be otherwise.
-    pub(super) is_armed: bool,
-}
-
 /// Gives an order to a rank whose agent is silent.
 pub(crate) fn order(
     member: &Rc<Member>,
--- a/crates/direct/src/agent/collect.rs
+++ b/crates/direct/src/agent/collect.rs
@@ -4,7 +4,6 @@
 use super::member::Member;
 use super::status::status;
 use hickorycross_core::map_change::{Collection, RankStatus};
-use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,16 +11,6 @@
 /// Time for the agents of a section to answer. Most do within 10 ms; what comes later is told alone.
 const WAIT_MS: u64 = 40;
 
-/// The collection under way.
-#[derive(Default)]
-pub(super) struct Collecting {
-    open: RefCell<Option<Collection>>,
-    /// Tells collections apart, so that one is not closed by the wait for another.
-    number: Cell<u64>,
-    /// Who asked last.
-    leader: Cell<Option<SocketAddr>>,
-}
-
 /// Asks the agents in `others` and tells the leader what they say.
 ///
 /// A service may have several groups, so that a section holds agents of another one; such an agent
--- a/crates/direct/src/agent/lead.rs
+++ b/crates/direct/src/agent/lead.rs
@@ -1,7 +1,8 @@
 //! An agent that leads its group: it decides, polls the members and sends orders.
 
-use super::afar;
 use super::datagram::{Datagram, Poll};
+use super::give::give;
+use super::link::LINE_MS;
 use super::member::Member;
 use super::rank::RankSeat;
 use super::relay::Relays;
@@ -9,7 +10,7 @@
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
 use hickorycross_core::map_change::{
-    Asked, Deposed, Leader, LeaderAction, LeaderNote, Polls, RankOrder, Sections,
+    Asked, Deposed, Leader, LeaderAction, LeaderNote, Polls, Sections,
 };
 use rand::RngExt;
 use std::net::SocketAddr;
@@ -193,28 +194,6 @@
     }
 }
 
-/// Has an order given: by the agent beside the rank, by this one, or by another.
-pub(super) async fn give(
-    member: &Rc<Member>,
-    rank: u16,
-    giver: u16,
-    number: u64,
-    order: RankOrder,
-) {
-    let agent_of = |rank: u16| member.ranks.borrow().get(&rank).copied();
-    if giver != rank && member.own_rank.get() == Some(giver) {
-        let Some(holder) = agent_of(rank) else { return };
-        afar::hold(member, holder, rank, number, order);
-    } else if giver != rank {
-        let Some(to) = agent_of(giver) else { return };
-        member.send(to, &Datagram::ArmBeside { rank, number, order }).await;
-    } else if let Some(engine) = member.silent.engine(rank) {
-        afar::order(member, engine, rank, number, order);
-    } else if let Some(to) = agent_of(rank) {
-        member.send(to, &Datagram::Order { number, order }).await;
-    }
-}
-
 fn note_decision(member: &Member, note: &LeaderNote) {
     metrics::counter!("hickorycross_map_changes_total", "cause" => note.cause).increment(1);
     let line = DecisionLog::fields("map-change").with("cause", note.cause);
@@ -224,3 +203,14 @@
     let line = line.with_some("bottleneck_before_permille", bottleneck.map(|it| it.0));
     member.log.note(line.with_some("bottleneck_after_permille", bottleneck.map(|it| it.1)));
 }
+
+/// Writes a line a second while this agent leads, for ever.
+pub(super) async fn tell_link(member: Rc<Member>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(LINE_MS)).await;
+        let line = member.link.take_line();
+        if member.leader.borrow().is_some() {
+            member.log.note(line);
+        }
+    }
+}
--- a/crates/direct/src/agent/link.rs
+++ b/crates/direct/src/agent/link.rs
@@ -3,16 +3,13 @@
 //! A small machine's link takes some 750 bytes a millisecond. A leader whose link is full falls silent for
 //! its members, who then see nothing but a leader that went away; these counts tell the two apart.
 
-use super::member::Member;
 use crate::decision_log::{DecisionLog, Fields};
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
 use std::fmt::Write as _;
-use std::rc::Rc;
-use std::time::Duration;
 
 /// Pause between two lines: one a second tells a burst from a steady load, and is few for a log.
-const LINE_MS: u64 = 1_000;
+pub(super) const LINE_MS: u64 = 1_000;
 
 /// Which way a message went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,7 +56,8 @@
         self.longest_pause_ms.set(self.longest_pause_ms.get().max(pause_ms));
     }
 
-    fn take_line(&self) -> Fields {
+    /// The line about the time since the last one.
+    pub(super) fn take_line(&self) -> Fields {
         let line = DecisionLog::fields("link").with("span_ms", LINE_MS);
         let line = line.with("longest_pause_ms", self.longest_pause_ms.take());
         let line = line.with("sent", text(&self.sent.take()));
@@ -76,14 +74,3 @@
     }
     text
 }
-
-/// Writes a line a second while this agent leads, for ever.
-pub(super) async fn follow(member: Rc<Member>) {
-    loop {
-        tokio::time::sleep(Duration::from_millis(LINE_MS)).await;
-        let line = member.link.take_line();
-        if member.leader.borrow().is_some() {
-            member.log.note(line);
-        }
-    }
-}
--- a/crates/direct/src/agent/mod.rs
+++ b/crates/direct/src/agent/mod.rs
@@ -1,12 +1,14 @@
 //! The agent of a rank: reads its rank, carries orders out there, and leads the group or follows.
 //!
 //! - `rank` is what a platform must give; `execute` carries one order out for certain, `afar` does so
-//!   at ranks on other machines.
-//! - `datagram` is what agents say to each other; `member` answers and follows, `lead` leads,
-//!   `status` is what is answered; `collect` hears a section of a large group for the leader, and
-//!   `relay` passes orders to many on. `link` says what all that takes of the link.
-//! - `silent` stands in for agents that are not heard; `watch` takes over from a leader that goes
-//!   silent while this rank holds a pass for it; `tell` tells entries of a slow rank.
+//!   at ranks on other machines, and `give` has the right agent give it.
+//! - `member` is what the agent knows, with `state` and `silent`; `datagram` is what agents say to each
+//!   other, and `link` counts what that takes of the link.
+//! - `hear` answers and follows, `take_order` does as the leader says, `status` is what is answered.
+//! - `lead` leads; `collect` hears a section of a large group for the leader, and `relay` passes its orders
+//!   to many on.
+//! - `stand_in` reads ranks whose agents are not heard; `watch` takes over from a leader that goes silent
+//!   while this rank holds a pass for it; `tell` tells entries of a slow rank.
 //! - `program` starts and stops the process.
 
 mod afar;
@@ -14,6 +16,8 @@
 mod datagram;
 mod execute;
 mod fleet;
+mod give;
+mod hear;
 mod lead;
 mod link;
 mod member;
@@ -21,7 +25,10 @@
 mod rank;
 mod relay;
 mod silent;
+mod stand_in;
+mod state;
 mod status;
+mod take_order;
 mod tell;
 mod watch;
 
--- a/crates/direct/src/agent/program.rs
+++ b/crates/direct/src/agent/program.rs
@@ -1,10 +1,9 @@
 //! A running agent.
 
 use super::fleet::{self, Fleet};
-use super::lead;
-use super::member::{self, Member};
+use super::member::Member;
 use super::rank::RankEngines;
-use super::{link, silent, tell};
+use super::{hear, lead, stand_in, tell};
 use crate::decision_log::DecisionLog;
 use crate::operators::{self, AgentPages};
 use crate::process::{Process, cannot_listen, end, listen};
@@ -44,10 +43,10 @@
     let port = settings.agent_port;
     let member = Member::new(engines, heeds_fences, backend, fleet_of, log_of, socket, port);
     tokio::task::spawn_local(fleet::follow(Rc::clone(&fleet)));
-    tokio::task::spawn_local(member::hear(Rc::clone(&member)));
+    tokio::task::spawn_local(hear::hear(Rc::clone(&member)));
     tokio::task::spawn_local(lead::lead(Rc::clone(&member)));
-    tokio::task::spawn_local(link::follow(Rc::clone(&member)));
-    tokio::task::spawn_local(silent::follow(Rc::clone(&member)));
+    tokio::task::spawn_local(lead::tell_link(Rc::clone(&member)));
+    tokio::task::spawn_local(stand_in::follow(Rc::clone(&member)));
     tokio::task::spawn_local(tell::follow(member, backend));
     let following = reload.follow(move |settings| fleet.set_seeds(&settings.seeds));
     tokio::task::spawn_local(following);
--- a/crates/direct/src/agent/relay.rs
+++ b/crates/direct/src/agent/relay.rs
@@ -5,7 +5,7 @@
 //! others instead, over its own link.
 
 use super::datagram::{Datagram, Leg};
-use super::lead::give;
+use super::give::give;
 use super::member::Member;
 use hickorycross_core::map_change::{LeaderAction, RankOrder};
 use indexmap::IndexMap;
--- /dev/null
+++ b/crates/direct/src/agent/stand_in.rs
@@ -0,0 +1,60 @@
+//! Stands in for agents that are not heard: reads their ranks while this agent leads.
+
+use super::member::Member;
+use super::silent::SILENT_MS;
+use super::status::status_of;
+use crate::clock::boot_now;
+use crate::decision_log::DecisionLog;
+use hickorycross_core::map_change::{Leader, RankStatus};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause between readings from afar; the leader decides on words up to 1 s old.
+const READ_PAUSE_MS: u64 = 350;
+
+/// Reads silent ranks for ever, while this agent leads.
+pub(crate) async fn follow(member: Rc<Member>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(READ_PAUSE_MS)).await;
+        let silent = match member.leader.borrow().as_ref() {
+            Some(leader) => leader.silent_ranks(boot_now(), SILENT_MS),
+            None => Vec::new(),
+        };
+        member.silent.engines.borrow_mut().retain(|rank, _| silent.contains(rank));
+        if silent.is_empty() {
+            continue;
+        }
+        let addresses = member.fleet.addresses();
+        for address in addresses.into_iter().filter(|it| member.silent.is_silent(it.ip())) {
+            tokio::task::spawn_local(read(Rc::clone(&member), address));
+        }
+    }
+}
+
+async fn read(member: Rc<Member>, address: SocketAddr) {
+    let engine = member.engines.at(address);
+    let report = match engine.report().await {
+        Ok(report) => report,
+        Err(error) => {
+            let line = DecisionLog::fields("rank-from-afar").with("address", address);
+            member.log.note(line.with("error", error).with("outcome", "unanswered"));
+            return;
+        }
+    };
+    let Some(told) = status_of(report) else { return };
+    let status = RankStatus { is_from_afar: true, ..told };
+    let is_ours = |leader: &Leader| leader.group() == status.group;
+    if !member.leader.borrow().as_ref().is_some_and(is_ours) {
+        return;
+    }
+    let line = DecisionLog::fields("rank-from-afar").with("address", address);
+    let line = line.with("rank", status.rank).with("epoch", status.epoch);
+    member.log.note(line.with_some("held_step", status.held_step).with("outcome", "read"));
+    member.silent.engines.borrow_mut().insert(status.rank, engine);
+    let Some(dimensions) = member.fleet.dimensions() else { return };
+    if let Some(leader) = member.leader.borrow_mut().as_mut() {
+        leader.on_status(boot_now(), status, &dimensions);
+        member.news.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/direct/src/agent/state.rs
@@ -0,0 +1,38 @@
+//! What an agent remembers between messages, apart from what it does with it.
+
+use hickorycross_core::direct::BootMs;
+use hickorycross_core::map_change::Collection;
+use indexmap::IndexSet;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+
+/// Orders on their way, by rank and number. The leader sends again sooner than an answer from afar
+/// can come.
+#[derive(Default)]
+pub(super) struct UnderWay(pub(super) RefCell<IndexSet<(u16, u64)>>);
+
+/// What an agent has ordered the rank beside a leader to do, for which its own rank holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ArmedBeside {
+    /// The leader's fence.
+    pub(super) fence: u64,
+    /// Whether the rank is armed. It may or may not be otherwise.
+    pub(super) is_armed: bool,
+}
+
+/// The leader for which the own rank holds a pass.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Watched {
+    pub(super) fence: u64,
+    pub(super) heard_at: BootMs,
+}
+
+/// The collection under way.
+#[derive(Default)]
+pub(super) struct Collecting {
+    pub(super) open: RefCell<Option<Collection>>,
+    /// Tells collections apart, so that one is not closed by the wait for another.
+    pub(super) number: Cell<u64>,
+    /// Who asked last.
+    pub(super) leader: Cell<Option<SocketAddr>>,
+}
--- a/crates/direct/src/agent/watch.rs
+++ b/crates/direct/src/agent/watch.rs
@@ -6,8 +6,8 @@
 
 use super::lead;
 use super::member::Member;
+use super::state::Watched;
 use crate::clock::boot_now;
-use hickorycross_core::direct::BootMs;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,13 +17,6 @@
 /// Pause between looks, a poll's pause.
 const LOOK_MS: u64 = 20;
 
-/// The leader for which the own rank holds a pass.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Watched {
-    fence: u64,
-    heard_at: BootMs,
-}
-
 /// Notes that a leader lives for which the own rank holds, or is about to.
 pub(super) fn begin(member: &Rc<Member>, fence: u64) {
     if fence < member.highest_fence.get() {
