--- a/crates/core/tests/map_told.rs
+++ b/crates/core/tests/map_told.rs
@@ -8,8 +8,10 @@
 use hickorycross_core::map_change::{
     CountsSample, KnownMaps, Leader, LeaderAction, OrderEnd, OrderKind, RankOrder, RankStatus,
 };
-use hickorycross_core::placement::{ExpertMap, MapChange};
+use hickorycross_core::placement::{ExpertMap, LayerPlacement, MapChange};
 use indexmap::IndexMap;
+use proptest::collection;
+use proptest::prelude::{Strategy, any, prop_assert_eq, proptest};
 use rank_status::open_rank;
 use std::sync::Arc;
 
@@ -229,3 +231,30 @@
     expect_that!(change.apply(&map(3, 4)), none());
     expect_that!(change.apply(&map(2, 1)), none());
 }
+
+/// A map of 3 layers and 7 ranks, with up to 4 experts each.
+fn any_map() -> impl Strategy<Value = ExpertMap> {
+    let experts = collection::vec(0..20_u16, 0..4);
+    let layer = collection::vec(experts, 7).prop_map(|it| LayerPlacement { experts_of_rank: it });
+    collection::vec(layer, 3).prop_map(|layers| ExpertMap { layers })
+}
+
+proptest! {
+    /// Whatever two maps hold, the change between them makes the one of the other, also after its way.
+    #[test]
+    fn a_change_makes_the_map_that_it_is_told_for(base in any_map(), target in any_map()) {
+        let bytes = postcard::to_stdvec(&MapChange::between(&base, &target)).expect("serialises");
+        let change: MapChange = postcard::from_bytes(&bytes).expect("deserialises");
+        prop_assert_eq!(change.apply(&base), Some(target));
+    }
+
+    /// Bytes from anywhere make no map, or one of the base's shape; nothing panics.
+    #[test]
+    fn any_bytes_make_no_other_shape(base in any_map(), bytes in collection::vec(any::<u8>(), 0..80)) {
+        let change: Result<MapChange, _> = postcard::from_bytes(&bytes);
+        if let Some(map) = change.ok().and_then(|change| change.apply(&base)) {
+            prop_assert_eq!(map.layers.len(), base.layers.len());
+            prop_assert_eq!(map.ranks(), base.ranks());
+        }
+    }
+}
