fix(agent): long orders follow each other as the link carries them

A link holds back some 45 KB (maps of 4.5 to 5.2 KB, 11 at once, lost one to three at each agent in earlier logs). Ruled out: larger resends, which meet the same queue.

--- a/crates/core/src/map_change/mod.rs
+++ b/crates/core/src/map_change/mod.rs
@@ -18,6 +18,7 @@
 //!
 //! - [`Leader`] is the state machine; [`RankStatus`] is what it hears, [`RankOrder`] what it sends.
 //! - [`Polls`] says when a leader asks whom; a [`Collection`] is what an agent hears for it.
+//! - [`LinkPace`] says how fast long messages may follow each other.
 //! - [`Demand`] estimates the load of each expert.
 
 mod change;
@@ -26,6 +27,7 @@
 mod demand;
 mod known_maps;
 mod leader;
+mod link_pace;
 mod order;
 mod pass_clock;
 mod phase;
@@ -37,6 +39,7 @@
 pub use demand::Demand;
 pub use known_maps::{KnownMaps, UnknownMap};
 pub use leader::{Deposed, Leader, LeaderAction, LeaderNote};
+pub use link_pace::LinkPace;
 pub use order::{OrderEnd, OrderKind, RankOrder};
 pub use polls::{Asked, Polls, Sections};
 pub use status::{Armed, CountsSample, RankStatus};
--- a/crates/direct/src/agent/datagram.rs
+++ b/crates/direct/src/agent/datagram.rs
@@ -22,6 +22,9 @@
 /// Few bits a number is all that can be won; higher levels look for repetitions that are not there.
 const DEFLATE_LEVEL: u8 = 1;
 
+/// Length from which an order counts as long: more than one packet of the network.
+const LONG_FROM_BYTES: usize = 1_400;
+
 /// First byte of a message as it is.
 const PLAIN: u8 = 0;
 /// First byte of a deflated one.
@@ -153,6 +156,13 @@
         }
     }
 
+    /// Whether the message, of `bytes`, is an order that gives way to others on a full link.
+    pub(crate) const fn is_long_order(&self, bytes: usize) -> bool {
+        let is_order =
+            matches!(self, Self::Order { .. } | Self::Relay { .. } | Self::Relayed { .. });
+        is_order && bytes >= LONG_FROM_BYTES
+    }
+
     /// The bytes to send.
     ///
     /// # Errors
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -1,5 +1,6 @@
 //! An agent as a member of its group: what it knows, and how it speaks to others.
 
+use super::bulk::BulkQueue;
 use super::datagram::Datagram;
 use super::fleet::Fleet;
 use super::link::{LinkLoad, Way};
@@ -59,6 +60,8 @@
     pub(super) watched: Cell<Option<Watched>>,
     /// What the link carries.
     pub(super) link: LinkLoad,
+    /// Long messages that wait for the link.
+    pub(super) bulk: BulkQueue,
     /// Statuses that this agent collects for a leader.
     pub(super) collecting: Collecting,
 }
@@ -99,23 +102,28 @@
             armed_beside: Cell::new(None),
             watched: Cell::new(None),
             link: LinkLoad::default(),
+            bulk: BulkQueue::default(),
             collecting: Collecting::default(),
         })
     }
 
+    /// Sends a message; one that is long waits until the link has room, others go at once.
     pub(super) async fn send(&self, to: SocketAddr, datagram: &Datagram) {
-        match datagram.to_bytes() {
-            Ok(bytes) => {
-                self.link.count(Way::Sent, datagram.kind(), bytes.len());
-                if let Err(error) = self.socket.send_to(&bytes, to).await {
-                    let line = DecisionLog::fields("datagram").with("to", to);
-                    self.log.note_ordinary(line.with("error", error).with("outcome", "lost"));
-                }
-            }
+        let line = DecisionLog::fields("datagram").with("to", to).with("kind", datagram.kind());
+        let bytes = match datagram.to_bytes() {
+            Ok(bytes) => bytes,
             Err(error) => {
-                let line = DecisionLog::fields("datagram").with("to", to);
                 self.log.note(line.with("error", error).with("outcome", "not-sent"));
+                return;
+            }
+        };
+        self.link.count(Way::Sent, datagram.kind(), bytes.len());
+        if datagram.is_long_order(bytes.len()) {
+            if let Err(bytes) = self.bulk.add(to, bytes) {
+                self.log.note(line.with("bytes", bytes.len()).with("outcome", "dropped"));
             }
+        } else if let Err(error) = self.socket.send_to(&bytes, to).await {
+            self.log.note_ordinary(line.with("error", error).with("outcome", "lost"));
         }
     }
 }
--- a/crates/direct/src/agent/mod.rs
+++ b/crates/direct/src/agent/mod.rs
@@ -3,7 +3,8 @@
 //! - `rank` is what a platform must give; `execute` carries one order out for certain, `afar` does so
 //!   at ranks on other machines, and `give` has the right agent give it.
 //! - `member` is what the agent knows, with `state` and `silent`; `datagram` is what agents say to each
-//!   other, and `link` counts what that takes of the link.
+//!   other, `link` counts what that takes of the link, and
+//!   `bulk` sends what is long bit by bit.
 //! - `hear` answers and follows, `take_order` does as the leader says, `status` is what is answered.
 //! - `lead` leads; `collect` hears a section of a large group for the leader, and `relay` passes its orders
 //!   to many on.
@@ -12,6 +13,7 @@
 //! - `program` starts and stops the process.
 
 mod afar;
+mod bulk;
 mod collect;
 mod datagram;
 mod execute;
--- a/crates/direct/src/agent/program.rs
+++ b/crates/direct/src/agent/program.rs
@@ -3,7 +3,7 @@
 use super::fleet::{self, Fleet};
 use super::member::Member;
 use super::rank::RankEngines;
-use super::{hear, lead, stand_in, tell};
+use super::{bulk, hear, lead, stand_in, tell};
 use crate::decision_log::DecisionLog;
 use crate::operators::{self, AgentPages};
 use crate::process::{Process, cannot_listen, end, listen};
@@ -43,6 +43,7 @@
     let port = settings.agent_port;
     let member = Member::new(engines, heeds_fences, backend, fleet_of, log_of, socket, port);
     tokio::task::spawn_local(fleet::follow(Rc::clone(&fleet)));
+    tokio::task::spawn_local(bulk::follow(Rc::clone(&member)));
     tokio::task::spawn_local(hear::hear(Rc::clone(&member)));
     tokio::task::spawn_local(lead::lead(Rc::clone(&member)));
     tokio::task::spawn_local(lead::tell_link(Rc::clone(&member)));
