fix(agent): what was collected before a freeze is not told after it

Cause (read in the code): an agent that collects for its section, and whose machine freezes before it tells the leader, told seconds later what ranks had said before, and the leader took it for their present word. Orders are safe by fences and refusals; decisions would wait for what is over. Change: a collection is told for 0.2 s from its begin. Test: nothing is told 4 s later.

--- a/crates/core/src/map_change/collection.rs
+++ b/crates/core/src/map_change/collection.rs
@@ -1,9 +1,13 @@
 //! Statuses of a section of a large group, collected by one of its agents.
 
 use super::status::{CountsSample, RankStatus};
+use crate::direct::BootMs;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// Age from which a collection is not told any more: several times the wait for the last answer.
+const MOST_AGE_MS: u64 = 200;
+
 /// What an agent has collected for the leader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Collected {
@@ -19,6 +23,8 @@
 #[derive(Clone, Debug)]
 pub struct Collection {
     awaited: usize,
+    /// Until when what was collected is of the present.
+    tell_until: BootMs,
     collected: Collected,
     choices: Vec<u64>,
 }
@@ -26,10 +32,11 @@
 impl Collection {
     /// Begins to collect the statuses of `awaited` agents of a section.
     #[must_use]
-    pub fn new(section: u16, awaited: usize) -> Self {
+    pub fn new(now: BootMs, section: u16, awaited: usize) -> Self {
+        let tell_until = now.after(MOST_AGE_MS);
         let counts = CountsSample::default();
         let collected = Collected { section, statuses: Vec::new(), counts };
-        Self { awaited, collected, choices: Vec::new() }
+        Self { awaited, tell_until, collected, choices: Vec::new() }
     }
 
     /// Adds the status of the rank whose agent is at `agent`.
@@ -52,11 +59,17 @@
         self.collected.statuses.len() >= self.awaited
     }
 
-    /// What is to be told to the leader.
+    /// What is to be told to the leader; nothing when it is too old.
+    ///
+    /// An agent whose machine freezes while it collects goes on seconds later. Its leader would take what
+    /// ranks said then for their present word, and wait for passes and maps that are over.
     #[must_use]
-    pub fn finish(mut self) -> Collected {
+    pub fn finish(mut self, now: BootMs) -> Option<Collected> {
+        if self.collected.statuses.is_empty() || now > self.tell_until {
+            return None;
+        }
         let choices = self.choices.iter().map(|it| u32::try_from(*it).unwrap_or(u32::MAX));
         self.collected.counts = CountsSample::of(&choices.collect::<Vec<_>>());
-        self.collected
+        Some(self.collected)
     }
 }
--- a/crates/core/tests/map_polls.rs
+++ b/crates/core/tests/map_polls.rs
@@ -167,12 +167,15 @@
         },
     ];
     for case in cases {
-        let mut collection = Collection::new(7, 3);
+        let mut collection = Collection::new(BootMs(BEGIN_MS), 7, 3);
         for (rank, counts) in (0..).zip(case.counts) {
             collection.add(agent(rank), status(rank, counts));
         }
         expect_that!(collection.is_complete(), eq(case.is_complete), "{}", case.name);
-        let collected = collection.finish();
+        let Some(collected) = collection.finish(BootMs(BEGIN_MS + TICK_MS)) else {
+            expect_that!(case.counts, is_empty(), "{}", case.name);
+            continue;
+        };
         expect_that!(collected.section, eq(7));
         let agents: Vec<SocketAddr> = collected.statuses.iter().map(|it| it.0).collect();
         expect_that!(agents, eq(&(0..case.counts.len() as u16).map(agent).collect::<Vec<_>>()));
@@ -184,3 +187,18 @@
         }
     }
 }
+
+/// Symptom: a leader waits for a map that all ranks have, or takes a pass that is over for the present one.
+///
+/// Events: an agent has heard its section; its machine freezes for 4 s before the leader is told.
+///
+/// Cause: what ranks had said before the freeze was told as news after it.
+#[gtest]
+fn what_was_collected_before_a_freeze_is_not_told() {
+    for (age_ms, is_told) in [(0, true), (60, true), (4_000, false)] {
+        let mut collection = Collection::new(BootMs(BEGIN_MS), 7, 2);
+        collection.add(agent(0), status(0, &[1, 2]));
+        let collected = collection.finish(BootMs(BEGIN_MS + age_ms));
+        expect_that!(collected.is_some(), eq(is_told), "after {age_ms} ms");
+    }
+}
