--- a/crates/core/src/map_change/phase.rs
+++ b/crates/core/src/map_change/phase.rs
@@ -10,7 +10,8 @@
 /// 72 after 0.45 s, the longest part of a change.
 const MOST_LINK_MS: u64 = 100;
 
-/// Orders that are sent again in one burst take the link for half of so long: a few looks of the leader.
+/// Time that orders sent again may make up for in one burst, half of it on the link: a few looks of the
+/// leader, in which nothing was due.
 const MOST_BURST_MS: u64 = 60;
 
 /// Where a change stands.
--- a/crates/core/src/map_change/polls.rs
+++ b/crates/core/src/map_change/polls.rs
@@ -10,7 +10,8 @@
 use indexmap::IndexMap;
 use std::net::IpAddr;
 
-/// Time in which all sections are asked once while nothing is under way.
+/// Time in which all sections are asked once while nothing is under way. A shift of demand is seen by the
+/// first two rounds after it.
 const ROUND_MS: u64 = 100;
 
 /// Counts that all answers of a round tell in a millisecond, at most: at 0.46 bytes each, deflated, they
