feat(agent): entries are told of agents that nobody hears

Cause: a machine freezes and its rank goes on making passes. What waits there neither answers nor breaks, and an entry that has only silence to go by gives it up after 1.5 s of the 2 s that callers wait.

Change: who leads a group hears every agent ten times a second. It tells entries of one that it has not heard for 350 ms, at once of a leader whose place it took, and takes it back when it hears it again. Entries send nothing new there, and move what has been silent for 250 ms and a pass, if it can go on elsewhere. At most a tenth of the ranks are left so, as with slow ones.

Ruled out: a deadline on the wire that ends with the caller's patience (a freeze of 3.5 s lies within the time of an ordinary answer); silence of a rank seen by one entry alone (passes of 0.2 s there: four of them are no sooner than 0.8 s).

--- a/crates/core/src/direct/backend_table.rs
+++ b/crates/core/src/direct/backend_table.rs
@@ -33,6 +33,10 @@
 /// gone must not keep work away from its backend server for good.
 const PACE_KEPT_MS: u64 = 3_000;
 
+/// Time for which it is believed that the agent beside a backend server is not heard. Who leads the group
+/// says it again well before.
+const UNHEARD_KEPT_MS: u64 = 3_000;
+
 /// Whether a backend server takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum BackendState {
@@ -97,6 +101,7 @@
     pub(super) paused_until: BootMs,
     pace_permille: u32,
     pace_until: BootMs,
+    unheard_until: BootMs,
 }
 
 /// All backend servers, by incarnation.
@@ -258,6 +263,15 @@
         }
     }
 
+    /// Notes whether the agent beside the backend server at `address` is heard by the one that leads their
+    /// group.
+    pub fn note_hearing(&mut self, address: SocketAddr, is_heard: bool, now: BootMs) {
+        let until = if is_heard { now } else { now.after(UNHEARD_KEPT_MS) };
+        for row in self.rows.values_mut().filter(|row| row.server.address == address) {
+            row.unheard_until = until;
+        }
+    }
+
     pub(super) fn open(&self, service: &str) -> impl Iterator<Item = &Row> {
         let is_open = move |row: &&Row| row.server.service == service && row.takes_work();
         self.rows.values().filter(is_open).filter(|row| !self.replaced.contains(&row.server.id))
@@ -350,6 +364,11 @@
         if self.pace_until > now { self.pace_permille } else { USUAL_PACE_PERMILLE }
     }
 
+    /// Whether nothing is heard of its machine, as far as is known.
+    pub(super) fn is_unheard(&self, now: BootMs) -> bool {
+        self.unheard_until > now
+    }
+
     fn takes_work(&self) -> bool {
         self.server.state == BackendState::Ready && self.listing != Listing::Unreadable
     }
@@ -364,6 +383,7 @@
             paused_until: BootMs(0),
             pace_permille: USUAL_PACE_PERMILLE,
             pace_until: BootMs(0),
+            unheard_until: BootMs(0),
         }
     }
 }
--- a/crates/core/src/direct/choice.rs
+++ b/crates/core/src/direct/choice.rs
@@ -50,9 +50,8 @@
     ) -> Option<Choice> {
         let open: Vec<&Row> =
             self.open(service).filter(|row| !tried.contains(&row.server.id)).collect();
-        let leaves = self.leaves_slow(service, now);
-        let is_awake =
-            |row: &&Row| row.paused_until <= now && !(leaves && row.holds_up_its_group(now));
+        let leaves = self.leaves_few(service, now);
+        let is_awake = |row: &&Row| row.paused_until <= now && !(leaves && row.is_avoided(now));
         let awake: Vec<&Row> = open.iter().copied().filter(is_awake).collect();
         let rows = if awake.is_empty() { open } else { awake };
         let load_requests = rows.iter().map(|row| self.load(row, now)).min_by(f64::total_cmp)?;
@@ -69,14 +68,22 @@
     #[must_use]
     pub fn is_left(&self, server: &BackendServer, now: BootMs) -> bool {
         let row = self.row(server);
-        row.is_some_and(|row| row.holds_up_its_group(now)) && self.leaves_slow(&server.service, now)
+        row.is_some_and(|row| row.holds_up_its_group(now)) && self.leaves_few(&server.service, now)
     }
 
-    /// Whether slow ranks of a service are left: when they are few enough for the others to take their
-    /// work over.
-    fn leaves_slow(&self, service: &str, now: BootMs) -> bool {
-        let slow = self.open(service).filter(|row| row.holds_up_its_group(now)).count();
-        slow <= (self.open(service).count() / LEFT_DIVISOR).max(1)
+    /// Whether a backend server that says nothing should be given up soon, because nothing is heard of its
+    /// machine either.
+    #[must_use]
+    pub fn is_unheard(&self, server: &BackendServer, now: BootMs) -> bool {
+        let row = self.row(server);
+        row.is_some_and(|row| row.is_unheard(now)) && self.leaves_few(&server.service, now)
+    }
+
+    /// Whether ranks of a service that are slow or not heard are left: when they are few enough for the
+    /// others to take their work over.
+    fn leaves_few(&self, service: &str, now: BootMs) -> bool {
+        let avoided = self.open(service).filter(|row| row.is_avoided(now)).count();
+        avoided <= (self.open(service).count() / LEFT_DIVISOR).max(1)
     }
 
     fn load(&self, row: &Row, now: BootMs) -> f64 {
@@ -91,6 +98,10 @@
 }
 
 impl Row {
+    fn is_avoided(&self, now: BootMs) -> bool {
+        self.holds_up_its_group(now) || self.is_unheard(now)
+    }
+
     fn holds_up_its_group(&self, now: BootMs) -> bool {
         self.pace_permille(now) >= LEFT_PACE_PERMILLE
     }
--- a/crates/core/src/map_change/mod.rs
+++ b/crates/core/src/map_change/mod.rs
@@ -20,6 +20,7 @@
 //! - [`Polls`] says when a leader asks whom; a [`Collection`] is what an agent hears for it.
 //! - [`LinkPace`] says how fast long messages may follow each other.
 //! - [`Demand`] estimates the load of each expert.
+//! - [`Unheard`] says which agents entries are to be told of, because nothing is heard of them.
 
 mod change;
 mod collection;
@@ -34,6 +35,7 @@
 mod polls;
 mod rescue;
 mod status;
+mod unheard;
 
 pub use collection::{Collected, Collection};
 pub use demand::Demand;
@@ -43,3 +45,4 @@
 pub use order::{OrderEnd, OrderKind, RankOrder};
 pub use polls::{Asked, Polls, Sections};
 pub use status::{Armed, CountsSample, RankStatus};
+pub use unheard::{Heard, Hearing, Unheard};
--- /dev/null
+++ b/crates/core/src/map_change/unheard.rs
@@ -0,0 +1,94 @@
+//! Which agents a leader no longer hears, for entries to know.
+//!
+//! The load that this answers: a machine freezes for seconds. Its rank makes passes with the others, but
+//! what it answers stays on the machine, and so does every request that waits there. A caller leaves after
+//! 2 s without an event; an entry alone needs most of that to tell silence from a slow group.
+
+use crate::direct::BootMs;
+use indexmap::IndexMap;
+use std::net::IpAddr;
+
+/// Silence of an agent from which entries are told: several rounds of polls, of which some may be lost.
+const UNHEARD_MS: u64 = 350;
+
+/// Pause after which entries are told again; they believe it for 3 s.
+const SAY_AGAIN_MS: u64 = 2_000;
+
+/// Pause between two looks from which the leader itself counts as having slept.
+const OWN_PAUSE_MS: u64 = 200;
+
+/// Part of the machines of which this is said at most, as a divisor. Where more are silent, the leader's
+/// own link is the likelier cause.
+const MOST_DIVISOR: usize = 10;
+
+/// When an agent was heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// Its machine.
+    pub machine: IpAddr,
+    /// The last time, if ever.
+    pub heard_at: Option<BootMs>,
+    /// When it was given up as the one that leads, by an agent that it was to poll all the while.
+    pub given_up_at: Option<BootMs>,
+}
+
+/// What entries are to be told of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hearing {
+    /// The machine.
+    pub machine: IpAddr,
+    /// Whether its agent is heard.
+    pub is_heard: bool,
+}
+
+/// What entries were told of the machines of a group.
+#[derive(Clone, Debug, Default)]
+pub struct Unheard {
+    looked_at: BootMs,
+    /// Since when the leader has looked without a long pause.
+    awake_since: BootMs,
+    /// Machines that entries were told of, and when.
+    said: IndexMap<IpAddr, BootMs>,
+}
+
+impl Unheard {
+    /// Forgets what was told, as an agent that does not lead.
+    pub fn clear(&mut self) {
+        self.said.clear();
+        self.looked_at = BootMs(0);
+    }
+
+    /// Looks at when other agents were last heard; gives what entries are to be told.
+    pub fn look(&mut self, now: BootMs, others: &[Heard]) -> Vec<Hearing> {
+        if now.since(self.looked_at) > OWN_PAUSE_MS {
+            self.awake_since = now;
+        }
+        self.looked_at = now;
+        let silent = others.iter().filter(|other| self.is_silent(now, other));
+        let silent: Vec<IpAddr> = silent.map(|other| other.machine).collect();
+        let heard: Vec<IpAddr> =
+            self.said.keys().filter(|machine| !silent.contains(machine)).copied().collect();
+        self.said.retain(|machine, _| silent.contains(machine));
+        let mut told: Vec<Hearing> =
+            heard.into_iter().map(|machine| Hearing { machine, is_heard: true }).collect();
+        if silent.len() <= (others.len() / MOST_DIVISOR).max(1) {
+            let is_due = |machine: &IpAddr| {
+                self.said.get(machine).is_none_or(|at| now.since(*at) >= SAY_AGAIN_MS)
+            };
+            let due: Vec<IpAddr> = silent.into_iter().filter(is_due).collect();
+            self.said.extend(due.iter().map(|machine| (*machine, now)));
+            told.extend(due.into_iter().map(|machine| Hearing { machine, is_heard: false }));
+        }
+        told
+    }
+
+    /// Whether an agent has gone silent.
+    ///
+    /// One that was never heard may not have started yet, and its rank is well. After a sleep of its own
+    /// the leader would take all others for silent, so silence counts from its waking.
+    fn is_silent(&self, now: BootMs, other: &Heard) -> bool {
+        let Some(heard_at) = other.heard_at else { return false };
+        let is_given_up = other.given_up_at.is_some_and(|at| at >= heard_at);
+        is_given_up || now.since(heard_at.max(self.awake_since)) > UNHEARD_MS
+    }
+}
--- a/crates/core/tests/direct.rs
+++ b/crates/core/tests/direct.rs
@@ -273,6 +273,56 @@
     }
 }
 
+struct UnheardRanks {
+    name: &'static str,
+    ranks: u16,
+    /// Ranks, from the first one on, beside which no agent is heard.
+    unheard: u16,
+    /// Whether the first rank gets no new work.
+    is_avoided: bool,
+}
+
+const UNHEARD_RANKS: &[UnheardRanks] = &[
+    UnheardRanks { name: "one", ranks: 12, unheard: 1, is_avoided: true },
+    UnheardRanks { name: "one of two", ranks: 2, unheard: 1, is_avoided: true },
+    UnheardRanks { name: "more than few", ranks: 12, unheard: 2, is_avoided: false },
+    UnheardRanks { name: "all", ranks: 12, unheard: 12, is_avoided: false },
+];
+
+/// Symptom: requests lie unrun at a frozen machine until their callers leave.
+///
+/// Events: the machine of a rank freezes; its open requests do not end, but other entries have none there.
+///
+/// Cause: new work for a rank of whose machine nothing is heard.
+#[gtest]
+fn ranks_beside_which_no_agent_is_heard_get_no_new_work_while_they_are_few() {
+    for case in UNHEARD_RANKS {
+        let mut table = BackendTable::new("a");
+        let ranks: Vec<BackendServer> =
+            (0..case.ranks).map(|rank| server(&format!("r{rank}"), rank, "a")).collect();
+        for (index, rank) in (0..).zip(&ranks) {
+            table.put(rank.clone());
+            if index < case.unheard {
+                table.note_hearing(rank.address, false, BootMs(0));
+            }
+            if index > 0 {
+                table.note_sent(rank);
+            }
+        }
+        let expect_avoided = |at_ms: u64, is_avoided: bool| {
+            let choice = table.choose("svc", &[], BootMs(at_ms), 0.0).map(|it| it.server.id);
+            expect_that!(choice.as_deref() != Some("r0"), eq(is_avoided), "{}", case.name);
+            expect_that!(table.is_unheard(&ranks[0], BootMs(at_ms)), eq(is_avoided));
+        };
+        expect_avoided(10, case.is_avoided);
+        expect_avoided(10_000, false);
+        let first = ranks[0].address;
+        table.note_hearing(first, false, BootMs(20_000));
+        table.note_hearing(first, true, BootMs(20_100));
+        expect_false!(table.is_unheard(&ranks[0], BootMs(20_200)), "{}: heard again", case.name);
+    }
+}
+
 /// Failures in a row pause a backend server, unless no other is left.
 #[gtest]
 fn failing_backend_servers_are_paused() {
--- a/crates/direct/src/agent/fleet.rs
+++ b/crates/direct/src/agent/fleet.rs
@@ -100,7 +100,7 @@
         let peer = fleet.peers.borrow_mut().next_to_ask();
         if let Some(peer) = peer {
             let version = fleet.catalog.borrow().version();
-            let question = Question { from: None, version, backends_as_of, pace: None };
+            let question = Question { from: None, version, backends_as_of, word: None };
             let sent_at = boot_now();
             match exchange::call(&client, peer, &question).await {
                 Ok(answer) => {
--- a/crates/direct/src/agent/hear.rs
+++ b/crates/direct/src/agent/hear.rs
@@ -30,6 +30,7 @@
         match Datagram::read(&buffer[..length]) {
             Ok(datagram) => {
                 member.link.count(Way::Heard, datagram.kind(), length);
+                member.silent.heard(from.ip());
                 tokio::task::spawn_local(handle(Rc::clone(&member), from, datagram));
             }
             Err(error) => {
@@ -43,17 +44,17 @@
 async fn handle(member: Rc<Member>, from: SocketAddr, datagram: Datagram) {
     match datagram {
         Datagram::Poll(poll) => {
-            if let Some(status) = answer(&member, &poll).await {
+            if let Some(status) = answer(&member, from, &poll).await {
                 member.send(from, &Datagram::Status(status)).await;
             }
         }
         Datagram::PollPart(poll) => {
-            if let Some(status) = answer(&member, &poll).await {
+            if let Some(status) = answer(&member, from, &poll).await {
                 member.send(from, &Datagram::Part(status)).await;
             }
         }
         Datagram::Collect { section, poll, others } => {
-            let is_of_group = heeds(&member, &poll).await;
+            let is_of_group = heeds(&member, from, &poll).await;
             collect::begin(&member, from, section, poll, &others, is_of_group).await;
         }
         Datagram::Part(status) => collect::take_part(&member, from, status).await,
@@ -91,20 +92,20 @@
 }
 
 /// Hears a leader's question. Returns whether it is for this agent's group.
-async fn heeds(member: &Rc<Member>, poll: &Poll) -> bool {
+async fn heeds(member: &Rc<Member>, from: SocketAddr, poll: &Poll) -> bool {
     if !is_own_group(member, &poll.group).await {
         return false;
     }
     hear_leader(member, poll.fence);
     if poll.holds {
-        watch::begin(member, poll.fence);
+        watch::begin(member, from.ip(), poll.fence);
     }
     true
 }
 
 /// The answer to a leader's question.
-async fn answer(member: &Rc<Member>, poll: &Poll) -> Option<RankStatus> {
-    if !heeds(member, poll).await {
+async fn answer(member: &Rc<Member>, from: SocketAddr, poll: &Poll) -> Option<RankStatus> {
+    if !heeds(member, from, poll).await {
         return None;
     }
     let status = status(member, poll.known_map, poll.wants_counts).await?;
--- a/crates/direct/src/agent/mod.rs
+++ b/crates/direct/src/agent/mod.rs
@@ -9,7 +9,8 @@
 //! - `lead` leads; `collect` hears a section of a large group for the leader, and `relay` passes its orders
 //!   to many on.
 //! - `stand_in` reads ranks whose agents are not heard; `watch` takes over from a leader that goes silent
-//!   while this rank holds a pass for it; `tell` tells entries of a slow rank.
+//!   while this rank holds a pass for it; `tell` tells entries of ranks that are slow or
+//!   not heard.
 //! - `program` starts and stops the process.
 
 mod afar;
--- a/crates/direct/src/agent/program.rs
+++ b/crates/direct/src/agent/program.rs
@@ -48,7 +48,8 @@
     tokio::task::spawn_local(lead::lead(Rc::clone(&member)));
     tokio::task::spawn_local(lead::tell_link(Rc::clone(&member)));
     tokio::task::spawn_local(stand_in::follow(Rc::clone(&member)));
-    tokio::task::spawn_local(tell::follow(member, backend));
+    tokio::task::spawn_local(tell::follow(Rc::clone(&member), backend));
+    tokio::task::spawn_local(tell::follow_hearing(member));
     let following = reload.follow(move |settings| fleet.set_seeds(&settings.seeds));
     tokio::task::spawn_local(following);
     signals.next().await;
--- a/crates/direct/src/agent/silent.rs
+++ b/crates/direct/src/agent/silent.rs
@@ -8,8 +8,9 @@
 use super::rank::RankEngine;
 use crate::clock::boot_now;
 use hickorycross_core::direct::BootMs;
+use hickorycross_core::map_change::Heard;
 use indexmap::IndexMap;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::IpAddr;
 use std::rc::Rc;
 
@@ -21,6 +22,8 @@
 pub(crate) struct SilentRanks {
     pub(super) engines: RefCell<IndexMap<u16, Rc<dyn RankEngine>>>,
     heard_at: RefCell<IndexMap<IpAddr, BootMs>>,
+    /// The machine of the last leader that was given up, and when.
+    given_up: Cell<Option<(IpAddr, BootMs)>>,
 }
 
 impl SilentRanks {
@@ -29,6 +32,18 @@
         self.heard_at.borrow_mut().insert(machine, boot_now());
     }
 
+    /// Notes that the agent of a machine was given up as the one that leads.
+    pub(super) fn give_up(&self, machine: IpAddr) {
+        self.given_up.set(Some((machine, boot_now())));
+    }
+
+    /// When the agent of a machine was heard.
+    pub(super) fn of(&self, machine: IpAddr) -> Heard {
+        let heard_at = self.heard_at.borrow().get(&machine).copied();
+        let given_up = self.given_up.get().filter(|(given_up, _)| *given_up == machine);
+        Heard { machine, heard_at, given_up_at: given_up.map(|(_, at)| at) }
+    }
+
     /// The client of a rank whose agent is silent.
     pub(crate) fn engine(&self, rank: u16) -> Option<Rc<dyn RankEngine>> {
         self.engines.borrow().get(&rank).cloned()
@@ -41,7 +56,6 @@
 
     /// Whether the agent of a machine is not heard.
     pub(super) fn is_silent(&self, machine: IpAddr) -> bool {
-        let heard_at = self.heard_at.borrow().get(&machine).copied();
-        heard_at.is_none_or(|at| boot_now().since(at) > SILENT_MS)
+        self.of(machine).heard_at.is_none_or(|at| boot_now().since(at) > SILENT_MS)
     }
 }
--- a/crates/direct/src/agent/state.rs
+++ b/crates/direct/src/agent/state.rs
@@ -4,7 +4,7 @@
 use hickorycross_core::map_change::Collection;
 use indexmap::IndexSet;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// Orders on their way, by rank and number. The leader sends again sooner than an answer from afar
 /// can come.
@@ -23,6 +23,7 @@
 /// The leader for which the own rank holds a pass.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Watched {
+    pub(super) machine: IpAddr,
     pub(super) fence: u64,
     pub(super) heard_at: BootMs,
 }
--- a/crates/direct/src/agent/tell.rs
+++ b/crates/direct/src/agent/tell.rs
@@ -1,11 +1,14 @@
-//! Tells entries when the rank beside this agent is slow.
+//! Tells entries what they cannot see soon enough by themselves.
 //!
-//! A group advances as slowly as its slowest rank's own work. Entries that send nothing new there
-//! shorten every pass; only the rank itself knows early that it is slow.
+//! - That the rank beside this agent is slow. A group advances as slowly as its slowest rank's own work;
+//!   entries that send nothing new there shorten every pass.
+//! - While this agent leads, that another one is not heard. See [`Unheard`].
 
 use super::member::Member;
+use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
-use crate::exchange::{self, BackendPace, Question};
+use crate::exchange::{self, BackendWord, Question, Said};
+use hickorycross_core::map_change::{Hearing, Unheard};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,16 +40,44 @@
         said_permille = permille;
         let line = DecisionLog::fields("pace").with("pace_permille", permille);
         member.log.note(line.with("outcome", "told"));
-        for entry in member.fleet.entries() {
-            tokio::task::spawn_local(tell(client.clone(), entry, backend, permille));
+        tell_all(&member, &client, BackendWord { address: backend, said: Said::Pace { permille } });
+    }
+}
+
+/// While this agent leads, looks for ever at which others it hears.
+pub(crate) async fn follow_hearing(member: Rc<Member>) {
+    let client = exchange::client();
+    let mut unheard = Unheard::default();
+    loop {
+        tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+        if member.leader.borrow().is_none() {
+            unheard.clear();
+            continue;
+        }
+        let addresses = member.fleet.addresses();
+        let others = addresses.iter().filter(|address| address.ip() != member.machine);
+        let others: Vec<_> = others.map(|address| member.silent.of(address.ip())).collect();
+        for Hearing { machine, is_heard } in unheard.look(boot_now(), &others) {
+            let line = DecisionLog::fields("hearing").with("machine", machine);
+            member.log.note(line.with("outcome", if is_heard { "heard" } else { "unheard" }));
+            for address in addresses.iter().filter(|address| address.ip() == machine) {
+                let said = Said::Hearing { is_heard };
+                tell_all(&member, &client, BackendWord { address: *address, said });
+            }
         }
     }
 }
 
-async fn tell(client: reqwest::Client, entry: SocketAddr, backend: SocketAddr, permille: u32) {
-    let pace = Some(BackendPace { address: backend, permille });
+fn tell_all(member: &Member, client: &reqwest::Client, word: BackendWord) {
+    for entry in member.fleet.entries() {
+        tokio::task::spawn_local(tell(client.clone(), entry, word));
+    }
+}
+
+async fn tell(client: reqwest::Client, entry: SocketAddr, word: BackendWord) {
+    let word = Some(word);
     // The versions say that nothing is to be sent back.
-    let question = Question { from: None, version: u64::MAX, backends_as_of: u64::MAX, pace };
+    let question = Question { from: None, version: u64::MAX, backends_as_of: u64::MAX, word };
     if exchange::call(&client, entry, &question).await.is_err() {
         metrics::counter!("hickorycross_exchange_failures_total").increment(1);
     }
--- a/crates/direct/src/agent/watch.rs
+++ b/crates/direct/src/agent/watch.rs
@@ -8,6 +8,7 @@
 use super::member::Member;
 use super::state::Watched;
 use crate::clock::boot_now;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,11 +19,11 @@
 const LOOK_MS: u64 = 20;
 
 /// Notes that a leader lives for which the own rank holds, or is about to.
-pub(super) fn begin(member: &Rc<Member>, fence: u64) {
+pub(super) fn begin(member: &Rc<Member>, machine: IpAddr, fence: u64) {
     if fence < member.highest_fence.get() {
         return;
     }
-    let watched = Watched { fence, heard_at: boot_now() };
+    let watched = Watched { machine, fence, heard_at: boot_now() };
     if member.watched.replace(Some(watched)).is_none() {
         tokio::task::spawn_local(follow(Rc::clone(member)));
     }
@@ -41,6 +42,7 @@
         }
         match member.engine.report().await {
             Ok(report) if report.held_step.is_some() => {
+                member.silent.give_up(watched.machine);
                 lead::take_over(&member, watched.fence).await;
                 break;
             }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -47,17 +47,32 @@
     pub(crate) version: u64,
     /// The store's revision of the asker's list of backend servers.
     pub(crate) backends_as_of: u64,
-    /// What an agent says of the backend server beside it.
-    pub(crate) pace: Option<BackendPace>,
+    /// What an agent says of a backend server.
+    pub(crate) word: Option<BackendWord>,
 }
 
-/// How long the work of a backend server takes.
+/// What an agent says of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct BackendPace {
-    /// Where it listens.
+pub(crate) struct BackendWord {
+    /// Where the backend server listens.
     pub(crate) address: SocketAddr,
-    /// Against the usual time, in thousandths.
-    pub(crate) permille: u32,
+    /// What is said of it.
+    pub(crate) said: Said,
+}
+
+/// What may be said of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Said {
+    /// By the agent beside it: how long its work takes, against the usual time.
+    Pace {
+        /// In thousandths of that.
+        permille: u32,
+    },
+    /// By the agent that leads its group: whether the agent beside it is heard.
+    Hearing {
+        /// Whether it is.
+        is_heard: bool,
+    },
 }
 
 /// A peer's answer.
@@ -83,10 +98,8 @@
     if let Some(from) = question.from {
         note_member(state, from, now);
     }
-    if let Some(pace) = question.pace {
-        let line = DecisionLog::fields("backend-server").with("address", pace.address);
-        state.log.note(line.with("pace_permille", pace.permille).with("outcome", "pace"));
-        state.backends.borrow_mut().note_pace(pace.address, pace.permille, now);
+    if let Some(word) = question.word {
+        note_word(state, word, now);
     }
     let belief = state.catalog.borrow();
     let newer = belief.catalog().filter(|catalog| catalog.version > question.version);
@@ -105,6 +118,22 @@
     }
 }
 
+fn note_word(state: &EntryState, word: BackendWord, now: BootMs) {
+    let BackendWord { address, said } = word;
+    let line = DecisionLog::fields("backend-server").with("address", address);
+    let mut backends = state.backends.borrow_mut();
+    match said {
+        Said::Pace { permille } => {
+            backends.note_pace(address, permille, now);
+            state.log.note(line.with("pace_permille", permille).with("outcome", "pace"));
+        }
+        Said::Hearing { is_heard } => {
+            backends.note_hearing(address, is_heard, now);
+            state.log.note(line.with("outcome", if is_heard { "heard" } else { "unheard" }));
+        }
+    }
+}
+
 /// Takes over a peer's answer to a question sent at `sent_at`.
 pub(crate) fn take_over(state: &EntryState, peer: SocketAddr, answer: Answer, sent_at: BootMs) {
     note_member(state, peer, boot_now());
@@ -175,7 +204,7 @@
         from: state.settings.borrow().listen.control,
         version: state.catalog.borrow().version(),
         backends_as_of: state.backends_as_of.get(),
-        pace: None,
+        word: None,
     };
     let sent_at = boot_now();
     match call(&client, peer, &question).await {
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -1,6 +1,6 @@
 //! One send of a request to one backend server.
 
-use super::patience::{self, Awaited, Impatience};
+use super::patience::{Impatience, Patience};
 use super::pool::Connection;
 use crate::callers::CallerRequest;
 use crate::clock::boot_now;
@@ -99,14 +99,16 @@
     }
 }
 
-/// Sends a request once. `resume_after` is the last event that the caller has got from here.
+/// Sends a request once, to the backend server that `patience` names. `resume_after` is the last event that
+/// the caller has got from here.
 pub(crate) async fn send(
     state: &Rc<EntryState>,
     request: &CallerRequest,
     body: &Bytes,
-    server: &BackendServer,
+    patience: &Patience<'_>,
     resume_after: Option<u64>,
 ) -> Brought {
+    let server = patience.server;
     state.note_sent_to_group(&server.service, body.len());
     state.backends.borrow_mut().note_sent(server);
     let mut attempt = Attempt {
@@ -124,9 +126,7 @@
     };
     let outgoing = outgoing(state, request, body, &attempt.server, resume_after);
     let sending = connection.sender.try_send_request(outgoing);
-    let (route, limit_at) = (&request.route, request.limit_at);
-    let waited =
-        patience::wait(state, route, &attempt.server, Awaited::Head, limit_at, sending).await;
+    let waited = patience.wait(sending).await;
     attempt.connection = Some(connection);
     match waited {
         Ok(Ok(response)) => judge_head(state, request, response, attempt).await,
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -1,7 +1,7 @@
 //! Chooses backend servers for a request and decides about further attempts.
 
 use super::attempt::{self, Attempt, Brought, Reply, end_to_end};
-use super::patience::{self, Awaited, Impatience};
+use super::patience::{Awaited, Impatience, Patience};
 use super::stream;
 use crate::callers::{AnswerBody, CallerRequest, Refusal, whole};
 use crate::clock::boot_now;
@@ -141,8 +141,9 @@
             self.tried.push(server.id.clone());
             self.sends += 1;
             self.sent_at = boot_now();
+            let patience = self.patience(&server, Awaited::Head);
             let sending =
-                attempt::send(&self.state, &self.request, &self.body, &server, resume_after);
+                attempt::send(&self.state, &self.request, &self.body, &patience, resume_after);
             match sending.await {
                 Brought::Answer(reply) => return Ok(*reply),
                 Brought::End(end) => self.note_end(&server, end)?,
@@ -219,13 +220,23 @@
         true
     }
 
+    /// How the request waits for what `server` is to send.
+    pub(super) fn patience<'a>(
+        &'a self,
+        server: &'a BackendServer,
+        awaited: Awaited,
+    ) -> Patience<'a> {
+        let Life { state, request, .. } = self;
+        let has_second_send = state.allowance.borrow_mut().has_one(boot_now(), &self.service);
+        let can_move = self.sends < request.route.max_attempts && has_second_send;
+        let (route, limit_at) = (&request.route, request.limit_at);
+        Patience { state, route, server, awaited, limit_at, can_move }
+    }
+
     /// Reads an answer to its end.
     async fn collect(&self, server: &BackendServer, body: Incoming) -> Result<Bytes, AttemptEnd> {
         let reading = Limited::new(body, MOST_ANSWER_BYTES).collect();
-        let Life { state, request, .. } = self;
-        let (route, limit_at) = (&request.route, request.limit_at);
-        let read = patience::wait(state, route, server, Awaited::Body, limit_at, reading).await;
-        match read {
+        match self.patience(server, Awaited::Body).wait(reading).await {
             Ok(Ok(body)) => Ok(body.to_bytes()),
             Ok(Err(_)) | Err(Impatience::Superseded) => Err(AttemptEnd::Broken),
             Err(Impatience::Silent | Impatience::Limit) => Err(AttemptEnd::Silent),
--- a/crates/direct/src/forward/patience.rs
+++ b/crates/direct/src/forward/patience.rs
@@ -24,6 +24,14 @@
 /// time within which its answer is on time.
 const SILENT_TARGETS: u64 = 2;
 
+/// Silence of a backend server that counts as a lost connection while nothing is heard of its machine
+/// either: a few passes. Told by silence alone a frozen machine was found too late for its callers, who
+/// leave after 2 s.
+const SILENT_UNHEARD_MS: u64 = 250;
+
+/// Passes that others made meanwhile: without any, the group stands and another rank brings nothing sooner.
+const PASSES_MISSED_UNHEARD: u64 = 1;
+
 /// Pause between looks at whether others go on.
 const LOOK_MS: u64 = 100;
 
@@ -47,35 +55,73 @@
     Superseded,
 }
 
-/// Waits for `work`, but not past the request's limit nor for a connection that seems lost.
-pub(crate) async fn wait<T>(
-    state: &EntryState,
-    route: &Route,
-    server: &BackendServer,
-    awaited: Awaited,
-    limit_at: BootMs,
-    work: impl Future<Output = T>,
-) -> Result<T, Impatience> {
-    let service = &*server.service;
-    let started = Started { at: boot_now(), passes: passes(state, service) };
-    let mut work = std::pin::pin!(work);
-    loop {
-        let left_ms = limit_at.since(boot_now());
-        if left_ms == 0 {
-            return Err(Impatience::Limit);
-        }
-        let pause = Duration::from_millis(left_ms.min(LOOK_MS));
-        if let Ok(done) = tokio::time::timeout(pause, work.as_mut()).await {
-            return Ok(done);
-        }
-        if is_silent(state, route, service, awaited, started) {
-            return Err(Impatience::Silent);
+/// Who is waited for, and for how long.
+pub(crate) struct Patience<'a> {
+    pub(crate) state: &'a EntryState,
+    pub(crate) route: &'a Route,
+    pub(crate) server: &'a BackendServer,
+    pub(crate) awaited: Awaited,
+    /// When the request's time is over.
+    pub(crate) limit_at: BootMs,
+    /// Whether the request can go on elsewhere.
+    pub(crate) can_move: bool,
+}
+
+impl Patience<'_> {
+    /// Waits for `work`, but not past the request's limit nor for a connection that seems lost.
+    pub(crate) async fn wait<T>(&self, work: impl Future<Output = T>) -> Result<T, Impatience> {
+        let started = Started { at: boot_now(), passes: self.passes() };
+        let mut work = std::pin::pin!(work);
+        loop {
+            let left_ms = self.limit_at.since(boot_now());
+            if left_ms == 0 {
+                return Err(Impatience::Limit);
+            }
+            let pause = Duration::from_millis(left_ms.min(LOOK_MS));
+            if let Ok(done) = tokio::time::timeout(pause, work.as_mut()).await {
+                return Ok(done);
+            }
+            if self.is_silent(started) {
+                return Err(Impatience::Silent);
+            }
+            // Behind a cut its connection neither answers nor breaks.
+            if self.state.backends.borrow().is_superseded(self.server) {
+                return Err(Impatience::Superseded);
+            }
         }
-        // Behind a cut its connection neither answers nor breaks.
-        if state.backends.borrow().is_superseded(server) {
-            return Err(Impatience::Superseded);
+    }
+
+    fn passes(&self) -> u64 {
+        self.state.passes.borrow().get(&self.server.service).map_or(0, Passes::ended)
+    }
+
+    fn is_silent(&self, started: Started) -> bool {
+        let silent_ms = boot_now().since(started.at);
+        match self.route.kind {
+            RequestKind::Idempotent => silent_ms > self.route.target_latency_ms * SILENT_TARGETS,
+            RequestKind::NonIdempotent | RequestKind::Stream => false,
+            RequestKind::ResumableStream => {
+                let missed = self.passes() - started.passes;
+                let most_ms = match self.awaited {
+                    Awaited::Head => SILENT_HEAD_MS,
+                    Awaited::Body => SILENT_ALONE_MS,
+                };
+                (silent_ms > most_ms && missed >= PASSES_MISSED)
+                    || self.is_frozen(silent_ms, missed)
+            }
         }
     }
+
+    /// Whether the backend server's machine seems frozen: neither it nor the agent beside it is heard.
+    ///
+    /// A frozen rank makes passes with the others, but what waits there neither answers nor breaks. One
+    /// would see its callers leave, and work begun for them when the machine wakes.
+    fn is_frozen(&self, silent_ms: u64, missed: u64) -> bool {
+        self.can_move
+            && silent_ms > SILENT_UNHEARD_MS
+            && missed >= PASSES_MISSED_UNHEARD
+            && self.state.backends.borrow().is_unheard(self.server, boot_now())
+    }
 }
 
 /// When a wait began, and how far its service had come by then.
@@ -84,26 +130,3 @@
     at: BootMs,
     passes: u64,
 }
-
-fn passes(state: &EntryState, service: &str) -> u64 {
-    state.passes.borrow().get(service).map_or(0, Passes::ended)
-}
-
-fn is_silent(
-    state: &EntryState,
-    route: &Route,
-    service: &str,
-    awaited: Awaited,
-    started: Started,
-) -> bool {
-    let silent_ms = boot_now().since(started.at);
-    match route.kind {
-        RequestKind::Idempotent => silent_ms > route.target_latency_ms * SILENT_TARGETS,
-        RequestKind::NonIdempotent | RequestKind::Stream => false,
-        RequestKind::ResumableStream => {
-            let missed = passes(state, service) - started.passes;
-            let most_ms = if awaited == Awaited::Head { SILENT_HEAD_MS } else { SILENT_ALONE_MS };
-            silent_ms > most_ms && missed >= PASSES_MISSED
-        }
-    }
-}
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::{Attempt, Reply, end_to_end};
 use super::life::Life;
-use super::patience::{self, Awaited, Impatience};
+use super::patience::{Awaited, Impatience};
 use crate::callers::{AnswerBody, BodyBreak};
 use crate::clock::boot_now;
 use bytes::Bytes;
@@ -114,12 +114,8 @@
     /// Reads more bytes; `false` at the end of the answer. Fails with how the attempt ended, or
     /// with nothing when the request's time is over.
     async fn read(&mut self) -> Result<bool, Option<AttemptEnd>> {
-        let Life { state, request, .. } = &self.life;
         let reading = self.body.frame();
-        let server = &self.server;
-        let (route, limit_at) = (&request.route, request.limit_at);
-        let read = patience::wait(state, route, server, Awaited::Body, limit_at, reading).await;
-        match read {
+        match self.life.patience(&self.server, Awaited::Body).wait(reading).await {
             Ok(Some(Ok(frame))) => {
                 if let Ok(bytes) = frame.into_data() {
                     self.cutter.push(&bytes);
