fix(direct): a failure that may not be tried elsewhere is handed on

Cause: a backend server's own failure of an idempotent request was dropped for a second send before the budget of second sends was asked. With the budget used up the caller was told 502, no backend server gave an answer, in place of the answer that there was. Nor did the log say what became of a failed answer.

Change: the budget is asked first. Each failed answer has a line, attempt-end end=failed, with its outcome.

--- a/crates/direct/src/forward/account.rs
+++ b/crates/direct/src/forward/account.rs
@@ -43,6 +43,14 @@
         self.state.log.note(line.with("sends", self.sends));
     }
 
+    /// Says what becomes of an answer in which a backend server says that it failed.
+    pub(super) fn note_failure(&self, id: &str, status: StatusCode, is_left: bool) {
+        metrics::counter!("hickorycross_attempts_failed_total", "end" => "failed").increment(1);
+        let line = self.line("attempt-end").with("backend", id).with("end", "failed");
+        let line = line.with("status", status.as_u16()).with("sends", self.sends);
+        self.state.log.note(line.with("outcome", if is_left { "left" } else { "handed-on" }));
+    }
+
     /// Says how the request ended.
     pub(super) fn note_final(&self, outcome: &'static str, status: StatusCode) {
         self.note_end_as(outcome, Some(status));
--- a/crates/direct/src/forward/leave.rs
+++ b/crates/direct/src/forward/leave.rs
@@ -13,8 +13,7 @@
         let now = boot_now();
         self.state.backends.borrow().is_left(server, now)
             && self.request.route.kind == RequestKind::ResumableStream
-            && self.sends < self.request.route.max_attempts
-            && self.state.allowance.borrow_mut().has_one(now, &self.service)
+            && self.may_send_again()
             && self.has_room()
     }
 }
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -113,7 +113,7 @@
             }
             let Reply { response, attempt } = reply;
             let (parts, body) = response.into_parts();
-            if parts.status.is_server_error() && self.retry_failed_answer(&attempt) {
+            if parts.status.is_server_error() && self.leaves_failure(&attempt, parts.status) {
                 continue;
             }
             match self.collect(&attempt.server, body).await {
@@ -205,14 +205,21 @@
         self.given_up()
     }
 
-    /// Whether to leave a failed answer and try again elsewhere.
-    fn retry_failed_answer(&mut self, attempt: &Attempt) -> bool {
-        let may =
-            self.request.route.kind.is_idempotent() && self.sends < self.request.route.max_attempts;
+    /// Whether the route and the fleet's budget allow for one more send.
+    pub(super) fn may_send_again(&self) -> bool {
+        self.sends < self.request.route.max_attempts
+            && self.state.allowance.borrow_mut().has_one(boot_now(), &self.service)
+    }
+
+    /// Whether to leave a backend server's own failure and try again elsewhere, at once: a failure that hangs
+    /// on the request comes again after any pause, another one hardly ever comes twice.
+    fn leaves_failure(&mut self, attempt: &Attempt, status: StatusCode) -> bool {
         let others = self.state.backends.borrow();
         let has_other = others.choose(&self.service, &self.tried, boot_now(), 0.0).is_some();
         drop(others);
-        if !may || !has_other {
+        let leaves = self.request.route.kind.is_idempotent() && has_other && self.may_send_again();
+        self.note_failure(&attempt.server.id, status, leaves);
+        if !leaves {
             return false;
         }
         self.state.backends.borrow_mut().note_failure(&attempt.server, boot_now());
@@ -227,8 +234,7 @@
         awaited: Awaited,
     ) -> Patience<'a> {
         let Life { state, request, .. } = self;
-        let has_second_send = state.allowance.borrow_mut().has_one(boot_now(), &self.service);
-        let can_move = self.sends < request.route.max_attempts && has_second_send;
+        let can_move = self.may_send_again();
         let (route, limit_at) = (&request.route, request.limit_at);
         Patience { state, route, server, awaited, limit_at, can_move }
     }
