perf(direct): after an outage those who have waited for long leave no room

Cause: when a group is back, requests that are late already get a third of an entry's slots at first and all of them after a second, so that fresh ones find room.

Change: the part grows with what a caller has used up of its patience; at half of it nothing is kept from it.

Test: callers_who_have_waited_are_served_before_they_leave plays three returns of a group; 48 callers of the second one left without the change.

--- a/crates/core/src/direct/outlook.rs
+++ b/crates/core/src/direct/outlook.rs
@@ -28,6 +28,10 @@
 /// Part of a group's slots that late requests may take right after its return.
 const FIRST_LATE_PART: f64 = 0.35;
 
+/// Part of its caller's patience after which a late request leaves no more room than others do: what is left
+/// of 1.6 s is enough for some passes in a queue.
+const LATE_PATIENCE_PART: f64 = 0.5;
+
 /// What the operators and the platform say of how a group fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Outage {
@@ -97,17 +101,30 @@
         }
     }
 
-    /// Part of its slots that a group gives to requests that are late already.
+    /// Whether the group has come back a moment ago.
+    #[must_use]
+    pub fn is_recovering(&self, now: BootMs) -> bool {
+        self.recovered_part(now) < 1.0
+    }
+
+    /// Part of its slots that a group gives to a request that is late already, whose caller has used up
+    /// `patience_used` of its patience, 1 being all of it.
     ///
     /// When a group is back, hundreds of them wait for it, and it still has the map that it was formed
     /// with, by which passes take three times as long as by an even one. All at once they take every
-    /// slot, and whoever comes then is late too, for 2 s and more. Worth of a day that ends with a loss
-    /// of power, one run each: 0.549 without room left, 0.568 with a third to begin with.
+    /// slot, and whoever comes then is late too, for 2 s and more. But a fresh request that waits is late,
+    /// and a late one whose caller leaves is lost, so those that have waited for long leave no room.
     #[must_use]
-    pub fn late_part(&self, now: BootMs) -> f64 {
+    pub fn late_part(&self, now: BootMs, patience_used: f64) -> f64 {
+        let recovered_part = self.recovered_part(now);
+        let first_part = FIRST_LATE_PART + (1.0 - FIRST_LATE_PART) * recovered_part;
+        first_part.max(patience_used / LATE_PATIENCE_PART).min(1.0)
+    }
+
+    /// How far a group that was away has come since its return, 1 when that is over.
+    fn recovered_part(&self, now: BootMs) -> f64 {
         let Some(back_since) = self.back_since else { return 1.0 };
-        let passed = now.since(back_since) as f64 / RECOVERY_MS as f64;
-        if passed >= 1.0 { 1.0 } else { FIRST_LATE_PART + (1.0 - FIRST_LATE_PART) * passed }
+        (now.since(back_since) as f64 / RECOVERY_MS as f64).min(1.0)
     }
 
     /// Notes that a rank turned a request away. Returns whether the group stands, rather than that one
--- a/crates/core/src/direct/waiting.rs
+++ b/crates/core/src/direct/waiting.rs
@@ -51,6 +51,13 @@
     since.after(patience_ms - patience_ms / FIRST_EVENT_DIVISOR)
 }
 
+/// Part of its patience that a stream's caller has used up who waits `since` then; 1 when it is about to leave.
+#[must_use]
+pub fn patience_used(route: &Route, since: BootMs, now: BootMs) -> f64 {
+    let patience_ms = waits_until(route, since).since(since).max(1);
+    now.since(since) as f64 / patience_ms as f64
+}
+
 /// When a caller with `left_ms` left is told to come back, for a group that is back in `back_in_ms`.
 ///
 /// `draw`, from 0 up to 1, spreads callers, so that they do not come all at once; a group that was away
--- a/crates/core/tests/direct_outage.rs
+++ b/crates/core/tests/direct_outage.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use hickorycross_core::direct::{
     BackendShare, BootMs, FirstDeadlines, GroupOutlook, Outage, Passage, RequestKind, Route,
-    come_back_ms, urgency, waits_until,
+    come_back_ms, patience_used, urgency, waits_until,
 };
 
 const OUTAGE: Outage = Outage { stall_ms: 1_500, forming_ms: 600 };
@@ -98,11 +98,112 @@
 #[gtest]
 fn late_requests_leave_room_after_an_outage() {
     let mut outlook = outlook_at(11_500);
-    expect_that!(outlook.late_part(BootMs(11_600)), eq(1.0), "not back yet");
+    expect_that!(outlook.late_part(BootMs(11_600), 0.0), eq(1.0), "not back yet");
     outlook.note_event(BootMs(12_200));
-    expect_that!(outlook.late_part(BootMs(12_200)), near(0.35, 0.01));
-    expect_that!(outlook.late_part(BootMs(12_700)), near(0.675, 0.01));
-    expect_that!(outlook.late_part(BootMs(13_200)), eq(1.0));
+    expect_that!(outlook.late_part(BootMs(12_200), 0.0), near(0.35, 0.01));
+    expect_that!(outlook.late_part(BootMs(12_700), 0.0), near(0.675, 0.01));
+    expect_that!(outlook.late_part(BootMs(13_200), 0.0), eq(1.0));
+    expect_that!(outlook.late_part(BootMs(12_200), 0.25), near(0.5, 0.01));
+    expect_that!(outlook.late_part(BootMs(12_200), 0.5), eq(1.0), "it waits no longer");
+}
+
+/// A group of 63 ranks that has come back, and callers of it.
+struct Recovery {
+    name: &'static str,
+    /// Callers that wait when the group is back, for up to so long.
+    waiting: u64,
+    waited_ms: u64,
+    /// Callers that come fresh in a second.
+    fresh_per_s: u64,
+    /// Whether all of them can be served before they leave.
+    serves_all: bool,
+}
+
+const SLOTS: usize = 630;
+/// Time that a stream keeps its slot: 23 events, a pass of 0.1 s each.
+const STREAM_MS: u64 = 2_300;
+const BACK_AT_MS: u64 = 12_200;
+
+impl Recovery {
+    /// When each caller came. Those that wait do not look for room in the order in which they came; here the
+    /// last ones do so first.
+    fn callers(&self) -> Vec<u64> {
+        let step_ms = self.waited_ms as f64 / self.waiting as f64;
+        let waiting = (0..self.waiting).map(|it| BACK_AT_MS - (it as f64 * step_ms) as u64);
+        let fresh = (0..3_000 * self.fresh_per_s / 1_000).map(|it| it * 1_000 / self.fresh_per_s);
+        waiting.chain(fresh.map(|after_ms| BACK_AT_MS + after_ms)).collect()
+    }
+
+    /// Callers that leave unserved.
+    fn play(&self) -> usize {
+        let mut outlook = outlook_at(11_500);
+        outlook.note_event(BootMs(BACK_AT_MS));
+        let route = route();
+        let (mut callers, mut ends_ms) = (self.callers(), Vec::new());
+        let mut lost = 0;
+        for now_ms in (BACK_AT_MS..BACK_AT_MS + 5_000).step_by(10) {
+            let now = BootMs(now_ms);
+            ends_ms.retain(|end_ms| *end_ms > now_ms);
+            callers.retain(|came_ms| {
+                let came = BootMs(*came_ms);
+                let waited_ms = now.since(came);
+                if now_ms < *came_ms {
+                    return true;
+                }
+                if now > waits_until(&route, came) {
+                    lost += 1;
+                    return false;
+                }
+                let is_late = waited_ms >= route.target_latency_ms;
+                let used = patience_used(&route, came, now);
+                let part = if is_late { outlook.late_part(now, used) } else { 1.0 };
+                if ends_ms.len() as f64 >= SLOTS as f64 * part {
+                    return true;
+                }
+                ends_ms.push(now_ms + STREAM_MS);
+                false
+            });
+        }
+        lost
+    }
+}
+
+const RECOVERIES: &[Recovery] = &[
+    Recovery {
+        name: "after 1 s",
+        waiting: 220,
+        waited_ms: 1_000,
+        fresh_per_s: 220,
+        serves_all: true,
+    },
+    Recovery {
+        name: "after 1.5 s",
+        waiting: 330,
+        waited_ms: 1_500,
+        fresh_per_s: 220,
+        serves_all: true,
+    },
+    Recovery {
+        name: "more than there are slots for",
+        waiting: 900,
+        waited_ms: 1_500,
+        fresh_per_s: 220,
+        serves_all: false,
+    },
+];
+
+/// Symptom: callers who have waited for a group leave without an answer a moment after it is back, though it
+/// has slots free for them.
+///
+/// Events: a group is away for some seconds; hundreds of callers wait for it, others come.
+///
+/// Cause: room that is kept for those who come, from those who have no time left to wait for it.
+#[gtest]
+fn callers_who_have_waited_are_served_before_they_leave() {
+    for recovery in RECOVERIES {
+        let lost = recovery.play();
+        expect_that!(lost == 0, eq(recovery.serves_all), "{}: {lost} lost", recovery.name);
+    }
 }
 
 /// One rank that is full is no outage: others make passes.
--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -4,7 +4,9 @@
 use crate::callers::Refusal;
 use crate::clock::boot_now;
 use crate::state::UNEVEN_ENTRIES;
-use hickorycross_core::direct::{BootMs, GroupOutlook, Outage, Passage, come_back_ms, waits_until};
+use hickorycross_core::direct::{
+    BootMs, GroupOutlook, Outage, Passage, come_back_ms, patience_used, waits_until,
+};
 use rand::RngExt;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -182,7 +184,7 @@
     /// time of a first event.
     fn room_until(&self, entered_at: BootMs) -> BootMs {
         let target_ms = self.request.route.target_latency_ms;
-        let is_recovering = self.outlook(|outlook| outlook.late_part(boot_now()) < 1.0);
+        let is_recovering = self.outlook(|outlook| outlook.is_recovering(boot_now()));
         if self.request.route.kind.is_stream() && (self.is_waiting || is_recovering) {
             return self.patient_until();
         }
@@ -194,7 +196,9 @@
         let backends = self.state.backends.borrow();
         let share = f64::from(backends.slots(&self.service)) / self.state.entries() as f64;
         let open = backends.outstanding(&self.service);
-        let late_part = self.outlook(|outlook| outlook.late_part(boot_now()));
+        let now = boot_now();
+        let used = patience_used(&self.request.route, self.heard_at, now);
+        let late_part = self.outlook(|outlook| outlook.late_part(now, used));
         let part = if self.is_late() && late_part < 1.0 { late_part } else { UNEVEN_ENTRIES };
         self.state.admission.borrow_mut().admits(&self.service, open, share, part)
     }
