perf(direct): a store that is away is called for the backend servers less often

Cause: while the store refuses or is silent, each entry calls it for the configuration and for the backend servers every 0.24 s on the average. Keys wait for the configuration; the list holds on.

Change: a failed call for the list is followed by one after 0.5 to 1 s.

Ruled out: a longer pause for the configuration. Callers whose keys cannot be judged are refused until it is heard.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -6,6 +6,7 @@
 use crate::store::{BackendList, SharedStore, StoreChange, StoreError, UnreadableBackend};
 use hickorycross_core::direct::{Adoption, BackendServer, BootMs, Catalog};
 use rand::RngExt;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,9 +27,14 @@
 /// for each. A leaving backend server serves on for seconds, so a fifth of one is no loss.
 const CHANGES_PAUSE_MS: u64 = 200;
 
-/// Shortest and longest pause after a failed call, in milliseconds, drawn at random so that all
-/// entries do not come back to the store at the same moment.
-const PAUSE_MS: std::ops::Range<u64> = 120..360;
+/// Shortest and longest pause after a failed call for the configuration, in milliseconds, drawn at random so
+/// that all entries do not come back to the store at the same moment. Keys can be judged again as soon as it is
+/// heard.
+const CATALOG_PAUSE_MS: Range<u64> = 120..360;
+
+/// The same for the backend servers, whose list holds on while the store is away. A store that is down has
+/// twice the calls to refuse where both are as short.
+const BACKENDS_PAUSE_MS: Range<u64> = 500..1_000;
 
 /// Failed calls in a row after which the store counts as lost.
 const FAILURES_UNTIL_LOST: u32 = 2;
@@ -68,7 +74,7 @@
     loop {
         let Err(error) = follow_catalog_once(&state, &*store, &mut contact).await;
         contact.note_failure(&state.log, "configuration", &error);
-        pause_after(&state, &error).await;
+        pause_after(&state, &error, CATALOG_PAUSE_MS).await;
     }
 }
 
@@ -135,7 +141,7 @@
     loop {
         let Err(error) = follow_backends_once(&state, &*store, &mut contact).await;
         contact.note_failure(&state.log, "backend-servers", &error);
-        pause_after(&state, &error).await;
+        pause_after(&state, &error, BACKENDS_PAUSE_MS).await;
     }
 }
 
@@ -229,10 +235,10 @@
     state.log.note(line.with("as_of", as_of).with("outcome", "gone"));
 }
 
-async fn pause_after(state: &EntryState, error: &StoreError) {
+async fn pause_after(state: &EntryState, error: &StoreError, pause_ms: Range<u64>) {
     if *error == StoreError::HistoryGone {
         return;
     }
-    let pause_ms = state.random.borrow_mut().random_range(PAUSE_MS);
+    let pause_ms = state.random.borrow_mut().random_range(pause_ms);
     tokio::time::sleep(Duration::from_millis(pause_ms)).await;
 }
