--- a/crates/core/src/direct/backend_table.rs
+++ b/crates/core/src/direct/backend_table.rs
@@ -33,8 +33,8 @@
 /// gone must not keep work away from its backend server for good.
 const PACE_KEPT_MS: u64 = 3_000;
 
-/// Time for which it is believed that the agent beside a backend server is not heard. Who leads the group
-/// says it again well before.
+/// Time for which it is believed that the agent beside a backend server is not heard. The agent that leads
+/// says it again well before; one that is gone must not keep work away for good.
 const UNHEARD_KEPT_MS: u64 = 3_000;
 
 /// Whether a backend server takes new work.
@@ -364,7 +364,7 @@
         if self.pace_until > now { self.pace_permille } else { USUAL_PACE_PERMILLE }
     }
 
-    /// Whether nothing is heard of its machine, as far as is known.
+    /// Whether the agent beside it is not heard, as far as is known.
     pub(super) fn is_unheard(&self, now: BootMs) -> bool {
         self.unheard_until > now
     }
--- a/crates/core/src/direct/belief.rs
+++ b/crates/core/src/direct/belief.rs
@@ -13,9 +13,9 @@
 /// Age up to which a catalog's word on keys holds, where a key that was taken away is dead after `revoke_ms` and
 /// the store is watched for `watch_ms` at a time.
 ///
-/// A watch that brings nothing vouches for the moment at which it was sent. It may be deaf for its last part,
-/// so only one that is shorter than that can be wrong about its beginning. Whatever is taken off here beyond
-/// that, callers go without an answer for longer whenever the store is away.
+/// A watch that brings nothing vouches for the moment at which it was sent. The store may have been deaf for the
+/// last part of it, so only a watch that is shorter than that may be wrong about its beginning. Too short a
+/// bound refuses callers with good keys whenever the store is away.
 #[must_use]
 pub const fn key_bound_ms(revoke_ms: u64, watch_ms: u64) -> u64 {
     let deaf_ms = DEAF_WATCH_MS.saturating_sub(watch_ms);
--- a/crates/core/src/direct/outlook.rs
+++ b/crates/core/src/direct/outlook.rs
@@ -28,8 +28,8 @@
 /// Part of a group's slots that late requests may take right after its return.
 const FIRST_LATE_PART: f64 = 0.35;
 
-/// Part of its caller's patience after which a late request leaves no more room than others do: what is left
-/// of 1.6 s is enough for some passes in a queue.
+/// Part of its caller's patience after which a late request may take all the room that others may: the rest,
+/// 0.8 s, is enough for some passes in a backend server's queue.
 const LATE_PATIENCE_PART: f64 = 0.5;
 
 /// What the operators and the platform say of how a group fails.
@@ -112,8 +112,8 @@
     ///
     /// When a group is back, hundreds of them wait for it, and it still has the map that it was formed
     /// with, by which passes take three times as long as by an even one. All at once they take every
-    /// slot, and whoever comes then is late too, for 2 s and more. But a fresh request that waits is late,
-    /// and a late one whose caller leaves is lost, so those that have waited for long leave no room.
+    /// slot, and whoever comes then is late too, for 2 s and more. But a fresh request that waits is late at
+    /// worst, and a late one whose caller leaves is lost, so those that have waited for long leave no room.
     #[must_use]
     pub fn late_part(&self, now: BootMs, patience_used: f64) -> f64 {
         let recovered_part = self.recovered_part(now);
--- a/crates/core/src/direct/waiting.rs
+++ b/crates/core/src/direct/waiting.rs
@@ -51,7 +51,8 @@
     since.after(patience_ms - patience_ms / FIRST_EVENT_DIVISOR)
 }
 
-/// Part of its patience that a stream's caller has used up who waits `since` then; 1 when it is about to leave.
+/// Part of its patience that a stream's caller has used up by `now`, when it got the last event, or sent its
+/// request, at `since`; 1 when a wait for it has to end.
 #[must_use]
 pub fn patience_used(route: &Route, since: BootMs, now: BootMs) -> f64 {
     let patience_ms = waits_until(route, since).since(since).max(1);
--- a/crates/core/src/map_change/unheard.rs
+++ b/crates/core/src/map_change/unheard.rs
@@ -1,8 +1,9 @@
-//! Which agents a leader no longer hears, for entries to know.
+//! Which agents a leader no longer hears, so that entries can be told.
 //!
 //! The load that this answers: a machine freezes for seconds. Its rank makes passes with the others, but
 //! what it answers stays on the machine, and so does every request that waits there. A caller leaves after
-//! 2 s without an event; an entry alone needs most of that to tell silence from a slow group.
+//! 2 s without an event; an entry that has only silence to go by needs most of that to tell a frozen machine
+//! from a slow group.
 
 use crate::direct::BootMs;
 use indexmap::IndexMap;
@@ -17,7 +18,7 @@
 /// Pause between two looks from which the leader itself counts as having slept.
 const OWN_PAUSE_MS: u64 = 200;
 
-/// Part of the machines of which this is said at most, as a divisor. Where more are silent, the leader's
+/// Part of the machines that entries are told of at most, as a divisor. Where more are silent, the leader's
 /// own link is the likelier cause.
 const MOST_DIVISOR: usize = 10;
 
@@ -28,7 +29,7 @@
     pub machine: IpAddr,
     /// The last time, if ever.
     pub heard_at: Option<BootMs>,
-    /// When it was given up as the one that leads, by an agent that it was to poll all the while.
+    /// When this agent took its place as leader, if it did.
     pub given_up_at: Option<BootMs>,
 }
 
--- a/crates/direct/src/agent/silent.rs
+++ b/crates/direct/src/agent/silent.rs
@@ -22,7 +22,7 @@
 pub(crate) struct SilentRanks {
     pub(super) engines: RefCell<IndexMap<u16, Rc<dyn RankEngine>>>,
     heard_at: RefCell<IndexMap<IpAddr, BootMs>>,
-    /// The machine of the last leader that was given up, and when.
+    /// The machine of the leader whose place this agent took last, and when.
     given_up: Cell<Option<(IpAddr, BootMs)>>,
 }
 
@@ -32,7 +32,7 @@
         self.heard_at.borrow_mut().insert(machine, boot_now());
     }
 
-    /// Notes that the agent of a machine was given up as the one that leads.
+    /// Notes that this agent takes the place of the leader on a machine.
     pub(super) fn give_up(&self, machine: IpAddr) {
         self.given_up.set(Some((machine, boot_now())));
     }
--- a/crates/direct/src/agent/tell.rs
+++ b/crates/direct/src/agent/tell.rs
@@ -13,7 +13,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Pause between looks at what the rank last said of its pace; the leader has it asked about as often.
+/// Pause between looks at what is to be told. Ranks are asked for their pace, and other agents heard, about as
+/// often.
 const LOOK_MS: u64 = 100;
 
 /// Pace in thousandths from which a rank counts as slow.
--- a/crates/direct/src/forward/patience.rs
+++ b/crates/direct/src/forward/patience.rs
@@ -24,9 +24,9 @@
 /// time within which its answer is on time.
 const SILENT_TARGETS: u64 = 2;
 
-/// Silence of a backend server that counts as a lost connection while nothing is heard of its machine
-/// either: a few passes. Told by silence alone a frozen machine was found too late for its callers, who
-/// leave after 2 s.
+/// Silence of a backend server that counts as a lost connection while the agent beside it is not heard
+/// either: a few passes. By silence alone a frozen machine is found too late for its callers, who leave after
+/// 2 s.
 const SILENT_UNHEARD_MS: u64 = 250;
 
 /// Passes that others made meanwhile: without any, the group stands and another rank brings nothing sooner.
