fix(agent): a leader listens to its own group only

With 3,000 servers the service has many groups. A leader took the machines of all of them for its own; agents that it had heard once while collecting seemed to go silent, and all entries were told of a tenth of them every two seconds.

Change: it listens to the machines of the ranks that have answered it, and to that of the leader whose place it took. A machine on which two backend servers are listed counts once.

Test: a_leader_listens_to_its_own_group.

--- a/crates/core/src/map_change/mod.rs
+++ b/crates/core/src/map_change/mod.rs
@@ -45,4 +45,4 @@
 pub use order::{OrderEnd, OrderKind, RankOrder};
 pub use polls::{Asked, Polls, Sections};
 pub use status::{Armed, CountsSample, RankStatus};
-pub use unheard::{Heard, Hearing, Unheard};
+pub use unheard::{Heard, Hearing, Unheard, machines_to_hear};
--- a/crates/core/src/map_change/unheard.rs
+++ b/crates/core/src/map_change/unheard.rs
@@ -6,8 +6,8 @@
 //! from a slow group.
 
 use crate::direct::BootMs;
-use indexmap::IndexMap;
-use std::net::IpAddr;
+use indexmap::{IndexMap, IndexSet};
+use std::net::{IpAddr, SocketAddr};
 
 /// Silence of an agent from which entries are told: several rounds of polls, of which some may be lost.
 const UNHEARD_MS: u64 = 350;
@@ -42,6 +42,21 @@
     pub is_heard: bool,
 }
 
+/// Machines of the other ranks of a group, by the addresses of their agents as far as the leader on `own` knows
+/// them, and that of the leader whose place it took.
+///
+/// A service may have many groups, whose agents a leader hears now and then. Taken for its own they would seem
+/// to go silent: one would see entries told of machines that are well, by each leader again and again.
+#[must_use]
+pub fn machines_to_hear(
+    ranks: &IndexMap<u16, SocketAddr>,
+    given_up: Option<IpAddr>,
+    own: IpAddr,
+) -> IndexSet<IpAddr> {
+    let ranks = ranks.values().map(SocketAddr::ip);
+    ranks.chain(given_up).filter(|machine| *machine != own).collect()
+}
+
 /// What entries were told of the machines of a group.
 #[derive(Clone, Debug, Default)]
 pub struct Unheard {
--- a/crates/core/tests/map_unheard.rs
+++ b/crates/core/tests/map_unheard.rs
@@ -2,8 +2,8 @@
 
 use googletest::prelude::*;
 use hickorycross_core::direct::BootMs;
-use hickorycross_core::map_change::{Heard, Hearing, Unheard};
-use std::net::{IpAddr, Ipv4Addr};
+use hickorycross_core::map_change::{Heard, Hearing, Unheard, machines_to_hear};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// Pause between looks.
 const LOOK_MS: u64 = 100;
@@ -114,3 +114,46 @@
     let told = unheard.look(BootMs(5_010), &[woken]);
     expect_that!(told, elements_are![eq(&Hearing { machine: machine(0), is_heard: true })]);
 }
+
+struct Group {
+    name: &'static str,
+    /// Machines of the agents of the group, by rank.
+    ranks: &'static [usize],
+    given_up: Option<usize>,
+    heard: &'static [usize],
+}
+
+const OWN: usize = 0;
+
+const GROUPS: &[Group] = &[
+    Group {
+        name: "the own machine is not listened to",
+        ranks: &[0, 1, 2],
+        given_up: None,
+        heard: &[1, 2],
+    },
+    Group { name: "two ranks on one machine", ranks: &[0, 1, 1], given_up: None, heard: &[1] },
+    Group {
+        name: "a leader that was never asked",
+        ranks: &[0, 2],
+        given_up: Some(1),
+        heard: &[2, 1],
+    },
+    Group { name: "nobody has answered yet", ranks: &[], given_up: None, heard: &[] },
+];
+
+/// Symptom: the busiest agent of a fleet of 300 machines calls entries 480 times a second.
+///
+/// Events: a service has many groups; a leader hears agents of another one now and then, while it collects.
+///
+/// Cause: all machines of the service listened to as if they were of the own group, found silent, and told of.
+#[gtest]
+fn a_leader_listens_to_its_own_group() {
+    for group in GROUPS {
+        let agent = |index: &usize| SocketAddr::from((machine(*index), 7_340));
+        let ranks = (0..).zip(group.ranks.iter().map(agent)).collect();
+        let machines = machines_to_hear(&ranks, group.given_up.map(machine), machine(OWN));
+        let expected: Vec<IpAddr> = group.heard.iter().copied().map(machine).collect();
+        expect_that!(machines.into_iter().collect::<Vec<_>>(), eq(&expected), "{}", group.name);
+    }
+}
--- a/crates/direct/src/agent/silent.rs
+++ b/crates/direct/src/agent/silent.rs
@@ -37,6 +37,11 @@
         self.given_up.set(Some((machine, boot_now())));
     }
 
+    /// The machine of the leader whose place this agent took last.
+    pub(super) fn given_up_machine(&self) -> Option<IpAddr> {
+        self.given_up.get().map(|(machine, _)| machine)
+    }
+
     /// When the agent of a machine was heard.
     pub(super) fn of(&self, machine: IpAddr) -> Heard {
         let heard_at = self.heard_at.borrow().get(&machine).copied();
--- a/crates/direct/src/agent/tell.rs
+++ b/crates/direct/src/agent/tell.rs
@@ -8,7 +8,7 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::exchange::{self, BackendWord, Question, Said};
-use hickorycross_core::map_change::{Hearing, Unheard};
+use hickorycross_core::map_change::{Hearing, Unheard, machines_to_hear};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -55,9 +55,10 @@
             unheard.clear();
             continue;
         }
+        let given_up = member.silent.given_up_machine();
+        let others = machines_to_hear(&member.ranks.borrow(), given_up, member.machine);
+        let others: Vec<_> = others.into_iter().map(|it| member.silent.of(it)).collect();
         let addresses = member.fleet.addresses();
-        let others = addresses.iter().filter(|address| address.ip() != member.machine);
-        let others: Vec<_> = others.map(|address| member.silent.of(address.ip())).collect();
         for Hearing { machine, is_heard } in unheard.look(boot_now(), &others) {
             let line = DecisionLog::fields("hearing").with("machine", machine);
             member.log.note(line.with("outcome", if is_heard { "heard" } else { "unheard" }));
