--- a/crates/core/src/map_change/unheard.rs
+++ b/crates/core/src/map_change/unheard.rs
@@ -1,12 +1,13 @@
-//! Which agents a leader no longer hears, for entries to know.
+//! Which agents a leader no longer hears, so that entries can be told.
 //!
 //! The load that this answers: a machine freezes for seconds. Its rank makes passes with the others, but
 //! what it answers stays on the machine, and so does every request that waits there. A caller leaves after
-//! 2 s without an event; an entry alone needs most of that to tell silence from a slow group.
+//! 2 s without an event; an entry that has only silence to go by needs most of that to tell a frozen machine
+//! from a slow group.
 
 use crate::direct::BootMs;
-use indexmap::IndexMap;
-use std::net::IpAddr;
+use indexmap::{IndexMap, IndexSet};
+use std::net::{IpAddr, SocketAddr};
 
 /// Silence of an agent from which entries are told: several rounds of polls, of which some may be lost.
 const UNHEARD_MS: u64 = 350;
@@ -17,7 +18,7 @@
 /// Pause between two looks from which the leader itself counts as having slept.
 const OWN_PAUSE_MS: u64 = 200;
 
-/// Part of the machines of which this is said at most, as a divisor. Where more are silent, the leader's
+/// Part of the machines that entries are told of at most, as a divisor. Where more are silent, the leader's
 /// own link is the likelier cause.
 const MOST_DIVISOR: usize = 10;
 
@@ -28,7 +29,7 @@
     pub machine: IpAddr,
     /// The last time, if ever.
     pub heard_at: Option<BootMs>,
-    /// When it was given up as the one that leads, by an agent that it was to poll all the while.
+    /// When this agent took its place as leader, if it did.
     pub given_up_at: Option<BootMs>,
 }
 
@@ -41,6 +42,21 @@
     pub is_heard: bool,
 }
 
+/// Machines of the other ranks of a group, by the addresses of their agents as far as the leader on `own` knows
+/// them, and that of the leader whose place it took.
+///
+/// A service may have many groups, whose agents a leader hears now and then. Taken for its own they would seem
+/// to go silent: one would see entries told of machines that are well, by each leader again and again.
+#[must_use]
+pub fn machines_to_hear(
+    ranks: &IndexMap<u16, SocketAddr>,
+    given_up: Option<IpAddr>,
+    own: IpAddr,
+) -> IndexSet<IpAddr> {
+    let ranks = ranks.values().map(SocketAddr::ip);
+    ranks.chain(given_up).filter(|machine| *machine != own).collect()
+}
+
 /// What entries were told of the machines of a group.
 #[derive(Clone, Debug, Default)]
 pub struct Unheard {
