refactor(core): how many ranks are left at a time stands once

A leader told entries of a tenth of the machines at most, by a constant of its own beside the one by which entries leave ranks.

--- a/crates/core/src/direct/choice.rs
+++ b/crates/core/src/direct/choice.rs
@@ -83,7 +83,7 @@
     /// others to take their work over.
     fn leaves_few(&self, service: &str, now: BootMs) -> bool {
         let avoided = self.open(service).filter(|row| row.is_avoided(now)).count();
-        avoided <= (self.open(service).count() / LEFT_DIVISOR).max(1)
+        avoided <= most_left(self.open(service).count())
     }
 
     fn load(&self, row: &Row, now: BootMs) -> f64 {
@@ -97,6 +97,11 @@
     }
 }
 
+/// How many of so many ranks may be left at a time; one of a small group.
+pub(crate) fn most_left(ranks: usize) -> usize {
+    (ranks / LEFT_DIVISOR).max(1)
+}
+
 impl Row {
     fn is_avoided(&self, now: BootMs) -> bool {
         self.holds_up_its_group(now) || self.is_unheard(now)
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -38,6 +38,7 @@
     BackendShare, CallerLimits, Catalog, GroupDimensions, RequestKind, Route, Service, Team,
 };
 pub use choice::Choice;
+pub(crate) use choice::most_left;
 pub use event_cutter::{EventCutter, StreamEvent};
 pub use outcome::{AttemptEnd, Judgement, judge_attempt};
 pub use outlook::{GroupOutlook, Outage, Passage};
--- a/crates/core/src/map_change/unheard.rs
+++ b/crates/core/src/map_change/unheard.rs
@@ -5,7 +5,7 @@
 //! 2 s without an event; an entry that has only silence to go by needs most of that to tell a frozen machine
 //! from a slow group.
 
-use crate::direct::BootMs;
+use crate::direct::{BootMs, most_left};
 use indexmap::{IndexMap, IndexSet};
 use std::net::{IpAddr, SocketAddr};
 
@@ -18,10 +18,6 @@
 /// Pause between two looks from which the leader itself counts as having slept.
 const OWN_PAUSE_MS: u64 = 200;
 
-/// Part of the machines that entries are told of at most, as a divisor. Where more are silent, the leader's
-/// own link is the likelier cause.
-const MOST_DIVISOR: usize = 10;
-
 /// When an agent was heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Heard {
@@ -87,7 +83,8 @@
         self.said.retain(|machine, _| silent.contains(machine));
         let mut told: Vec<Hearing> =
             heard.into_iter().map(|machine| Hearing { machine, is_heard: true }).collect();
-        if silent.len() <= (others.len() / MOST_DIVISOR).max(1) {
+        // Entries leave no more; and where more are silent, the own link is the likelier cause.
+        if silent.len() <= most_left(others.len()) {
             let is_due = |machine: &IpAddr| {
                 self.said.get(machine).is_none_or(|at| now.since(*at) >= SAY_AGAIN_MS)
             };
