--- a/crates/core/src/map_change/change.rs
+++ b/crates/core/src/map_change/change.rs
@@ -2,7 +2,7 @@
 
 use super::leader::{Leader, LeaderAction};
 use super::order::{OrderEnd, OrderKind};
-use super::phase::{Arming, Orders, Phase, UndoStage};
+use super::phase::{Arming, Holding, Orders, Phase};
 use crate::direct::BootMs;
 use crate::placement::{ExpertMap, MapChange};
 use std::cmp::Reverse;
@@ -15,6 +15,15 @@
 /// meanwhile; callers leave a stream after 2 s of silence.
 const ARM_MS: u64 = 1_200;
 
+/// The same while orders get lost, of which each rank may need several in a row.
+const LOSSY_ARM_MS: u64 = 180;
+
+/// Most passes after the one that runs that a held one is: a change waits for as long.
+const MOST_STEPS_AHEAD: u64 = 5;
+
+/// Time for all ranks to answer before they are armed: a round of polls and one that is lost.
+const ROLL_CALL_MS: u64 = 150;
+
 /// Pass from which on there is no pass between the order to hold and the held one: half as long again as
 /// arming all ranks takes, and about what callers were promised.
 const LONG_PASS_MS: u64 = 110;
@@ -52,7 +61,8 @@
         let kind = self.prepare_order(version, Arc::new(map));
         let mut orders = self.orders_to(&ranks, epoch, &kind);
         orders.spread(now, (experts / MAP_EXPERTS_PER_MS) as u64);
-        self.phase = Phase::Preparing { version, orders, give_up_at: now.after(PREPARE_MS) };
+        let (holder, give_up_at) = (self.choose_holder(), now.after(PREPARE_MS));
+        self.phase = Phase::Preparing { version, holder, orders, give_up_at };
         self.note("uneven", version, epoch, bottleneck, actions);
     }
 
@@ -70,7 +80,7 @@
     }
 
     /// A name for a map that is higher than those of all maps that ranks tell of.
-    fn next_version(&self) -> u64 {
+    pub(super) fn next_version(&self) -> u64 {
         let newest = self.statuses().flat_map(|status| {
             let armed = status.armed.map_or(0, |armed| armed.version);
             [status.map, status.prepared.unwrap_or(0), armed]
@@ -94,11 +104,13 @@
         ranks
     }
 
+    #[expect(clippy::too_many_arguments, reason = "the parts of a phase, and what a step takes")]
     pub(super) fn prepare(
         &mut self,
         now: BootMs,
         epoch: u64,
         version: u64,
+        holder: u16,
         orders: Orders,
         give_up_at: BootMs,
         actions: &mut Vec<LeaderAction>,
@@ -110,27 +122,45 @@
             self.note("not-prepared", version, epoch, None, actions);
             return;
         }
-        if !orders.all_done() || !is_ready {
-            self.phase = Phase::Preparing { version, orders, give_up_at };
+        if !orders.all_done() || !is_ready || !self.may_hold(holder, now) {
+            let holder = if self.is_fresh(holder, now) { holder } else { self.choose_holder() };
+            self.phase = Phase::Preparing { version, holder, orders, give_up_at };
             return;
         }
-        let holder = self.choose_holder();
         let order = self.order(epoch, OrderKind::HoldAhead { steps: self.steps_ahead() });
         let mut orders = Orders::default();
         orders.add_given_by(self.own_rank, holder, self.take_number(), order);
-        self.phase = Phase::Holding { version, holder, orders };
+        self.phase = Phase::Holding(Holding { version, holder, orders, asked_at: now });
         self.note("prepared", version, epoch, None, actions);
     }
 
+    /// Whether a pass may be held by `holder`: its agent knows for whom, and all ranks can be asked.
+    ///
+    /// A rank whose machine froze a moment ago would leave in doubt whether it is armed, and the group would
+    /// stand until it wakes.
+    fn may_hold(&self, holder: u16, now: BootMs) -> bool {
+        let (fence, rank) = (self.fence, self.own_rank);
+        let witness = self.status_of(holder).and_then(|status| status.witness);
+        let is_known = witness.is_some_and(|it| it.fence == fence && it.rank == rank);
+        let is_alone = holder == self.own_rank;
+        (is_known || is_alone) && self.seats.keys().all(|rank| self.is_fresh(*rank, now))
+    }
+
     /// How many passes after the one that runs the held one is.
     ///
     /// All ranks are armed some 70 ms after the order to hold. If the very next pass is held, the group
     /// stands for the rest of that time: 0.7 s over 21 changes of a group of 72 ranks. With a pass between,
     /// it is let go before it would begin. That pass is still by the old map, so where passes are longer
     /// than arming takes, the next one is held.
+    ///
+    /// Where orders get lost, arming takes several tries, and the pass is held that much later.
     fn steps_ahead(&self) -> u8 {
-        let is_long = self.pass_clock.pass_ms().is_some_and(|pass_ms| pass_ms >= LONG_PASS_MS);
-        if is_long { 1 } else { 2 }
+        let Some(pass_ms) = self.pass_clock.pass_ms() else { return 2 };
+        if self.order_sends.are_lost() {
+            let passes = LOSSY_ARM_MS.div_ceil(pass_ms.max(1)) + 1;
+            return passes.min(MOST_STEPS_AHEAD) as u8;
+        }
+        if pass_ms >= LONG_PASS_MS { 1 } else { 2 }
     }
 
     /// The rank that is to hold a pass: the next one after the leader's own.
@@ -139,45 +169,48 @@
     /// leader held its own pass and froze, nobody could let it go; one would see a group that stands
     /// for as long as the freeze. The rank beside another agent can be let go by that agent.
     fn choose_holder(&self) -> u16 {
-        let ranks = self.seats.len().max(1);
-        let after = |distance: usize| ((usize::from(self.own_rank) + distance) % ranks) as u16;
-        let is_heard =
-            |rank: &u16| self.seats.get(rank).is_some_and(|seat| !seat.status.is_from_afar);
-        (1..ranks).map(after).find(is_heard).unwrap_or(self.own_rank)
+        self.others_heard().next().unwrap_or(self.own_rank)
     }
 
+    /// Waits until the pass is held and all ranks have answered since.
+    ///
+    /// An order to arm that a frozen machine does not answer leaves in doubt whether its rank is armed, and
+    /// nobody can let the pass go before it wakes. So none is given while any rank is silent.
     pub(super) fn hold(
         &mut self,
         now: BootMs,
         epoch: u64,
-        version: u64,
-        holder: u16,
-        orders: Orders,
+        holding: Holding,
         actions: &mut Vec<LeaderAction>,
     ) {
-        if orders.any(OrderEnd::Refused) {
+        let Holding { version, holder, asked_at, .. } = holding;
+        if holding.orders.any(OrderEnd::Refused) {
             self.note("not-held", version, epoch, None, actions);
             return;
         }
-        let held_step = self.seats.get(&holder).and_then(|seat| seat.status.held_step);
-        let Some(step) = held_step.filter(|_| orders.all_done()) else {
-            self.phase = Phase::Holding { version, holder, orders };
+        let held_step = self.status_of(holder).and_then(|status| status.held_step);
+        let Some(step) = held_step.filter(|_| holding.orders.all_done()) else {
+            self.phase = Phase::Holding(holding);
             return;
         };
-        let own_rank = self.own_rank;
-        let others: Vec<u16> = self.seats.keys().copied().filter(|it| *it != own_rank).collect();
-        let orders = self.orders_to(&others, epoch, &OrderKind::Arm { version, step });
-        let give_up_at = now.after(ARM_MS);
-        let own_is_told = false;
-        self.phase =
-            Phase::Arming(Arming { version, holder, step, own_is_told, orders, give_up_at });
-        self.note("held", version, epoch, None, actions);
+        if self.all_answered(asked_at) {
+            let but = [self.own_rank];
+            let orders = self.orders_but(&but, epoch, &OrderKind::Arm { version, step });
+            let (own_armed_by, give_up_at) = (None, now.after(ARM_MS));
+            self.phase =
+                Phase::Arming(Arming { version, holder, step, own_armed_by, orders, give_up_at });
+            self.note("held", version, epoch, None, actions);
+        } else if now >= asked_at.after(ROLL_CALL_MS) {
+            self.let_go(epoch, vec![(holder, step)], version, "rank-silent", actions);
+        } else {
+            self.phase = Phase::Holding(holding);
+        }
     }
 
     /// Waits until all ranks are armed, the leader's own after all others and by the holder's agent.
     ///
-    /// The holder's agent may have to end a change whose leader's machine is frozen, and cannot ask the
-    /// rank there. If nobody else arms that rank, it knows without asking whether it is armed.
+    /// Whoever ends the change while the leader's machine is frozen cannot ask the rank there. If nobody
+    /// but the holder's agent arms that rank, that agent knows without asking whether it is armed.
     pub(super) fn arm(
         &mut self,
         now: BootMs,
@@ -185,25 +218,37 @@
         mut arming: Arming,
         actions: &mut Vec<LeaderAction>,
     ) {
-        let Arming { version, holder, step, .. } = arming;
-        if arming.orders.all_done() && arming.own_is_told {
+        let Arming { version, holder, step, own_armed_by, .. } = arming;
+        // Once the own rank may be armed a change is not undone: the holder's agent may say that it is.
+        let is_late = now >= arming.give_up_at && own_armed_by.is_none();
+        if arming.orders.any(OrderEnd::Refused) || is_late {
+            let held = vec![(holder, step)];
+            self.begin_undo(epoch, held, Vec::new(), "not-armed", actions);
+        } else if !arming.orders.all_done() {
+            // An agent that died knows nothing any more that would be worth the wait.
+            if own_armed_by == Some(holder) && !self.is_fresh(holder, now) {
+                self.arm_own(epoch, &mut arming, self.own_rank);
+            }
+            self.phase = Phase::Arming(arming);
+        } else if own_armed_by.is_some() {
             let orders = self.orders_to(&[holder], epoch, &OrderKind::Go { step });
             self.phase = Phase::Releasing { version, holder, orders };
             self.note("armed", version, epoch, None, actions);
-        } else if arming.orders.all_done() {
-            let order = self.order(epoch, OrderKind::Arm { version, step });
-            arming.orders = Orders::default();
-            arming.orders.add_given_by(holder, self.own_rank, self.take_number(), order);
-            arming.own_is_told = true;
-            self.phase = Phase::Arming(arming);
-        } else if arming.orders.any(OrderEnd::Refused) || now >= arming.give_up_at {
-            let held = vec![(holder, step)];
-            self.begin_undo(epoch, held, version, "not-armed", actions);
         } else {
+            self.arm_own(epoch, &mut arming, holder);
             self.phase = Phase::Arming(arming);
         }
     }
 
+    /// Has the leader's own rank armed by the agent of the rank `giver`.
+    fn arm_own(&mut self, epoch: u64, arming: &mut Arming, giver: u16) {
+        let (version, step) = (arming.version, arming.step);
+        let order = self.order(epoch, OrderKind::Arm { version, step });
+        arming.orders = Orders::default();
+        arming.orders.add_given_by(giver, self.own_rank, self.take_number(), order);
+        arming.own_armed_by = Some(giver);
+    }
+
     pub(super) fn release(
         &mut self,
         version: u64,
@@ -222,103 +267,9 @@
         } else {
             // A hold of an earlier leader may have been carried out late. All ranks are armed alike
             // and refuse its other orders, so that its pass may begin as well.
-            let orders = self.orders_to_let_go(epoch);
+            let held = self.held();
+            let orders = self.orders_to_go(epoch, &held);
             self.phase = Phase::Releasing { version, holder, orders };
         }
     }
-
-    /// Orders to let every held pass go.
-    fn orders_to_let_go(&mut self, epoch: u64) -> Orders {
-        let held = self.held();
-        let mut orders = Orders::default();
-        for (rank, step) in held {
-            let order = self.order(epoch, OrderKind::Go { step });
-            orders.add(rank, self.take_number(), order);
-        }
-        orders
-    }
-
-    /// Passes that ranks hold.
-    pub(super) fn held(&self) -> Vec<(u16, u64)> {
-        self.statuses().filter_map(|status| Some((status.rank, status.held_step?))).collect()
-    }
-
-    /// Begins to disarm all ranks and to let held passes go after that.
-    ///
-    /// An order of the old fence may still be on its way and be carried out seconds later. Every
-    /// rank is shown a higher fence before anything goes, so that it refuses such an order. The ranks
-    /// that hold are shown it first, by holding the same pass again: whoever led before may have let
-    /// it go a moment ago, and disarming one rank then would make the pass begin with two maps.
-    pub(super) fn begin_undo(
-        &mut self,
-        epoch: u64,
-        held: Vec<(u16, u64)>,
-        version: u64,
-        cause: &'static str,
-        actions: &mut Vec<LeaderAction>,
-    ) {
-        self.fence += FENCE_STEP;
-        let mut orders = Orders::default();
-        for (rank, step) in &held {
-            let order = self.order(epoch, OrderKind::Hold { step: *step });
-            orders.add(*rank, self.take_number(), order);
-        }
-        self.phase = Phase::Undoing { stage: UndoStage::Fencing, held, version, orders };
-        self.note(cause, version, epoch, None, actions);
-    }
-
-    /// Orders that make every order to arm for the abandoned map void.
-    ///
-    /// Some platforms' ranks heed no fence. An order to arm that was left unanswered may be carried out
-    /// seconds later, between the disarming and the pass; one would see that pass begin with two maps. A
-    /// rank arms only for a map that it has prepared, so each one prepares what it holds under a new
-    /// name, for which nothing is copied.
-    fn orders_to_void(&mut self, epoch: u64) -> Orders {
-        let version = self.next_version();
-        let experts_per_layer = self.experts_per_layer;
-        self.orders_to_all(epoch, &OrderKind::Void { version, experts_per_layer })
-    }
-
-    pub(super) fn undo(
-        &mut self,
-        epoch: u64,
-        stage: UndoStage,
-        held: Vec<(u16, u64)>,
-        version: u64,
-        orders: Orders,
-        actions: &mut Vec<LeaderAction>,
-    ) {
-        if !orders.all_done() {
-            let is_refused = orders.any(OrderEnd::Refused) && orders.open() == 0;
-            if is_refused {
-                // Decided anew from fresh statuses.
-                self.note("undo-refused", version, epoch, None, actions);
-                return;
-            }
-            self.phase = Phase::Undoing { stage, held, version, orders };
-            return;
-        }
-        let next = match stage {
-            UndoStage::Fencing => {
-                let orders = self.orders_to_all(epoch, &OrderKind::Disarm);
-                Some((UndoStage::Disarming, orders))
-            }
-            UndoStage::Disarming if !self.heeds_fences => {
-                Some((UndoStage::Voiding, self.orders_to_void(epoch)))
-            }
-            UndoStage::Disarming | UndoStage::Voiding => {
-                let mut orders = Orders::default();
-                for (rank, step) in &held {
-                    let order = self.order(epoch, OrderKind::Go { step: *step });
-                    orders.add(*rank, self.take_number(), order);
-                }
-                Some((UndoStage::Releasing, orders))
-            }
-            UndoStage::Releasing => None,
-        };
-        if let Some((stage, orders)) = next {
-            self.phase = Phase::Undoing { stage, held, version, orders };
-        }
-        self.note("undone-so-far", version, epoch, None, actions);
-    }
 }
--- a/crates/core/src/map_change/decide.rs
+++ b/crates/core/src/map_change/decide.rs
@@ -39,11 +39,16 @@
         dimensions: &GroupDimensions,
         actions: &mut Vec<LeaderAction>,
     ) {
-        if now < self.decide_at || self.statuses().any(|status| !status.is_open) {
+        if self.statuses().any(|status| !status.is_open) || self.settle(epoch, now, actions) {
+            return;
+        }
+        if now < self.decide_at {
             return;
         }
         self.decide_at = now.after(DECIDE_MS);
-        if self.leftovers(epoch, actions) {
+        // All ranks armed alike will switch by themselves. Disarming one of them while no pass is held could
+        // make that pass begin with two maps.
+        if self.statuses().any(|status| status.armed.is_some()) {
             return;
         }
         self.learn_map();
@@ -111,20 +116,6 @@
         paces
     }
 
-    /// Undoes what an earlier leader left behind. Returns whether there was anything.
-    fn leftovers(&mut self, epoch: u64, actions: &mut Vec<LeaderAction>) -> bool {
-        let held = self.held();
-        let armed: Vec<_> = self.statuses().filter_map(|status| status.armed).collect();
-        if held.is_empty() {
-            // All ranks armed alike will switch by themselves. Disarming one of them while no pass
-            // is held could make that pass begin with two maps.
-            return !armed.is_empty();
-        }
-        let version = armed.first().map_or(0, |armed| armed.version);
-        self.begin_undo(epoch, held, version, "left-behind", actions);
-        true
-    }
-
     /// Puts the map in use together from what the ranks say they hold.
     fn learn_map(&mut self) {
         let Some(version) = self.statuses().map(|status| status.map).next() else { return };
--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -2,25 +2,41 @@
 
 use super::change::VERSION_STEP;
 use super::demand::Demand;
-use super::order::{OrderEnd, OrderKind, RankOrder};
+use super::order::{Ended, OrderEnd, OrderKind, RankOrder};
+use super::order_sends::OrderSends;
 use super::pass_clock::PassClock;
 use super::phase::{Orders, Phase};
 use super::status::{CountsSample, RankStatus};
 use crate::direct::{BootMs, GroupDimensions};
 use crate::placement::ExpertMap;
 use indexmap::IndexMap;
+use std::iter;
 use std::sync::Arc;
 
 /// Age from which a rank's status is not decided upon.
 const STATUS_AGE_MS: u64 = 1_000;
 
-/// Pause after which an order without an answer is sent again.
-const AGAIN_MS: u64 = 120;
+/// Pause after which an order without an answer is sent again. The group may stand meanwhile; an agent whose
+/// word alone was lost answers again at once.
+const AGAIN_MS: u64 = 40;
 
 /// The same for an order with a map. The agent answers within a few milliseconds; on a link that is
 /// full of maps, for a quarter of a second in a group of 63 ranks, the answer may come later.
 const MAP_AGAIN_MS: u64 = 300;
 
+/// Time between two statuses of a rank during a change, in a small group.
+const SHORT_ROUND_MS: u64 = 60;
+
+/// Time for an answer to a poll, on a machine that is busy.
+const ANSWER_MS: u64 = 40;
+
+/// Time after which a leader that took over has read of every rank whether it holds a pass: what ranks say of
+/// themselves to other machines is some hundred milliseconds old.
+const FIND_HELD_MS: u64 = 1_000;
+
+/// Agents that watch a leader beside that of the rank that holds.
+const FURTHER_WATCHERS: usize = 2;
+
 /// What a leader wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaderAction {
@@ -60,22 +76,13 @@
     pub bottleneck_permille: Option<(u64, u64)>,
 }
 
-/// A leader that went silent while a rank holds a pass for it, as the holder's agent knows it.
-///
-/// Only the holder's agent orders the rank beside that leader to switch, after all others are armed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Deposed {
-    /// The rank beside it.
-    pub rank: u16,
-    /// Whether that rank is armed. It is known not to be otherwise.
-    pub is_armed: bool,
-}
-
 /// One rank as the leader knows it.
 #[derive(Clone, Debug)]
 pub(super) struct Seat {
     pub(super) status: RankStatus,
     heard_at: BootMs,
+    /// Time between the last two of its statuses.
+    gap_ms: u64,
 }
 
 /// The state of the agent that leads.
@@ -100,8 +107,10 @@
     pub(super) decide_at: BootMs,
     /// Whether ranks refuse orders with an old fence.
     pub(super) heeds_fences: bool,
-    /// The leader in whose place this one leads, if its machine went silent.
-    pub(super) deposed: Option<Deposed>,
+    /// How many times orders were given lately, against how many of them.
+    pub(super) order_sends: OrderSends,
+    /// Until when a rank whose agent was not heard yet may be found to hold a pass.
+    may_be_held_until: BootMs,
     is_deposed: bool,
 }
 
@@ -126,22 +135,16 @@
             pass_clock: PassClock::default(),
             decide_at: BootMs(0),
             heeds_fences: true,
-            deposed: None,
+            order_sends: OrderSends::default(),
+            may_be_held_until: BootMs(0),
             is_deposed: false,
         }
     }
 
-    /// Begins to lead, in place of a leader that went silent while `own_rank` holds a pass for it if
-    /// there is one. The rank beside that leader may be out of reach as well; see [`Deposed`].
+    /// Says that a rank that is not heard yet may hold a pass for the leader before.
     #[must_use]
-    pub fn take_over(
-        group: &str,
-        own_rank: u16,
-        fence: u64,
-        salt: u64,
-        deposed: Option<Deposed>,
-    ) -> Self {
-        Self { deposed, ..Self::new(group, own_rank, fence, salt) }
+    pub fn after_a_watched_one(self, now: BootMs) -> Self {
+        Self { may_be_held_until: now.after(FIND_HELD_MS), ..self }
     }
 
     /// Says that ranks carry out orders with an old fence as well.
@@ -150,10 +153,26 @@
         Self { heeds_fences: false, ..self }
     }
 
-    /// The rank that holds a pass for a change under way, whose agent is to hear this leader often.
+    /// Ranks whose agents are to hear this leader often, and to take over in this order if they do not: that
+    /// of the rank that holds a pass or is about to, and some others.
+    #[must_use]
+    pub fn watchers(&self) -> Vec<u16> {
+        let Some(holder) = self.phase.holder() else { return Vec::new() };
+        let others = self.others_heard().filter(|rank| *rank != holder).take(FURTHER_WATCHERS);
+        iter::once(holder).chain(others).filter(|rank| *rank != self.own_rank).collect()
+    }
+
+    /// The rank whose agent is to know that it alone orders the rank beside this leader to switch.
+    #[must_use]
+    pub fn witness_rank(&self) -> Option<u16> {
+        let is_change = !matches!(self.phase, Phase::Undoing(_));
+        self.phase.holder().filter(|_| is_change)
+    }
+
+    /// Whether a pass is held, or may be by what is known. The link is for orders and their ends then.
     #[must_use]
-    pub fn holder(&self) -> Option<u16> {
-        self.phase.holder().filter(|holder| *holder != self.own_rank)
+    pub fn is_held(&self) -> bool {
+        self.may_be_held_until > BootMs(0) || self.phase.is_held() || !self.held().is_empty()
     }
 
     /// The fence in use, which also tells agents who leads.
@@ -187,8 +206,8 @@
 
     /// Whether a change is under way, in which statuses should come often.
     #[must_use]
-    pub const fn is_busy(&self) -> bool {
-        !matches!(self.phase, Phase::Steady)
+    pub fn is_busy(&self) -> bool {
+        !matches!(self.phase, Phase::Steady) || self.is_held()
     }
 
     /// The group that is led.
@@ -212,13 +231,15 @@
         if status.highest_fence > self.fence {
             self.is_deposed = true;
         }
-        let known = self.seats.get(&status.rank).and_then(|seat| seat.status.experts.clone());
+        let before = self.seats.get(&status.rank);
+        let gap_ms = before.map_or(0, |seat| now.since(seat.heard_at));
+        let known = before.and_then(|seat| seat.status.experts.clone());
         let mut status = status;
-        let same_map = self.seats.get(&status.rank).is_some_and(|it| it.status.map == status.map);
+        let same_map = before.is_some_and(|seat| seat.status.map == status.map);
         if status.experts.is_none() && same_map {
             status.experts = known;
         }
-        self.seats.insert(status.rank, Seat { status, heard_at: now });
+        self.seats.insert(status.rank, Seat { status, heard_at: now, gap_ms });
     }
 
     /// Takes the counts that another agent has summed over a section of the group.
@@ -227,6 +248,15 @@
         self.demand.add(now, section, experts, counts);
     }
 
+    /// Takes the end of an order that an agent tells of.
+    pub fn on_ended(&mut self, rank: u16, number: u64, ended: Ended) {
+        // Others are given several times at once, whether they get lost or not.
+        if matches!(self.phase, Phase::Preparing { .. }) {
+            self.order_sends.note(ended.sends);
+        }
+        self.on_end(rank, number, ended.end);
+    }
+
     /// Takes the end of an order.
     pub fn on_end(&mut self, rank: u16, number: u64, end: OrderEnd) {
         let Some(orders) = self.phase.orders() else { return };
@@ -259,8 +289,10 @@
     /// due again 0.1 s after they were first sent: 105 maps of 5 KB, which filled the leader's link for
     /// 0.7 s, so that its members took it for gone.
     pub fn due(&mut self, now: BootMs) -> Vec<LeaderAction> {
-        let has_map = matches!(self.phase, Phase::Preparing { .. });
-        let again_ms = if has_map { MAP_AGAIN_MS } else { AGAIN_MS };
+        let again_ms = match self.phase {
+            Phase::Preparing { .. } => MAP_AGAIN_MS,
+            _ => AGAIN_MS,
+        };
         self.phase.orders().map(|orders| orders.due(now, again_ms)).unwrap_or_default()
     }
 
@@ -270,37 +302,51 @@
         dimensions: &GroupDimensions,
         actions: &mut Vec<LeaderAction>,
     ) {
-        let Some(epoch) = self.epoch(now) else { return self.rescue(now, actions) };
+        let Some(epoch) = self.epoch() else { return };
+        // A pass that is held waits for nobody who need not be asked.
         match std::mem::replace(&mut self.phase, Phase::Steady) {
-            Phase::Steady => self.look(now, epoch, dimensions, actions),
-            Phase::Preparing { version, orders, give_up_at } => {
-                self.prepare(now, epoch, version, orders, give_up_at, actions);
-            }
-            Phase::Holding { version, holder, orders } => {
-                self.hold(now, epoch, version, holder, orders, actions);
-            }
-            Phase::Arming(arming) => self.arm(now, epoch, arming, actions),
+            Phase::Holding(holding) => return self.hold(now, epoch, holding, actions),
+            Phase::Arming(arming) => return self.arm(now, epoch, arming, actions),
             Phase::Releasing { version, holder, orders } => {
-                self.release(version, holder, orders, epoch, actions);
+                return self.release(version, holder, orders, epoch, actions);
+            }
+            Phase::Undoing(undoing) => return self.undo(epoch, undoing, actions),
+            phase @ (Phase::Steady | Phase::Preparing { .. }) => self.phase = phase,
+        }
+        if now >= self.may_be_held_until || self.all_answered(BootMs(0)) {
+            self.may_be_held_until = BootMs(0);
+        }
+        if !self.all_present(epoch, now) {
+            if matches!(self.phase, Phase::Steady) {
+                self.settle(epoch, now, actions);
             }
-            Phase::Undoing { stage, held, version, orders } => {
-                self.undo(epoch, stage, held, version, orders, actions);
+            return;
+        }
+        match std::mem::replace(&mut self.phase, Phase::Steady) {
+            Phase::Preparing { version, holder, orders, give_up_at } => {
+                self.prepare(now, epoch, version, holder, orders, give_up_at, actions);
             }
+            _ => self.look(now, epoch, dimensions, actions),
         }
     }
 
-    /// The epoch, when all ranks of the group were heard lately and agree on it.
+    /// The epoch by the own rank's word.
     ///
     /// In a new epoch nothing is prepared, armed or held: a change of the old one is over.
-    fn epoch(&mut self, now: BootMs) -> Option<u64> {
-        let own = &self.seats.get(&self.own_rank)?.status;
-        let (epoch, ranks) = (own.epoch, own.ranks);
+    fn epoch(&mut self) -> Option<u64> {
+        let epoch = self.seats.get(&self.own_rank)?.status.epoch;
         self.seats.retain(|_, seat| seat.status.epoch >= epoch);
         let is_over = matches!(self.phase.orders(), Some(orders) if !orders.is_of(epoch));
         if is_over {
             self.phase = Phase::Steady;
         }
-        (0..ranks).all(|rank| self.is_present(rank, epoch, now)).then_some(epoch)
+        Some(epoch)
+    }
+
+    /// Whether all ranks of the group were heard lately and agree on the epoch.
+    fn all_present(&self, epoch: u64, now: BootMs) -> bool {
+        let ranks = self.seats.get(&self.own_rank).map_or(0, |own| own.status.ranks);
+        ranks > 0 && (0..ranks).all(|rank| self.is_present(rank, epoch, now))
     }
 
     /// Whether a rank was heard lately, in `epoch`.
@@ -310,6 +356,46 @@
         })
     }
 
+    /// Ranks whose agents were not heard for longer than some polls take.
+    pub(super) fn is_fresh(&self, rank: u16, now: BootMs) -> bool {
+        let seat = self.seats.get(&rank).filter(|seat| !seat.status.is_from_afar);
+        seat.is_some_and(|seat| now.since(seat.heard_at) <= self.fresh_ms())
+    }
+
+    /// Whether all ranks of the group were heard since `asked_at`, by their own agents.
+    pub(super) fn all_answered(&self, asked_at: BootMs) -> bool {
+        let ranks = self.status_of(self.own_rank).map_or(0, |own| own.ranks);
+        let has_answered = |seat: &Seat| !seat.status.is_from_afar && seat.heard_at >= asked_at;
+        (0..ranks).all(|rank| self.seats.get(&rank).is_some_and(has_answered))
+    }
+
+    /// Silence of an agent that polls alone do not explain: two rounds of them are lost.
+    #[must_use]
+    pub fn fresh_ms(&self) -> u64 {
+        let round_ms = self.seats.get(&self.own_rank).map_or(0, |own| own.gap_ms);
+        2 * round_ms.max(SHORT_ROUND_MS) + ANSWER_MS
+    }
+
+    /// Other ranks whose agents are heard, from the next one after the own on.
+    pub(super) fn others_heard(&self) -> impl Iterator<Item = u16> {
+        let ranks = self.seats.len().max(1);
+        let after = move |distance: usize| ((usize::from(self.own_rank) + distance) % ranks) as u16;
+        let is_heard =
+            |rank: &u16| self.seats.get(rank).is_some_and(|seat| !seat.status.is_from_afar);
+        (1..ranks).map(after).filter(is_heard)
+    }
+
+    pub(super) fn status_of(&self, rank: u16) -> Option<&RankStatus> {
+        self.seats.get(&rank).map(|seat| &seat.status)
+    }
+
+    /// Notes that a rank has let its pass go, which its last status does not tell yet.
+    pub(super) fn note_let_go(&mut self, rank: u16) {
+        if let Some(seat) = self.seats.get_mut(&rank) {
+            seat.status.held_step = None;
+        }
+    }
+
     pub(super) fn statuses(&self) -> impl Iterator<Item = &RankStatus> {
         self.seats.values().map(|seat| &seat.status)
     }
@@ -318,8 +404,10 @@
         self.statuses().map(|status| status.step).max().unwrap_or(0)
     }
 
-    pub(super) fn orders_to_all(&mut self, epoch: u64, kind: &OrderKind) -> Orders {
-        let ranks: Vec<u16> = self.seats.keys().copied().collect();
+    /// Orders to all ranks but some.
+    pub(super) fn orders_but(&mut self, but: &[u16], epoch: u64, kind: &OrderKind) -> Orders {
+        let ranks = self.status_of(self.own_rank).map_or(0, |own| own.ranks);
+        let ranks: Vec<u16> = (0..ranks).filter(|rank| !but.contains(rank)).collect();
         self.orders_to(&ranks, epoch, kind)
     }
 
--- a/crates/core/src/map_change/mod.rs
+++ b/crates/core/src/map_change/mod.rs
@@ -12,9 +12,11 @@
 //!
 //! If anything is missing, all ranks are disarmed before the pass goes. An order whose answer was
 //! lost may be carried out seconds later; a higher fencing number, shown to the rank, makes that
-//! impossible. A leader that dies leaves a stalled group, never a mixed one, and its successor
-//! undoes what it finds. The agent of the rank that holds notices first, and need not wait for a
-//! machine that is frozen ([`Leader::take_over`]).
+//! impossible.
+//!
+//! A leader that dies leaves a held pass, never a mixed one. Some agents watch it and take over, that of
+//! the rank that holds first. It alone arms the rank beside the leader, so its [`Witness`] tells whoever
+//! leads next how the change ends, also while the machine that led before is frozen.
 //!
 //! - [`Leader`] is the state machine; [`RankStatus`] is what it hears, [`RankOrder`] what it sends.
 //! - [`Roster`] says which machines there are to ask.
@@ -31,21 +33,23 @@
 mod leader;
 mod link_pace;
 mod order;
+mod order_sends;
 mod pass_clock;
 mod phase;
 mod polls;
-mod rescue;
 mod roster;
+mod settle;
 mod status;
+mod undo;
 mod unheard;
 
 pub use collection::{Collected, Collection};
 pub use demand::Demand;
 pub use known_maps::{KnownMaps, UnknownMap};
-pub use leader::{Deposed, Leader, LeaderAction, LeaderNote};
+pub use leader::{Leader, LeaderAction, LeaderNote};
 pub use link_pace::LinkPace;
-pub use order::{OrderEnd, OrderKind, RankOrder};
+pub use order::{Ended, OrderEnd, OrderKind, RankOrder};
 pub use polls::{Asked, Polls, Sections};
 pub use roster::Roster;
-pub use status::{Armed, CountsSample, RankStatus};
+pub use status::{Armed, CountsSample, OrderedBeside, RankStatus, Witness};
 pub use unheard::{Heard, Hearing, Unheard, machines_to_hear};
--- a/crates/core/src/map_change/order.rs
+++ b/crates/core/src/map_change/order.rs
@@ -49,7 +49,10 @@
         step: u64,
     },
     /// Forget whatever is armed. Shows the fence to the rank also when nothing is.
-    Disarm,
+    Disarm {
+        /// The map that is abandoned.
+        version: u64,
+    },
     /// Do not begin a pass soon after the one that runs; which it is shows in the rank's next status.
     HoldAhead {
         /// How many passes after the one that runs.
@@ -60,6 +63,14 @@
         /// The pass.
         step: u64,
     },
+    /// Heed no older fence from now on; refused if the rank does not hold the pass.
+    ///
+    /// It changes nothing else. A rank that were told to hold its pass once more instead would be held by
+    /// its own machine, and nobody could let it go while that is frozen.
+    Fence {
+        /// The held pass.
+        step: u64,
+    },
     /// Begin a held pass.
     Go {
         /// The pass.
@@ -76,9 +87,10 @@
             Self::PrepareChange { .. } => "prepare-change",
             Self::Void { .. } => "void",
             Self::Arm { .. } => "arm",
-            Self::Disarm => "disarm",
+            Self::Disarm { .. } => "disarm",
             Self::HoldAhead { .. } => "hold-ahead",
             Self::Hold { .. } => "hold",
+            Self::Fence { .. } => "fence",
             Self::Go { .. } => "go",
         }
     }
@@ -96,3 +108,12 @@
     /// The agent was not told of the map that the order changes.
     LacksMap,
 }
+
+/// The end of an order, as the agent that gave it tells the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ended {
+    /// What became of it.
+    pub end: OrderEnd,
+    /// How many times it was given.
+    pub sends: u32,
+}
--- a/crates/core/src/map_change/phase.rs
+++ b/crates/core/src/map_change/phase.rs
@@ -19,16 +19,26 @@
 pub(crate) enum Phase {
     /// Nothing is under way.
     Steady,
-    /// Ranks copy what is new.
-    Preparing { version: u64, orders: Orders, give_up_at: BootMs },
-    /// The rank `holder` is told to hold its next pass.
-    Holding { version: u64, holder: u16, orders: Orders },
+    /// Ranks copy what is new; the agent of the rank `holder` gets to know the leader meanwhile.
+    Preparing { version: u64, holder: u16, orders: Orders, give_up_at: BootMs },
+    /// The rank `holder` is told to hold a pass, and all ranks are asked once more.
+    Holding(Holding),
     /// Ranks are told to switch as the held pass begins.
     Arming(Arming),
     /// All ranks are armed; the held pass is let go.
     Releasing { version: u64, holder: u16, orders: Orders },
-    /// Ranks are disarmed before held passes are let go.
-    Undoing { stage: UndoStage, held: Vec<(u16, u64)>, version: u64, orders: Orders },
+    /// A change that cannot go on is ended, and its pass let go.
+    Undoing(Undoing),
+}
+
+/// A change whose pass is to be held.
+#[derive(Clone, Debug)]
+pub(crate) struct Holding {
+    pub(crate) version: u64,
+    pub(crate) holder: u16,
+    pub(crate) orders: Orders,
+    /// Since when ranks are asked whether they can be armed.
+    pub(crate) asked_at: BootMs,
 }
 
 /// A change whose pass is held and whose ranks are being armed.
@@ -37,19 +47,33 @@
     pub(crate) version: u64,
     pub(crate) holder: u16,
     pub(crate) step: u64,
-    /// Whether the leader's own rank is told already; it comes after all others.
-    pub(crate) own_is_told: bool,
+    /// The rank whose agent arms the leader's own rank, which comes after all others.
+    pub(crate) own_armed_by: Option<u16>,
     pub(crate) orders: Orders,
     pub(crate) give_up_at: BootMs,
 }
 
-/// Order of the steps of an undoing.
+/// The end of a change that cannot go on.
+#[derive(Clone, Debug)]
+pub(crate) struct Undoing {
+    pub(crate) stage: UndoStage,
+    /// Ranks that hold a pass, and which.
+    pub(crate) held: Vec<(u16, u64)>,
+    /// Ranks that answer nobody, and need no order.
+    pub(crate) silent: Vec<u16>,
+    pub(crate) version: u64,
+    pub(crate) orders: Orders,
+}
+
+/// Steps of an undoing; it is either armed or disarmed, not both.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UndoStage {
     /// The ranks that hold a pass see the new fence first: from then on nobody else can let go.
     Fencing,
     /// All ranks are disarmed.
     Disarming,
+    /// All ranks are armed, as most were already.
+    Arming,
     /// Where ranks heed no fence, all prepare the map that they have, so that the abandoned one is
     /// prepared no longer.
     Voiding,
@@ -62,34 +86,50 @@
         match self {
             Self::Steady => "steady",
             Self::Preparing { .. } => "preparing",
-            Self::Holding { .. } => "holding",
+            Self::Holding(_) => "holding",
             Self::Arming(_) => "arming",
             Self::Releasing { .. } => "releasing",
-            Self::Undoing { stage: UndoStage::Fencing, .. } => "undoing-fencing",
-            Self::Undoing { stage: UndoStage::Disarming, .. } => "undoing-disarming",
-            Self::Undoing { stage: UndoStage::Voiding, .. } => "undoing-voiding",
-            Self::Undoing { stage: UndoStage::Releasing, .. } => "undoing-releasing",
+            Self::Undoing(undoing) => undoing.stage.as_str(),
         }
     }
 
-    /// The rank that holds a pass, or is about to, for a change that goes on.
-    pub(crate) const fn holder(&self) -> Option<u16> {
+    /// The rank that holds a pass, or is about to.
+    pub(crate) fn holder(&self) -> Option<u16> {
         match self {
-            Self::Holding { holder, .. }
+            Self::Preparing { holder, .. }
+            | Self::Holding(Holding { holder, .. })
             | Self::Arming(Arming { holder, .. })
             | Self::Releasing { holder, .. } => Some(*holder),
-            Self::Steady | Self::Preparing { .. } | Self::Undoing { .. } => None,
+            Self::Undoing(undoing) => undoing.held.first().map(|(rank, _)| *rank),
+            Self::Steady => None,
         }
     }
 
+    /// Whether a pass is held, or is about to be.
+    pub(crate) const fn is_held(&self) -> bool {
+        !matches!(self, Self::Steady | Self::Preparing { .. })
+    }
+
     pub(crate) fn orders(&mut self) -> Option<&mut Orders> {
         match self {
             Self::Steady => None,
             Self::Preparing { orders, .. }
-            | Self::Holding { orders, .. }
+            | Self::Holding(Holding { orders, .. })
             | Self::Arming(Arming { orders, .. })
             | Self::Releasing { orders, .. }
-            | Self::Undoing { orders, .. } => Some(orders),
+            | Self::Undoing(Undoing { orders, .. }) => Some(orders),
+        }
+    }
+}
+
+impl UndoStage {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Fencing => "undoing-fencing",
+            Self::Disarming => "undoing-disarming",
+            Self::Arming => "undoing-arming",
+            Self::Voiding => "undoing-voiding",
+            Self::Releasing => "undoing-releasing",
         }
     }
 }
--- a/crates/core/src/map_change/polls.rs
+++ b/crates/core/src/map_change/polls.rs
@@ -63,6 +63,12 @@
         Self { sections, counts_per_rank, is_large }
     }
 
+    /// The same sections, when no counts are asked for.
+    #[must_use]
+    pub fn without_counts(self) -> Self {
+        Self { counts_per_rank: 0, ..self }
+    }
+
     /// How many sections there are.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -103,6 +109,11 @@
         !is_busy || !sections.is_large || self.rounds.is_multiple_of(BUSY_ROUNDS_PER_COUNTS)
     }
 
+    /// Has all sections asked at the next look.
+    pub const fn hurry(&mut self) {
+        self.polled_until = BootMs(0);
+    }
+
     /// Sections to be asked now.
     ///
     /// Each round another agent collects, so that one that is gone hides its section for one round only.
--- a/crates/core/src/map_change/status.rs
+++ b/crates/core/src/map_change/status.rs
@@ -27,6 +27,8 @@
     pub held_step: Option<u64>,
     /// The highest fence that the agent has sent to the rank.
     pub highest_fence: u64,
+    /// What the agent knows of the rank beside the leader for which its own rank holds.
+    pub witness: Option<Witness>,
     /// How much longer the rank's own work takes than usual, in thousandths.
     pub pace_permille: u32,
     /// Whether the leader read this by itself, because the rank's agent is not heard. Such a word
@@ -47,6 +49,51 @@
     pub step: u64,
 }
 
+/// What the agent of a rank that holds a pass knows of the leader that it holds for.
+///
+/// Nobody else orders the rank beside that leader to switch, so this tells whether it is armed also while
+/// its machine answers nobody.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Witness {
+    /// The leader's fence.
+    pub fence: u64,
+    /// The rank beside it.
+    pub rank: u16,
+    /// The order to switch that the agent gave to that rank.
+    pub ordered: Option<OrderedBeside>,
+}
+
+/// An order to switch, given to the rank beside a leader by another rank's agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderedBeside {
+    /// As this pass begins.
+    pub step: u64,
+    /// Whether the rank is armed; it may or may not be otherwise.
+    pub is_armed: bool,
+}
+
+impl Witness {
+    /// What is known of the leader's rank before the held pass `step`.
+    pub(super) fn knows(&self, step: u64) -> Knowledge {
+        match self.ordered.filter(|ordered| ordered.step == step) {
+            None => Knowledge::NotArmed,
+            Some(OrderedBeside { is_armed: true, .. }) => Knowledge::Armed,
+            Some(OrderedBeside { is_armed: false, .. }) => Knowledge::InDoubt,
+        }
+    }
+}
+
+/// What is known of a rank without asking it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Knowledge {
+    /// It is not armed for the held pass, and nobody will arm it.
+    NotArmed,
+    /// It is armed for the held pass, and so are all others.
+    Armed,
+    /// An order to arm was given and not answered.
+    InDoubt,
+}
+
 /// Mean of the numbers that tell of the choices of experts. A rank's own rounding is then a tenth of a
 /// typical number, and less than the chance in its requests; over all ranks it averages out.
 const MEAN_COUNT: u64 = 4;
--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -4,12 +4,13 @@
 
 use hickorycross_core::direct::{BootMs, GroupDimensions};
 use hickorycross_core::map_change::{
-    Armed, CountsSample, Deposed, KnownMaps, Leader, LeaderAction, OrderEnd, OrderKind, RankOrder,
-    RankStatus,
+    Armed, CountsSample, Ended, KnownMaps, Leader, LeaderAction, OrderEnd, OrderKind,
+    OrderedBeside, RankOrder, RankStatus, Witness,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
 
 /// Time between two steps of the model.
 pub(crate) const TICK_MS: u64 = 10;
@@ -17,10 +18,19 @@
 const PASS_MS: u64 = 50;
 /// Time between two polls.
 const POLL_MS: u64 = 60;
+/// Pause before an agent gives an order without an answer once more.
+const AGAIN_MS: u64 = 20;
 /// Time for the copies of a change.
 const COPY_MS: u64 = 200;
 /// Silence of a leader after which the agent of the rank that holds for it takes over.
 const WATCHED_SILENCE_MS: u64 = 100;
+/// Silence added for each agent that takes over sooner.
+const SILENCE_PER_PLACE_MS: u64 = 60;
+
+/// Time for which an agent that died is gone.
+const DEAD_AGENT_MS: u64 = 500;
+/// Age of what a rank says of itself to another machine.
+const REPORT_LAG_MS: u64 = 200;
 
 pub(crate) const RANKS: u16 = 6;
 pub(crate) const DIMENSIONS: GroupDimensions = GroupDimensions {
@@ -49,6 +59,8 @@
     number: u64,
     order: RankOrder,
     send_at: BootMs,
+    /// Copies that the rank was given, this one included.
+    sends: u32,
 }
 
 /// An order that a rank carries out seconds after it was given.
@@ -79,13 +91,22 @@
     pub(crate) ignores_fences: bool,
     /// An agent starts anew and knows no map, in each tick.
     pub(crate) agent_restarts_permille: u32,
+    /// The machine of a rank that neither leads nor holds freezes, in each tick of a change before its
+    /// pass is held.
+    pub(crate) third_freezes_permille: u32,
+    /// Agents of a third of the ranks, but not of the one that leads, die for half a second, in each tick
+    /// in which a rank holds.
+    pub(crate) agents_die_permille: u32,
+    /// The agent that leads and that of the rank that holds die together, in each such tick.
+    pub(crate) both_go_permille: u32,
 }
 
-/// What an agent was told by the leader for which its rank holds.
+/// What an agent was told by the leader that it watches.
 #[derive(Clone, Copy, Debug)]
 struct Watch {
     fence: u64,
-    leader_rank: u16,
+    /// How many other agents take over sooner.
+    place: u64,
     heard_at: BootMs,
 }
 
@@ -101,11 +122,19 @@
     trouble: Trouble,
     leaders: Vec<Option<Leader>>,
     leader_ranks: Vec<u16>,
+    /// The first fence of each leader; its later ones differ from it in lower digits only.
+    leader_fences: Vec<u64>,
     frozen_until: Vec<BootMs>,
+    /// Whether leaders had a pass held at their last look; all ranks are asked when they begin to.
+    was_held: Vec<bool>,
     machines_frozen_until: Vec<BootMs>,
+    /// Until when an agent is dead; its rank can be ordered from another machine.
+    agents_dead_until: Vec<BootMs>,
+    /// What ranks said of themselves in the last ticks, newest last.
+    said: Vec<VecDeque<RankStatus>>,
     watches: Vec<Option<Watch>>,
-    /// What an agent was told to arm beside a leader: that leader's fence, and whether it is armed.
-    armed_beside: Vec<Option<(u64, bool)>>,
+    /// What an agent knows of the rank beside the leader for which its own rank holds.
+    witnesses: Vec<Option<Witness>>,
     agents_fence: Vec<u64>,
     /// Maps that agents were told of.
     known_maps: Vec<KnownMaps>,
@@ -139,10 +168,14 @@
             trouble,
             leaders: Vec::new(),
             leader_ranks: Vec::new(),
+            leader_fences: Vec::new(),
             frozen_until: Vec::new(),
+            was_held: Vec::new(),
             machines_frozen_until: vec![BootMs(0); count],
+            agents_dead_until: vec![BootMs(0); count],
+            said: vec![VecDeque::new(); count],
             watches: vec![None; count],
-            armed_beside: vec![None; count],
+            witnesses: vec![None; count],
             agents_fence: vec![0; count],
             known_maps: vec![KnownMaps::default(); count],
             asks_next: vec![false; count],
@@ -169,35 +202,56 @@
 
     fn add_leader(&mut self, rank: u16, leader: Leader) {
         let leader = if self.trouble.ignores_fences { leader.without_fences() } else { leader };
+        self.leader_fences.push(leader.fence());
         self.leaders.push(Some(leader));
         self.leader_ranks.push(rank);
         self.frozen_until.push(BootMs(0));
+        self.was_held.push(false);
     }
 
     fn is_frozen(&self, rank: usize) -> bool {
         self.machines_frozen_until[rank] > self.now
     }
 
-    /// The agent of a rank that holds takes over when the leader that it holds for is not heard.
+    /// Whether the leader with `fence` is beside `rank`.
+    fn leads(&self, rank: usize, fence: u64) -> bool {
+        let ranks = self.leader_ranks.iter().zip(&self.leader_fences);
+        ranks
+            .into_iter()
+            .any(|(leads, first)| usize::from(*leads) == rank && fence >> 20 == first >> 20)
+    }
+
+    /// Whether an agent is about to take over from a leader that was heard last.
+    fn someone_watches(&self) -> bool {
+        let newest = self.agents_fence.iter().max();
+        let watches = |rank: usize| {
+            let watch = self.watches[rank].filter(|_| !self.is_mute(rank));
+            watch.is_some_and(|watch| Some(&watch.fence) == newest)
+        };
+        (0..self.ranks.len()).any(watches)
+    }
+
+    /// Whether nothing is heard of an agent.
+    fn is_mute(&self, rank: usize) -> bool {
+        self.is_frozen(rank) || self.agents_dead_until[rank] > self.now
+    }
+
+    /// Agents that watch a leader take over when it is not heard.
     fn take_over(&mut self) {
         for rank in 0..self.ranks.len() {
             let Some(watch) = self.watches[rank] else { continue };
-            let is_silent = self.now.since(watch.heard_at) >= WATCHED_SILENCE_MS;
+            let silence_ms = WATCHED_SILENCE_MS + watch.place * SILENCE_PER_PLACE_MS;
+            let is_silent = self.now.since(watch.heard_at) >= silence_ms;
             let is_newest = watch.fence >= self.agents_fence[rank];
-            let holds = self.ranks[rank].held_step.is_some();
-            if self.is_frozen(rank) || !is_silent || !is_newest || !holds {
+            let holds = self.ranks[rank].held_step.is_some() || watch.place > 0;
+            if self.is_mute(rank) || !is_silent || !is_newest || !holds {
                 continue;
             }
             self.watches[rank] = None;
             self.next_fence += 1 << 20;
             let (salt, own_rank) = (self.rng.random::<u64>(), rank as u16);
-            let told = self.armed_beside[rank].filter(|(fence, _)| *fence == watch.fence);
-            let deposed = match told {
-                None => Some(Deposed { rank: watch.leader_rank, is_armed: false }),
-                Some((_, true)) => Some(Deposed { rank: watch.leader_rank, is_armed: true }),
-                Some((_, false)) => None,
-            };
-            let leader = Leader::take_over("g", own_rank, self.next_fence, salt, deposed);
+            let leader = Leader::new("g", own_rank, self.next_fence, salt);
+            let leader = leader.after_a_watched_one(self.now);
             self.add_leader(own_rank, leader);
         }
     }
@@ -212,6 +266,7 @@
             self.agents();
             self.leaders();
             self.take_over();
+            self.remember_said();
             if self.now.0.is_multiple_of(PASS_MS) {
                 self.pass();
             }
@@ -305,9 +360,11 @@
                 }
                 place.armed = Some(Armed { version: *version, step: *at });
             }
-            OrderKind::Disarm => {
-                place.armed = place.armed.filter(|armed| Some(armed.version) != named);
+            OrderKind::Disarm { version } => {
+                let named = named.unwrap_or(*version);
+                place.armed = place.armed.filter(|armed| armed.version != named);
             }
+            OrderKind::Fence { .. } => {}
             OrderKind::HoldAhead { .. } | OrderKind::PrepareChange { .. } => {
                 return OrderEnd::Refused;
             }
@@ -339,10 +396,10 @@
             OrderKind::Arm { version, step } => {
                 place.armed == Some(Armed { version: *version, step: *step })
             }
-            OrderKind::Disarm => place.armed.is_none(),
+            OrderKind::Disarm { .. } => place.armed.is_none(),
             OrderKind::PrepareChange { .. } => false,
             OrderKind::HoldAhead { .. } => place.held_step.is_some(),
-            OrderKind::Hold { step } => place.held_step == Some(*step),
+            OrderKind::Hold { step } | OrderKind::Fence { step } => place.held_step == Some(*step),
             OrderKind::Go { step } => place.held_step != Some(*step),
         }
     }
@@ -354,9 +411,7 @@
         }
         for rank in 0..self.ranks.len() {
             if self.chance(self.trouble.agent_restarts_permille) {
-                self.known_maps[rank] = KnownMaps::default();
-                self.tasks[rank].clear();
-                self.ended[rank].clear();
+                self.forget(rank);
             }
         }
     }
@@ -379,8 +434,8 @@
                         self.freeze_giver(rank, &task.order);
                     }
                     None => {
-                        let send_at = self.now.after(120);
-                        self.tasks[rank].push(Task { send_at, ..task });
+                        let send_at = self.now.after(AGAIN_MS);
+                        self.tasks[rank].push(Task { send_at, sends: task.sends + 1, ..task });
                     }
                 }
             }
@@ -399,23 +454,33 @@
     /// The agent of the rank `giver` gives an order to `rank` once.
     fn attempt(&mut self, giver: usize, rank: usize, order: &RankOrder) -> Option<OrderEnd> {
         let mut order = order.clone();
+        if let OrderKind::Fence { step } = order.kind
+            && giver != rank
+        {
+            order.kind = OrderKind::Hold { step };
+        }
         let is_ahead = matches!(order.kind, OrderKind::HoldAhead { .. });
         if let OrderKind::HoldAhead { steps } = order.kind {
             let step = self.step_ahead(giver, rank, steps);
             order.kind = OrderKind::Hold { step };
         }
         let order = &order;
-        let shows_fence = matches!(order.kind, OrderKind::Disarm | OrderKind::Hold { .. });
+        // What a rank is armed for only its own agent knows.
+        let named = self.armed_version(rank).filter(|_| giver == rank);
+        let shows_fence = matches!(
+            order.kind,
+            OrderKind::Disarm { .. } | OrderKind::Hold { .. } | OrderKind::Fence { .. }
+        );
         if self.shows(rank, order) && !shows_fence {
             return Some(OrderEnd::Done);
         }
         if self.chance(self.trouble.late_permille) {
             let delay_ms = self.rng.random_range(2_000..12_000);
-            let (at, armed) = (self.now.after(delay_ms), self.armed_version(rank));
+            let (at, armed) = (self.now.after(delay_ms), named);
             self.late.push(LateOrder { at, rank, order: order.clone(), armed });
             return None;
         }
-        let end = self.apply(rank, order, self.armed_version(rank));
+        let end = self.apply(rank, order, named);
         if self.chance(self.trouble.lost_permille) {
             return None;
         }
@@ -433,7 +498,7 @@
     fn end(&mut self, rank: usize, task: &Task, end: OrderEnd) {
         self.ended[rank].insert((task.leader, task.number), end);
         if let Some(leader) = &mut self.leaders[task.leader] {
-            leader.on_end(rank as u16, task.number, end);
+            leader.on_ended(rank as u16, task.number, Ended { end, sends: task.sends });
         }
     }
 
@@ -455,8 +520,9 @@
                 continue;
             }
             let Some(mut leader) = self.leaders[index].take() else { continue };
-            if polls {
-                let awake = (0..self.ranks.len()).filter(|rank| !self.is_frozen(*rank));
+            let is_held = leader.is_held();
+            if polls || (is_held && !self.was_held[index]) {
+                let awake = (0..self.ranks.len()).filter(|rank| !self.is_mute(*rank));
                 for rank in awake.collect::<Vec<_>>() {
                     self.agents_fence[rank] = self.agents_fence[rank].max(leader.fence());
                     leader.on_status(self.now, self.status(rank), &DIMENSIONS);
@@ -467,35 +533,140 @@
                     continue;
                 };
                 let (rank, giver) = (usize::from(rank), usize::from(giver));
-                if via.is_some_and(|via| self.is_frozen(usize::from(via))) {
+                if via.is_some_and(|via| self.is_mute(usize::from(via))) {
                     // Nobody passes it on.
+                } else if giver == rank && self.is_read_from_afar(rank, &leader) {
+                    self.order_from_afar(own_rank, rank, number, &order, &mut leader);
                 } else if giver == rank {
                     self.take_order(index, rank, number, order, &mut leader);
                 } else {
                     self.order_from_afar(giver, rank, number, &order, &mut leader);
                 }
             }
+            self.was_held[index] = is_held;
             self.watch(index, &mut leader);
-            self.leaders[index] = (!leader.is_deposed()).then_some(leader);
+            if is_held && self.now.0.is_multiple_of(POLL_MS) {
+                self.read_from_afar(&mut leader);
+            }
+            self.trouble_change(own_rank, &leader);
+            let is_dead = self.agents_dead_until[own_rank] > self.now;
+            self.leaders[index] = (!leader.is_deposed() && !is_dead).then_some(leader);
         }
-        let someone = |index: usize| self.leaders[index].is_some();
-        if !(0..self.leaders.len()).any(someone) {
+        let someone_leads = self.leaders.iter().any(Option::is_some);
+        if !someone_leads && !self.someone_watches() {
             self.elect();
         }
     }
 
-    /// A leader tells the agent of the rank that holds for it that it lives, and asks it.
+    /// A leader tells the agents that watch it that it lives, and asks them.
     fn watch(&mut self, index: usize, leader: &mut Leader) {
-        let Some(holder) = leader.holder().map(usize::from) else { return };
-        if self.is_frozen(holder) || leader.fence() < self.agents_fence[holder] {
+        let (fence, witness_rank) = (leader.fence(), leader.witness_rank());
+        let watchers = leader.watchers();
+        for (place, rank) in (0..).zip(&watchers) {
+            let watcher = usize::from(*rank);
+            if self.is_mute(watcher) || fence < self.agents_fence[watcher] {
+                continue;
+            }
+            self.agents_fence[watcher] = fence;
+            self.watches[watcher] = Some(Watch { fence, place, heard_at: self.now });
+            if witness_rank == Some(*rank) {
+                self.be_witness(watcher, fence, self.leader_ranks[index]);
+            }
+            leader.on_status(self.now, self.status(watcher), &DIMENSIONS);
+        }
+        let own = self.leader_ranks[index];
+        let holds_elsewhere = witness_rank.is_some_and(|rank| rank != own) && leader.is_held();
+        if holds_elsewhere && self.chance(self.trouble.leader_freezes_permille) {
+            self.freeze(usize::from(own));
+        }
+    }
+
+    /// What goes wrong while `leader`, beside the rank `own`, makes a change.
+    ///
+    /// Without a likelihood nothing is drawn, so that runs of other troubles go on as their seeds say.
+    fn trouble_change(&mut self, own: usize, leader: &Leader) {
+        let Some(holder) = leader.witness_rank().map(usize::from) else { return };
+        if holder == own {
             return;
         }
-        self.agents_fence[holder] = leader.fence();
-        let (fence, leader_rank) = (leader.fence(), self.leader_ranks[index]);
-        self.watches[holder] = Some(Watch { fence, leader_rank, heard_at: self.now });
-        leader.on_status(self.now, self.status(holder), &DIMENSIONS);
-        if self.chance(self.trouble.leader_freezes_permille) {
-            self.freeze(usize::from(leader_rank));
+        let Trouble { third_freezes_permille, agents_die_permille, both_go_permille, .. } =
+            self.trouble;
+        let is_held = leader.is_held();
+        if !is_held && third_freezes_permille > 0 && self.chance(third_freezes_permille) {
+            let third = self.rng.random_range(0..self.ranks.len());
+            if third != own && third != holder {
+                self.freeze(third);
+            }
+        }
+        let all_live = self.agents_dead_until.iter().all(|until| *until <= self.now);
+        if is_held && all_live && agents_die_permille > 0 && self.chance(agents_die_permille) {
+            let first = self.rng.random_range(0..3);
+            (first..self.ranks.len()).step_by(3).filter(|rank| *rank != own).for_each(|rank| {
+                self.kill_agent(rank);
+            });
+        }
+        if is_held && both_go_permille > 0 && self.chance(both_go_permille) {
+            self.kill_agent(holder);
+            self.kill_agent(own);
+        }
+    }
+
+    fn kill_agent(&mut self, rank: usize) {
+        self.agents_dead_until[rank] = self.now.after(DEAD_AGENT_MS);
+        self.forget(rank);
+    }
+
+    fn forget(&mut self, rank: usize) {
+        self.agents_fence[rank] = 0;
+        self.known_maps[rank] = KnownMaps::default();
+        self.witnesses[rank] = None;
+        self.watches[rank] = None;
+        self.tasks[rank].clear();
+        self.ended[rank].clear();
+    }
+
+    /// Whether a leader orders a rank itself: its agent is not heard, and the rank was read.
+    fn is_read_from_afar(&self, rank: usize, leader: &Leader) -> bool {
+        let is_dead = self.agents_dead_until[rank] > self.now && !self.is_frozen(rank);
+        is_dead && leader.silent_ranks(self.now, leader.fresh_ms()).contains(&(rank as u16))
+    }
+
+    /// A leader reads ranks whose agents it does not hear; what they say of themselves is old.
+    fn read_from_afar(&mut self, leader: &mut Leader) {
+        for rank in leader.silent_ranks(self.now, leader.fresh_ms()) {
+            let index = usize::from(rank);
+            if self.is_frozen(index) {
+                continue;
+            }
+            let Some(said) = self.said[index].front().cloned() else { continue };
+            leader.on_status(self.now, said, &DIMENSIONS);
+        }
+    }
+
+    /// Keeps what ranks say of themselves, for those that read them from afar.
+    fn remember_said(&mut self) {
+        for rank in 0..self.ranks.len() {
+            let status = RankStatus {
+                highest_fence: 0,
+                witness: None,
+                is_from_afar: true,
+                counts: CountsSample::default(),
+                experts: None,
+                ..self.status(rank)
+            };
+            let said = &mut self.said[rank];
+            said.push_back(status);
+            if said.len() > (REPORT_LAG_MS / TICK_MS) as usize {
+                said.pop_front();
+            }
+        }
+    }
+
+    fn be_witness(&mut self, agent: usize, fence: u64, leader_rank: u16) {
+        let is_known = self.witnesses[agent].is_some_and(|witness| witness.fence == fence);
+        if !is_known {
+            let witness = Witness { fence, rank: leader_rank, ordered: None };
+            self.witnesses[agent] = Some(witness);
         }
     }
 
@@ -513,17 +684,25 @@
         order: &RankOrder,
         leader: &mut Leader,
     ) {
-        if self.is_frozen(giver) {
+        if self.is_mute(giver) {
             return;
         }
         if order.fence < self.agents_fence[giver] {
             leader.on_end(rank as u16, number, OrderEnd::Fenced);
             return;
         }
-        let is_arm = matches!(order.kind, OrderKind::Arm { .. });
-        if is_arm {
-            let is_armed = self.armed_beside[giver] == Some((order.fence, true));
-            self.armed_beside[giver] = Some((order.fence, is_armed));
+        let beside = match order.kind {
+            // The leader itself arms ranks whose agents are dead.
+            _ if self.leads(giver, order.fence) => None,
+            OrderKind::Arm { step, .. } => Some(Witness {
+                fence: order.fence,
+                rank: rank as u16,
+                ordered: Some(OrderedBeside { step, is_armed: true }),
+            }),
+            _ => None,
+        };
+        if beside.is_some() && self.witnesses[giver] != beside {
+            self.witnesses[giver] = beside.map(in_doubt);
         }
         if self.is_frozen(rank) {
             return;
@@ -531,8 +710,8 @@
         if let Some(end) = self.attempt(giver, rank, order) {
             leader.on_end(rank as u16, number, end);
             self.freeze_giver(giver, order);
-            if is_arm && end == OrderEnd::Done {
-                self.armed_beside[giver] = Some((order.fence, true));
+            if beside.is_some() && end == OrderEnd::Done {
+                self.witnesses[giver] = beside;
             }
         }
     }
@@ -569,7 +748,7 @@
                 return;
             };
             let order = RankOrder { kind, ..order };
-            let task = Task { leader: index, number, order, send_at: self.now };
+            let task = Task { leader: index, number, order, send_at: self.now, sends: 1 };
             self.tasks[rank].push(task);
         }
     }
@@ -593,6 +772,7 @@
             armed: place.armed,
             held_step: place.held_step,
             highest_fence: self.agents_fence[rank],
+            witness: self.witnesses[rank],
             pace_permille: 1_000,
             is_from_afar: false,
             counts: CountsSample::of(&choices.collect::<Vec<_>>()),
@@ -600,3 +780,9 @@
         }
     }
 }
+
+/// A witness whose order to arm was given and not answered.
+fn in_doubt(witness: Witness) -> Witness {
+    let ordered = witness.ordered.map(|ordered| OrderedBeside { is_armed: false, ..ordered });
+    Witness { ordered, ..witness }
+}
--- /dev/null
+++ b/crates/core/tests/map_held.rs
@@ -0,0 +1,222 @@
+//! How long a pass is held, whatever becomes of machines and agents.
+
+mod map_change_support;
+#[path = "support/rank_status.rs"]
+mod rank_status;
+
+use googletest::prelude::*;
+use hickorycross_core::direct::BootMs;
+use hickorycross_core::map_change::{
+    Armed, Leader, LeaderAction, OrderEnd, OrderKind, OrderedBeside, RankStatus, Witness,
+};
+use map_change_support::{DIMENSIONS, Trouble, World};
+use rank_status::open_rank;
+
+/// Virtual time of one run.
+const RUN_MS: u64 = 40_000;
+
+/// Longest time for which a group stands on a held pass, as long as the machine of the rank that holds works.
+const LONGEST_STANDING_MS: u64 = 300;
+
+/// The same while half of all orders are left unanswered.
+const LONGEST_WITH_LATE_ORDERS_MS: u64 = 500;
+
+struct Case {
+    name: &'static str,
+    trouble: Trouble,
+    seeds: std::ops::Range<u64>,
+    longest_standing_ms: u64,
+}
+
+// Guards against a group that stands on a held pass for as long as a machine is frozen that need not be asked.
+#[gtest]
+fn a_held_pass_waits_for_no_silent_machine() {
+    let cases = [
+        Case {
+            name: "the machine of a rank freezes while a map is prepared",
+            trouble: Trouble { third_freezes_permille: 50, ..Trouble::default() },
+            seeds: 0..60,
+            longest_standing_ms: LONGEST_STANDING_MS,
+        },
+        Case {
+            name: "a third of all agents die while a pass is held",
+            trouble: Trouble { agents_die_permille: 60, ..Trouble::default() },
+            seeds: 0..60,
+            longest_standing_ms: LONGEST_STANDING_MS,
+        },
+        Case {
+            name: "the agents that lead and beside the holder die together",
+            trouble: Trouble { both_go_permille: 60, ..Trouble::default() },
+            seeds: 0..60,
+            longest_standing_ms: LONGEST_STANDING_MS,
+        },
+        Case {
+            name: "leaders freeze after an order to hold, one after the other",
+            trouble: Trouble {
+                giver_freezes_permille: 600,
+                leader_freezes_permille: 60,
+                ..Trouble::default()
+            },
+            seeds: 0..60,
+            longest_standing_ms: LONGEST_STANDING_MS,
+        },
+        Case {
+            name: "leaders freeze after an order to hold, half of all orders come late",
+            trouble: Trouble {
+                giver_freezes_permille: 400,
+                late_permille: 500,
+                ..Trouble::default()
+            },
+            seeds: 0..60,
+            longest_standing_ms: LONGEST_WITH_LATE_ORDERS_MS,
+        },
+    ];
+    for case in cases {
+        for seed in case.seeds {
+            let mut world = World::new(seed, case.trouble);
+            world.run(RUN_MS);
+            expect_that!(
+                world.longest_standing_ms,
+                le(case.longest_standing_ms),
+                "{} seed {seed}",
+                case.name
+            );
+        }
+    }
+}
+
+/// Ranks of the group whose change was left, the one that holds and the one beside the leader that left it.
+const RANKS: u16 = 5;
+const HOLDER: u16 = 3;
+const LEFT_BY: u16 = 2;
+/// The pass that is held.
+const HELD_STEP: u64 = 40;
+/// The map of the change.
+const VERSION: u64 = 7 << 20;
+/// The fence of the leader that left it.
+const LEFT_FENCE: u64 = 1 << 20;
+
+struct Left {
+    name: &'static str,
+    /// The rank beside the new leader.
+    leads: u16,
+    /// What the holder's agent did at the rank beside the leader before.
+    ordered: Option<OrderedBeside>,
+    /// Whether the other ranks are armed.
+    are_armed: bool,
+    /// Whether the rank beside the leader before answers.
+    left_is_heard: bool,
+    /// Orders in the order in which they are first given, without those that tell all ranks the same twice.
+    orders: &'static [&'static str],
+}
+
+const IN_DOUBT: OrderedBeside = OrderedBeside { step: HELD_STEP, is_armed: false };
+const ARMED: OrderedBeside = OrderedBeside { step: HELD_STEP, is_armed: true };
+const EARLIER: OrderedBeside = OrderedBeside { step: HELD_STEP - 9, is_armed: true };
+
+impl Left {
+    fn status(&self, rank: u16, fence: u64) -> RankStatus {
+        let holds = rank == HOLDER;
+        let witness = Witness { fence: LEFT_FENCE, rank: LEFT_BY, ordered: self.ordered };
+        RankStatus {
+            step: HELD_STEP - 1,
+            prepared: Some(VERSION),
+            armed: self.are_armed.then_some(Armed { version: VERSION, step: HELD_STEP }),
+            held_step: holds.then_some(HELD_STEP),
+            witness: holds.then_some(witness),
+            highest_fence: fence,
+            ..open_rank(rank, RANKS)
+        }
+    }
+
+    /// Kinds of orders of a leader that finds this, all of which are carried out at once.
+    fn orders_given(&self) -> Vec<&'static str> {
+        let mut leader = Leader::new("g", self.leads, 2 << 20, 1);
+        let mut kinds = Vec::new();
+        let mut is_held = true;
+        for now in (0..500).step_by(20).map(BootMs) {
+            let heard = (0..RANKS).filter(|rank| self.left_is_heard || *rank != LEFT_BY);
+            for rank in heard {
+                let status = self.status(rank, leader.fence());
+                let held_step = status.held_step.filter(|_| is_held);
+                leader.on_status(now, RankStatus { held_step, ..status }, &DIMENSIONS);
+            }
+            for action in leader.tick(now, &DIMENSIONS) {
+                let LeaderAction::Send { rank, number, order, .. } = action else { continue };
+                is_held &= !matches!(order.kind, OrderKind::Go { .. });
+                kinds.push(order.kind.as_str());
+                leader.on_end(rank, number, OrderEnd::Done);
+            }
+        }
+        kinds.dedup();
+        kinds
+    }
+}
+
+// Guards against a change that nobody ends: by a successor that is not the holder's agent, by one that has the
+// holder's machine hold the pass once more, or by one that waits for a machine that need not be asked.
+#[gtest]
+fn whoever_leads_next_ends_a_change_by_what_the_holders_agent_knows() {
+    let undo: &[&str] = &["fence", "disarm", "go"];
+    let cases = [
+        Left {
+            name: "nothing was armed, the holder's agent leads",
+            leads: HOLDER,
+            ordered: None,
+            are_armed: false,
+            left_is_heard: false,
+            orders: undo,
+        },
+        Left {
+            name: "nothing was armed, a third agent leads",
+            leads: 0,
+            ordered: None,
+            are_armed: false,
+            left_is_heard: false,
+            orders: undo,
+        },
+        Left {
+            name: "others were armed, the leader's rank was not",
+            leads: 0,
+            ordered: None,
+            are_armed: true,
+            left_is_heard: false,
+            orders: undo,
+        },
+        Left {
+            name: "the leader's rank was armed for an earlier pass",
+            leads: 0,
+            ordered: Some(EARLIER),
+            are_armed: false,
+            left_is_heard: false,
+            orders: undo,
+        },
+        Left {
+            name: "all were armed",
+            leads: 0,
+            ordered: Some(ARMED),
+            are_armed: true,
+            left_is_heard: false,
+            orders: &["arm", "go"],
+        },
+        Left {
+            name: "nobody knows whether the leader's rank is armed",
+            leads: 0,
+            ordered: Some(IN_DOUBT),
+            are_armed: true,
+            left_is_heard: false,
+            orders: &[],
+        },
+        Left {
+            name: "nobody knows, but that rank can be asked",
+            leads: 0,
+            ordered: Some(IN_DOUBT),
+            are_armed: true,
+            left_is_heard: true,
+            orders: undo,
+        },
+    ];
+    for case in cases {
+        expect_that!(case.orders_given(), eq(case.orders), "{}", case.name);
+    }
+}
--- a/crates/core/tests/map_orders.rs
+++ b/crates/core/tests/map_orders.rs
@@ -5,7 +5,7 @@
 
 use hickorycross_core::direct::{BootMs, GroupDimensions};
 use hickorycross_core::map_change::{
-    CountsSample, Leader, LeaderAction, OrderEnd, OrderKind, RankStatus,
+    CountsSample, Leader, LeaderAction, OrderEnd, OrderKind, RankStatus, Witness,
 };
 use hickorycross_core::placement::{ExpertMap, LayerPlacement, bottleneck_load};
 use indexmap::IndexMap;
@@ -213,7 +213,8 @@
             let now = BootMs(now_ms);
             for rank in 0..RANKS {
                 let step = 1 + now_ms / case.pass_ms;
-                let status = RankStatus { step, prepared, ..status(&CASES[0], rank) };
+                let witness = Some(Witness { fence: leader.fence(), rank: 0, ordered: None });
+                let status = RankStatus { step, prepared, witness, ..status(&CASES[0], rank) };
                 leader.on_status(now, status, &dimensions());
             }
             for action in leader.tick(now, &dimensions()) {
--- a/crates/core/tests/map_told.rs
+++ b/crates/core/tests/map_told.rs
@@ -7,6 +7,7 @@
 use hickorycross_core::direct::{BootMs, GroupDimensions};
 use hickorycross_core::map_change::{
     CountsSample, KnownMaps, Leader, LeaderAction, OrderEnd, OrderKind, RankOrder, RankStatus,
+    Witness,
 };
 use hickorycross_core::placement::{ExpertMap, LayerPlacement, MapChange};
 use indexmap::IndexMap;
@@ -78,7 +79,10 @@
             for rank in 0..RANKS {
                 let status = status(rank, self.map, prepared, step, shift);
                 let held_step = self.held_step.filter(|_| rank == 1);
-                self.leader.on_status(now, RankStatus { held_step, ..status }, &DIMENSIONS);
+                let fence = self.leader.fence();
+                let witness = Some(Witness { fence, rank: 0, ordered: None });
+                let status = RankStatus { held_step, witness, ..status };
+                self.leader.on_status(now, status, &DIMENSIONS);
             }
             for action in self.leader.tick(now, &DIMENSIONS) {
                 let LeaderAction::Send { rank, number, order, .. } = action else { continue };
--- a/crates/core/tests/support/rank_status.rs
+++ b/crates/core/tests/support/rank_status.rs
@@ -16,6 +16,7 @@
         armed: None,
         held_step: None,
         highest_fence: 0,
+        witness: None,
         pace_permille: 1_000,
         is_from_afar: false,
         counts: CountsSample::default(),
--- a/crates/direct/src/agent/afar.rs
+++ b/crates/direct/src/agent/afar.rs
@@ -9,8 +9,9 @@
 use super::execute::{SHOW_PAUSE_AFAR_MS, execute, execute_afar};
 use super::member::Member;
 use super::rank::RankEngine;
-use super::state::ArmedBeside;
-use hickorycross_core::map_change::{OrderEnd, RankOrder};
+use hickorycross_core::map_change::{
+    Ended, OrderEnd, OrderKind, OrderedBeside, RankOrder, Witness,
+};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -24,11 +25,24 @@
 ) {
     let log = member.log.clone();
     let is_current = is_current(member, &order);
+    let own = Rc::clone(&member.engine);
     give(member, rank, number, async move {
-        execute(&*engine, &order, SHOW_PAUSE_AFAR_MS, &is_current, &log).await
+        if has_map(&order.kind) {
+            execute(&*engine, &order, SHOW_PAUSE_AFAR_MS, &is_current, &log).await
+        } else {
+            execute_afar(&*own, &*engine, &order, &is_current, &log).await
+        }
     });
 }
 
+/// Whether an order is about what a rank has prepared, so that the rank's own word is needed.
+const fn has_map(kind: &OrderKind) -> bool {
+    matches!(
+        kind,
+        OrderKind::Prepare { .. } | OrderKind::PrepareChange { .. } | OrderKind::Void { .. }
+    )
+}
+
 /// Lets a rank, whose agent is at `agent`, hold its next pass.
 pub(crate) fn hold(
     member: &Rc<Member>,
@@ -57,20 +71,23 @@
     order: RankOrder,
 ) {
     let Some(target) = engine_beside(member, from) else { return };
+    let OrderKind::Arm { step, .. } = order.kind else { return };
     let fence = order.fence;
-    let known = member.armed_beside.get().filter(|armed| armed.fence == fence);
-    let end = if known.is_some_and(|armed| armed.is_armed) {
-        Some(OrderEnd::Done)
+    let armed = Witness { fence, rank, ordered: Some(OrderedBeside { step, is_armed: true }) };
+    let ended = if member.witness.get() == Some(armed) {
+        Some(Ended { end: OrderEnd::Done, sends: 0 })
     } else {
-        member.armed_beside.set(Some(ArmedBeside { fence, is_armed: false }));
+        let ordered = Some(OrderedBeside { step, is_armed: false });
+        member.witness.set(Some(Witness { ordered, ..armed }));
         let is_current = is_current(member, &order);
         execute_afar(&*member.engine, &*target, &order, &is_current, &member.log).await
     };
-    let Some(end) = end else { return };
-    if end == OrderEnd::Done {
-        member.armed_beside.set(Some(ArmedBeside { fence, is_armed: true }));
+    let Some(ended) = ended else { return };
+    // Another leader may have asked meanwhile, and disarm that rank after its answer.
+    if ended.end == OrderEnd::Done && fence >= member.highest_fence.get() {
+        member.witness.set(Some(armed));
     }
-    member.send(from, &Datagram::End { rank, number, fence, end }).await;
+    member.send(from, &Datagram::End { rank, number, fence, ended }).await;
 }
 
 fn engine_beside(member: &Member, agent: SocketAddr) -> Option<Rc<dyn RankEngine>> {
@@ -89,17 +106,17 @@
     member: &Rc<Member>,
     rank: u16,
     number: u64,
-    giving: impl Future<Output = Option<OrderEnd>> + 'static,
+    giving: impl Future<Output = Option<Ended>> + 'static,
 ) {
     if !member.under_way.0.borrow_mut().insert((rank, number)) {
         return;
     }
     let member = Rc::clone(member);
     tokio::task::spawn_local(async move {
-        let end = giving.await;
+        let ended = giving.await;
         member.under_way.0.borrow_mut().swap_remove(&(rank, number));
-        if let (Some(end), Some(leader)) = (end, member.leader.borrow_mut().as_mut()) {
-            leader.on_end(rank, number, end);
+        if let (Some(ended), Some(leader)) = (ended, member.leader.borrow_mut().as_mut()) {
+            leader.on_ended(rank, number, ended);
             member.news.notify_one();
         }
     });
--- a/crates/direct/src/agent/datagram.rs
+++ b/crates/direct/src/agent/datagram.rs
@@ -2,7 +2,7 @@
 //!
 //! Datagrams need no connection that could go silent; what is lost is asked for again.
 
-use hickorycross_core::map_change::{Collected, OrderEnd, RankOrder, RankStatus};
+use hickorycross_core::map_change::{Collected, Ended, RankOrder, RankStatus};
 use miniz_oxide::deflate::compress_to_vec;
 use miniz_oxide::inflate::{DecompressError, decompress_to_vec_with_limit};
 use serde::{Deserialize, Serialize};
@@ -64,9 +64,17 @@
     pub(crate) known_map: Option<u64>,
     /// Whether the choices of experts are asked for.
     pub(crate) wants_counts: bool,
-    /// Whether the rank holds a pass for the leader, or is about to: its agent is to take over
-    /// when such polls stop.
-    pub(crate) holds: bool,
+    /// That the agent is to take over when such polls stop.
+    pub(crate) watch: Option<Watch>,
+}
+
+/// Names an agent that watches a leader for which a rank holds a pass, or is about to.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct Watch {
+    /// How many other agents take over sooner; none for that of the rank that holds.
+    pub(crate) place: u8,
+    /// Whether a change goes on for which this agent alone orders the rank beside the leader to switch.
+    pub(crate) is_witness: bool,
 }
 
 /// A message between agents.
@@ -134,7 +142,7 @@
         /// The order's fence; numbers begin anew with each leader.
         fence: u64,
         /// What became of it.
-        end: OrderEnd,
+        ended: Ended,
     },
 }
 
--- a/crates/direct/src/agent/execute.rs
+++ b/crates/direct/src/agent/execute.rs
@@ -4,7 +4,7 @@
 use crate::decision_log::DecisionLog;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hickorycross_core::map_change::{OrderEnd, OrderKind, RankOrder};
+use hickorycross_core::map_change::{Ended, OrderEnd, OrderKind, RankOrder};
 use hickorycross_core::placement::ExpertMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,8 +23,12 @@
 /// within 6 ms.
 const AGAIN_AFAR_MS: u64 = 15;
 
-/// Copies of one order to a rank on another machine that are under way together.
-const MOST_COPIES: u32 = 4;
+/// The same for the rank on the own machine, where an answer comes within 12 ms when the agent is busy.
+const AGAIN_BESIDE_MS: u64 = 12;
+
+/// Copies of one order that are under way together. With half of the answers lost, the chance that none of
+/// so many comes is one in two hundred.
+const MOST_COPIES: u32 = 8;
 
 /// Times that the rank is asked whether an accepted order shows.
 const SHOW_LOOKS: u32 = 6;
@@ -39,16 +43,17 @@
     show_pause_ms: u64,
     is_current: &dyn Fn() -> bool,
     log: &DecisionLog,
-) -> Option<OrderEnd> {
+) -> Option<Ended> {
     let is_void = matches!(order.kind, OrderKind::Void { .. });
+    let mut sends = 0;
     for send in 1..=MOST_SENDS {
         let report = match begin(engine, order, send, is_current, log).await {
             Begin::Go(report) => report,
             Begin::Unread => continue,
-            Begin::End(end) => return Some(end),
+            Begin::End(end) => return Some(Ended { end, sends }),
         };
         if is_spared(&report, order) {
-            return Some(OrderEnd::Done);
+            return Some(Ended { end: OrderEnd::Done, sends });
         }
         let is_ahead = matches!(order.kind, OrderKind::HoldAhead { .. });
         let meant = match order.kind {
@@ -61,21 +66,30 @@
         };
         let order = meant.as_ref().unwrap_or(order);
         let armed = report.armed.map(|armed| armed.version);
-        match engine.order(order, armed).await {
+        let pace = Copies { pause_ms: AGAIN_BESIDE_MS, most: most_copies(&order.kind) };
+        let answer = first_answer(engine, order, armed, pace, &mut sends).await;
+        let ended = |end| Some(Ended { end, sends });
+        match answer {
             // The copies take time; that they are complete is read from the statuses.
             Ok(OrderReply::Accepted) if copies(&order.kind) && !is_void => {
                 note(log, order, send, "done");
-                return Some(OrderEnd::Done);
+                return ended(OrderEnd::Done);
+            }
+            Ok(OrderReply::Accepted) if matches!(order.kind, OrderKind::Fence { .. }) => {
+                let end =
+                    if is_held(engine, order).await { OrderEnd::Done } else { OrderEnd::Refused };
+                note(log, order, send, if end == OrderEnd::Done { "done" } else { "refused" });
+                return ended(end);
             }
             Ok(OrderReply::Accepted) => {
                 if comes_to_show(engine, order, show_pause_ms).await {
                     note(log, order, send, "done");
-                    return Some(OrderEnd::Done);
+                    return ended(OrderEnd::Done);
                 }
             }
             Ok(OrderReply::Fenced) => {
                 note(log, order, send, "fenced");
-                return Some(OrderEnd::Fenced);
+                return ended(OrderEnd::Fenced);
             }
             // The pass began meanwhile; a later one is to be held.
             Ok(OrderReply::Conflict) if is_ahead => note(log, order, send, "conflict"),
@@ -87,7 +101,7 @@
                     OrderEnd::Refused
                 };
                 note(log, order, send, if end == OrderEnd::Done { "done" } else { "refused" });
-                return Some(end);
+                return ended(end);
             }
             Err(error) => note_again(log, order, send, &error),
         }
@@ -105,25 +119,30 @@
     order: &RankOrder,
     is_current: &dyn Fn() -> bool,
     log: &DecisionLog,
-) -> Option<OrderEnd> {
+) -> Option<Ended> {
     let is_ahead = matches!(order.kind, OrderKind::HoldAhead { .. });
+    let mut sends = 0;
     let next = RankOrder { kind: OrderKind::HoldAhead { steps: 1 }, ..*order };
     let mut is_standing = false;
     for send in 1..=MOST_SENDS {
         let report = match begin(own, order, send, is_current, log).await {
             Begin::Go(report) => report,
             Begin::Unread => continue,
-            Begin::End(end) => return Some(end),
+            Begin::End(end) => return Some(Ended { end, sends }),
         };
-        let meant = ahead(if is_standing { &next } else { order }, &report);
-        match first_answer(target, meant.as_ref().unwrap_or(order)).await {
+        let meant = meant_afar(if is_standing { &next } else { order }, &report);
+        let pace = Copies { pause_ms: AGAIN_AFAR_MS, most: MOST_COPIES };
+        let answer =
+            first_answer(target, meant.as_ref().unwrap_or(order), None, pace, &mut sends).await;
+        let ended = |end| Some(Ended { end, sends });
+        match answer {
             Ok(OrderReply::Accepted) => {
                 note(log, order, send, "done");
-                return Some(OrderEnd::Done);
+                return ended(OrderEnd::Done);
             }
             Ok(OrderReply::Fenced) => {
                 note(log, order, send, "fenced");
-                return Some(OrderEnd::Fenced);
+                return ended(OrderEnd::Fenced);
             }
             // The pass began meanwhile, or an earlier copy of the order, whose answer was lost, holds
             // another one. The group may stand before that one: asked for a later one only, the rank
@@ -134,7 +153,7 @@
             }
             Ok(OrderReply::Conflict | OrderReply::Unusable(_)) => {
                 note(log, order, send, "refused");
-                return Some(OrderEnd::Refused);
+                return ended(OrderEnd::Refused);
             }
             Err(error) => note_again(log, order, send, &error),
         }
@@ -182,24 +201,49 @@
     Begin::Go(report)
 }
 
+/// Copies of one order that are under way together.
+#[derive(Clone, Copy)]
+struct Copies {
+    /// Pause between two of them.
+    pause_ms: u64,
+    most: u32,
+}
+
+/// Copies of an order that a rank takes more than one of: it refuses a second one to prepare a map.
+const fn most_copies(kind: &OrderKind) -> u32 {
+    match kind {
+        OrderKind::Prepare { .. } | OrderKind::PrepareChange { .. } | OrderKind::Void { .. } => 1,
+        _ => MOST_COPIES,
+    }
+}
+
 /// Gives an order again and again while no answer comes, and takes the first answer of any of them.
 ///
 /// A group stands meanwhile. The link of a small machine may be full for some tens of milliseconds, so
-/// that an answer is neither soon nor lost; giving up on it each time would never get one.
-async fn first_answer(target: &dyn RankEngine, order: &RankOrder) -> Result<OrderReply, RankError> {
+/// that an answer is neither soon nor lost; giving up on it each time would never get one. Waiting for each
+/// in turn, twelve ranks of which half answer took 0.13 s.
+async fn first_answer(
+    target: &dyn RankEngine,
+    order: &RankOrder,
+    armed: Option<u64>,
+    pace: Copies,
+    sends: &mut u32,
+) -> Result<OrderReply, RankError> {
     let mut given = FuturesUnordered::new();
-    given.push(target.order(order, None));
+    given.push(target.order(order, armed));
+    *sends += 1;
     let mut copies = 1;
     loop {
-        let again = tokio::time::sleep(Duration::from_millis(AGAIN_AFAR_MS));
+        let again = tokio::time::sleep(Duration::from_millis(pace.pause_ms));
         tokio::select! {
             Some(answer) = given.next() => match answer {
                 Err(error) if given.is_empty() => return Err(error),
                 Err(_) => {}
                 answered => return answered,
             },
-            () = again, if copies < MOST_COPIES => {
-                given.push(target.order(order, None));
+            () = again, if copies < pace.most => {
+                given.push(target.order(order, armed));
+                *sends += 1;
                 copies += 1;
             }
         }
@@ -233,12 +277,36 @@
     Some(RankOrder { kind: OrderKind::Hold { step }, ..*order })
 }
 
+/// What a rank on another machine is told in place of an order.
+///
+/// What it says of itself is old, so it cannot be asked whether it still holds: it is told to hold the same
+/// pass again, which it refuses once that has begun.
+fn meant_afar(order: &RankOrder, own: &RankReport) -> Option<RankOrder> {
+    match order.kind {
+        OrderKind::Fence { step } => Some(RankOrder { kind: OrderKind::Hold { step }, ..*order }),
+        _ => ahead(order, own),
+    }
+}
+
+/// Whether a rank that has seen the fence of an order still holds the pass.
+async fn is_held(engine: &dyn RankEngine, order: &RankOrder) -> bool {
+    for _ in 0..SHOW_LOOKS {
+        if let Ok(report) = engine.report().await {
+            return shows(&report, order);
+        }
+    }
+    false
+}
+
 /// Whether an order need not be given, because its effect is there already.
 ///
 /// A disarming and a holding order also show their fence to the rank, so they are always given.
 fn is_spared(report: &RankReport, order: &RankOrder) -> bool {
     match &order.kind {
-        OrderKind::Disarm | OrderKind::HoldAhead { .. } | OrderKind::Hold { .. } => false,
+        OrderKind::Disarm { .. }
+        | OrderKind::HoldAhead { .. }
+        | OrderKind::Hold { .. }
+        | OrderKind::Fence { .. } => false,
         OrderKind::Prepare { .. }
         | OrderKind::PrepareChange { .. }
         | OrderKind::Void { .. }
@@ -268,9 +336,9 @@
         OrderKind::Arm { version, step } => {
             report.armed.is_some_and(|armed| armed.version == *version && armed.step == *step)
         }
-        OrderKind::Disarm => report.armed.is_none(),
+        OrderKind::Disarm { .. } => report.armed.is_none(),
         OrderKind::HoldAhead { .. } => report.held_step.is_some(),
-        OrderKind::Hold { step } => report.held_step == Some(*step),
+        OrderKind::Hold { step } | OrderKind::Fence { step } => report.held_step == Some(*step),
         OrderKind::Go { step } => report.held_step != Some(*step),
     }
 }
--- a/crates/direct/src/agent/hear.rs
+++ b/crates/direct/src/agent/hear.rs
@@ -80,11 +80,11 @@
                 afar::arm_beside(&member, from, rank, number, order).await;
             }
         }
-        Datagram::End { rank, number, fence, end } => {
+        Datagram::End { rank, number, fence, ended } => {
             if let Some(leader) = member.leader.borrow_mut().as_mut()
                 && fence <= leader.fence()
             {
-                leader.on_end(rank, number, end);
+                leader.on_ended(rank, number, ended);
                 member.news.notify_one();
             }
         }
@@ -97,8 +97,8 @@
         return false;
     }
     hear_leader(member, poll.fence);
-    if poll.holds {
-        watch::begin(member, from.ip(), poll.fence);
+    if let Some(watch) = poll.watch {
+        watch::begin(member, from.ip(), poll.fence, watch);
     }
     true
 }
--- a/crates/direct/src/agent/lead.rs
+++ b/crates/direct/src/agent/lead.rs
@@ -1,6 +1,6 @@
 //! An agent that leads its group: it decides, polls the members and sends orders.
 
-use super::datagram::{Datagram, Poll};
+use super::datagram::{Datagram, Poll, Watch};
 use super::give::give;
 use super::link::LINE_MS;
 use super::member::Member;
@@ -9,9 +9,7 @@
 use crate::clock::{boot_now, wall_ms};
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
-use hickorycross_core::map_change::{
-    Asked, Deposed, Leader, LeaderAction, LeaderNote, Polls, Sections,
-};
+use hickorycross_core::map_change::{Asked, Leader, LeaderAction, LeaderNote, Polls, Sections};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -44,8 +42,9 @@
 /// Leads whenever no leader is heard, for ever.
 pub(crate) async fn lead(member: Rc<Member>) {
     let mut polls = Polls::default();
-    let mut poll_holder_at = BootMs(0);
+    let mut poll_watchers_at = BootMs(0);
     let mut looked_at = boot_now();
+    let mut was_held = false;
     loop {
         // A change stands still between an answer and the next look at it.
         let _ = tokio::time::timeout(Duration::from_millis(TICK_MS), member.news.notified()).await;
@@ -58,30 +57,38 @@
         let Some(dimensions) = member.fleet.dimensions() else { continue };
         let counts_per_rank =
             usize::from(dimensions.layers) * usize::from(dimensions.experts_per_layer);
-        let sections = Sections::of(&member.fleet.machines(), counts_per_rank);
-        let (actions, poll, holder, is_busy) = {
+        let machines = member.fleet.machines();
+        let (actions, poll, watchers, is_busy, is_held) = {
             let mut leading = member.leader.borrow_mut();
             let Some(leader) = leading.as_mut() else { continue };
             let mut actions = leader.decide(now, &dimensions);
             actions.extend(leader.due(boot_now()));
             let (fence, known_map) = (leader.fence(), leader.known_map());
             let group = leader.group().to_owned();
-            let (holder, is_busy) = (leader.holder(), leader.is_busy());
+            let watchers = Watchers { ranks: leader.watchers(), witness: leader.witness_rank() };
+            let (is_busy, is_held) = (leader.is_busy(), leader.is_held());
             if leader.is_deposed() {
                 *leading = None;
+                let line = DecisionLog::fields("leader").with("fence", fence);
+                member.log.note(line.with("outcome", "deposed"));
             }
-            // While a pass is held the link is for orders and their ends.
-            let wants_counts = holder.is_none() && polls.wants_counts(&sections, is_busy);
-            let poll = Poll { group, fence, known_map, wants_counts, holds: false };
-            (actions, poll, holder, is_busy)
+            let poll = Poll { group, fence, known_map, wants_counts: false, watch: None };
+            (actions, poll, watchers, is_busy, is_held)
         };
+        if is_held && !was_held {
+            polls.hurry();
+        }
+        was_held = is_held;
+        let sections = Sections::of(&machines, counts_per_rank);
+        // While a pass is held the link is for orders and their ends.
+        let sections = if is_held { sections.without_counts() } else { sections };
+        let wants_counts = !is_held && polls.wants_counts(&sections, is_busy);
+        let poll = Poll { wants_counts, ..poll };
         carry_out(&member, actions).await;
-        if let Some(holder) = holder
-            && now >= poll_holder_at
-        {
+        if now >= poll_watchers_at {
             // Each answer brings the loop here again; without a pause both would do nothing else.
-            poll_holder_at = now.after(TICK_MS);
-            poll_holder(&member, holder, &poll).await;
+            poll_watchers_at = now.after(TICK_MS);
+            poll_watchers(&member, &watchers, &poll).await;
         }
         for asked in polls.due(now, &sections, is_busy) {
             ask(&member, asked, &poll).await;
@@ -101,11 +108,20 @@
     member.send(at(collector), &datagram).await;
 }
 
-/// Asks the agent of the rank that holds, which also tells it that the leader lives.
-async fn poll_holder(member: &Member, holder: u16, poll: &Poll) {
-    let Some(to) = member.ranks.borrow().get(&holder).copied() else { return };
-    let poll = Poll { wants_counts: false, holds: true, ..poll.clone() };
-    member.send(to, &Datagram::Poll(poll)).await;
+/// Ranks whose agents watch a leader, in the order in which they take over, and the witness among them.
+struct Watchers {
+    ranks: Vec<u16>,
+    witness: Option<u16>,
+}
+
+/// Asks the agents that watch, which also tells them that the leader lives.
+async fn poll_watchers(member: &Member, watchers: &Watchers, poll: &Poll) {
+    for (place, rank) in (0..).zip(&watchers.ranks) {
+        let Some(to) = member.ranks.borrow().get(rank).copied() else { continue };
+        let watch = Watch { place, is_witness: watchers.witness == Some(*rank) };
+        let poll = Poll { wants_counts: false, watch: Some(watch), ..poll.clone() };
+        member.send(to, &Datagram::Poll(poll)).await;
+    }
 }
 
 /// Begins to lead when no leader was heard for some time.
@@ -149,20 +165,20 @@
     member.own_rank.get()
 }
 
-/// Begins to lead in place of the leader with `fence`, which went silent while the own rank holds.
+/// The rank beside the leader with `fence`.
+pub(super) fn rank_of(fence: u64) -> Option<u16> {
+    u16::try_from(fence % FENCES_PER_MS).ok()
+}
+
+/// Begins to lead in place of the leader with `fence`, which went silent while a rank holds.
 pub(super) async fn take_over(member: &Member, fence: u64) {
     let Ok(report) = member.engine.report().await else { return };
     let Some(seat) = report.seat else { return };
-    let ordered = member.armed_beside.get().filter(|ordered| ordered.fence == fence);
-    let is_armed = ordered.is_some_and(|ordered| ordered.is_armed);
-    // An order without an answer leaves in doubt whether that rank is armed: then it must be asked.
-    let is_known = ordered.is_none() || is_armed;
-    let rank = u16::try_from(fence % FENCES_PER_MS).ok().filter(|rank| *rank != seat.rank);
-    begin(member, &seat, rank.filter(|_| is_known).map(|rank| Deposed { rank, is_armed }));
+    begin(member, &seat, rank_of(fence).filter(|rank| *rank != seat.rank));
     member.news.notify_one();
 }
 
-fn begin(member: &Member, seat: &RankSeat, deposed: Option<Deposed>) {
+fn begin(member: &Member, seat: &RankSeat, instead_of: Option<u16>) {
     member.own_rank.set(Some(seat.rank));
     member.ranks_of_group.set(usize::from(seat.ranks));
     *member.own_group.borrow_mut() = Some(seat.group.clone());
@@ -170,13 +186,13 @@
     let fence = fence / FENCES_PER_MS * FENCES_PER_MS + u64::from(seat.rank) % FENCES_PER_MS;
     member.highest_fence.set(fence);
     let salt = rand::rng().random::<u64>();
-    let leader = Leader::take_over(&seat.group, seat.rank, fence, salt, deposed);
+    let leader = Leader::new(&seat.group, seat.rank, fence, salt);
+    let leader = if instead_of.is_some() { leader.after_a_watched_one(boot_now()) } else { leader };
     let leader = if member.heeds_fences { leader } else { leader.without_fences() };
     *member.leader.borrow_mut() = Some(leader);
     let line = DecisionLog::fields("leader").with("fence", fence).with("rank", seat.rank);
-    let line = line.with_some("instead_of", deposed.map(|deposed| deposed.rank));
-    let line = line.with_some("that_rank_is_armed", deposed.map(|deposed| deposed.is_armed));
-    member.log.note(line.with("outcome", "leads"));
+    let line = line.with_some("instead_of", instead_of).with("ranks", seat.ranks);
+    member.log.note(line.with("machines", member.fleet.machines().len()).with("outcome", "leads"));
 }
 
 async fn carry_out(member: &Rc<Member>, mut actions: Vec<LeaderAction>) {
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -6,11 +6,11 @@
 use super::link::{LinkLoad, Way};
 use super::rank::{ExpertCounts, RankEngine, RankEngines};
 use super::silent::SilentRanks;
-use super::state::{ArmedBeside, Collecting, UnderWay, Watched};
+use super::state::{Collecting, UnderWay, Watched};
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
-use hickorycross_core::map_change::{KnownMaps, Leader, OrderEnd};
+use hickorycross_core::map_change::{Ended, KnownMaps, Leader, Witness};
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
@@ -40,7 +40,7 @@
     /// Maps that were told of, for orders that tell changes.
     pub(super) known_maps: RefCell<KnownMaps>,
     /// Orders under way or ended, by fence and number.
-    pub(super) orders: RefCell<IndexMap<(u64, u64), Option<OrderEnd>>>,
+    pub(super) orders: RefCell<IndexMap<(u64, u64), Option<Ended>>>,
     pub(super) own_rank: Cell<Option<u16>>,
     /// How many ranks the own group has, as of when this agent began to lead.
     pub(super) ranks_of_group: Cell<usize>,
@@ -54,9 +54,9 @@
     pub(crate) silent: SilentRanks,
     /// Orders to ranks on other machines.
     pub(super) under_way: UnderWay,
-    /// What this agent has ordered the rank beside another leader to do.
-    pub(super) armed_beside: Cell<Option<ArmedBeside>>,
-    /// The leader for which the own rank holds a pass.
+    /// What this agent knows of the leader for which the own rank holds a pass, or held the last one.
+    pub(super) witness: Cell<Option<Witness>>,
+    /// The leader in whose place this agent is to lead when it goes silent.
     pub(super) watched: Cell<Option<Watched>>,
     /// What the link carries.
     pub(super) link: LinkLoad,
@@ -99,7 +99,7 @@
             pace_permille: Cell::new(1_000),
             silent: SilentRanks::default(),
             under_way: UnderWay::default(),
-            armed_beside: Cell::new(None),
+            witness: Cell::new(None),
             watched: Cell::new(None),
             link: LinkLoad::default(),
             bulk: BulkQueue::default(),
--- a/crates/direct/src/agent/silent.rs
+++ b/crates/direct/src/agent/silent.rs
@@ -59,8 +59,8 @@
         self.engines.borrow().contains_key(&rank)
     }
 
-    /// Whether the agent of a machine is not heard.
-    pub(super) fn is_silent(&self, machine: IpAddr) -> bool {
-        self.of(machine).heard_at.is_none_or(|at| boot_now().since(at) > SILENT_MS)
+    /// Whether the agent of a machine has not been heard for `silent_ms`.
+    pub(super) fn is_silent(&self, machine: IpAddr, silent_ms: u64) -> bool {
+        self.of(machine).heard_at.is_none_or(|at| boot_now().since(at) > silent_ms)
     }
 }
--- a/crates/direct/src/agent/stand_in.rs
+++ b/crates/direct/src/agent/stand_in.rs
@@ -13,20 +13,35 @@
 /// Pause between readings from afar; the leader decides on words up to 1 s old.
 const READ_PAUSE_MS: u64 = 350;
 
+/// The same while a pass is held, for which the group may stand.
+const HELD_READ_PAUSE_MS: u64 = 60;
+
 /// Reads silent ranks for ever, while this agent leads.
 pub(crate) async fn follow(member: Rc<Member>) {
+    let mut read_at = boot_now();
     loop {
-        tokio::time::sleep(Duration::from_millis(READ_PAUSE_MS)).await;
-        let silent = match member.leader.borrow().as_ref() {
-            Some(leader) => leader.silent_ranks(boot_now(), SILENT_MS),
-            None => Vec::new(),
+        tokio::time::sleep(Duration::from_millis(HELD_READ_PAUSE_MS)).await;
+        let now = boot_now();
+        let (silent, is_held, silent_ms) = match member.leader.borrow().as_ref() {
+            Some(leader) => {
+                let is_held = leader.is_held();
+                let silent_ms = if is_held { leader.fresh_ms() } else { SILENT_MS };
+                (leader.silent_ranks(now, silent_ms), is_held, silent_ms)
+            }
+            None => (Vec::new(), false, SILENT_MS),
         };
+        if !is_held && now.since(read_at) < READ_PAUSE_MS {
+            continue;
+        }
+        read_at = now;
         member.silent.engines.borrow_mut().retain(|rank, _| silent.contains(rank));
         if silent.is_empty() {
             continue;
         }
         let addresses = member.fleet.addresses();
-        for address in addresses.into_iter().filter(|it| member.silent.is_silent(it.ip())) {
+        for address in
+            addresses.into_iter().filter(|it| member.silent.is_silent(it.ip(), silent_ms))
+        {
             tokio::task::spawn_local(read(Rc::clone(&member), address));
         }
     }
--- a/crates/direct/src/agent/state.rs
+++ b/crates/direct/src/agent/state.rs
@@ -11,20 +11,13 @@
 #[derive(Default)]
 pub(super) struct UnderWay(pub(super) RefCell<IndexSet<(u16, u64)>>);
 
-/// What an agent has ordered the rank beside a leader to do, for which its own rank holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct ArmedBeside {
-    /// The leader's fence.
-    pub(super) fence: u64,
-    /// Whether the rank is armed. It may or may not be otherwise.
-    pub(super) is_armed: bool,
-}
-
-/// The leader for which the own rank holds a pass.
+/// The leader in whose place this agent is to lead when it goes silent.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Watched {
     pub(super) machine: IpAddr,
     pub(super) fence: u64,
+    /// How many other agents take over sooner.
+    pub(super) place: u8,
     pub(super) heard_at: BootMs,
 }
 
--- a/crates/direct/src/agent/status.rs
+++ b/crates/direct/src/agent/status.rs
@@ -24,10 +24,12 @@
         let lists = member.engine.lists().await.ok()?;
         (lists.map == told.map).then_some(lists.experts)
     };
-    Some(RankStatus { highest_fence: member.highest_fence.get(), counts, experts, ..told })
+    let highest_fence = member.highest_fence.get();
+    let witness = member.witness.get();
+    Some(RankStatus { highest_fence, witness, counts, experts, ..told })
 }
 
-/// What a rank's report alone says of it: no fence, choices or lists of experts.
+/// What a rank's report alone says of it: nothing that its agent knows.
 pub(crate) fn status_of(report: RankReport) -> Option<RankStatus> {
     let seat = report.seat?;
     Some(RankStatus {
@@ -42,6 +44,7 @@
         armed: report.armed,
         held_step: report.held_step,
         highest_fence: 0,
+        witness: None,
         pace_permille: report.pace_permille,
         is_from_afar: false,
         counts: CountsSample::default(),
--- a/crates/direct/src/agent/take_order.rs
+++ b/crates/direct/src/agent/take_order.rs
@@ -6,7 +6,7 @@
 use super::member::Member;
 use super::status::status;
 use crate::decision_log::DecisionLog;
-use hickorycross_core::map_change::{OrderEnd, OrderKind, RankOrder, UnknownMap};
+use hickorycross_core::map_change::{Ended, OrderEnd, OrderKind, RankOrder, UnknownMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -22,18 +22,18 @@
 ) {
     let fence = order.fence;
     if fence < member.highest_fence.get() {
-        let end = OrderEnd::Fenced;
+        let ended = Ended { end: OrderEnd::Fenced, sends: 0 };
         let rank = member.own_rank.get().unwrap_or_default();
-        member.send(from, &Datagram::End { rank, number, fence, end }).await;
+        member.send(from, &Datagram::End { rank, number, fence, ended }).await;
         return;
     }
     member.highest_fence.set(fence);
     let key = (fence, number);
     let known = member.orders.borrow().get(&key).copied();
-    let end = match known {
+    let ended = match known {
         // It is being carried out.
         Some(None) => return,
-        Some(Some(end)) => Some(end),
+        Some(Some(ended)) => Some(ended),
         None => {
             let kind = member.known_maps.borrow_mut().whole(&order.kind);
             let order = match kind {
@@ -44,15 +44,15 @@
                 }
             };
             remember(member, key, None);
-            let end = {
+            let ended = {
                 let is_current = is_current(member, &order);
                 execute(&*member.engine, &order, SHOW_PAUSE_MS, &is_current, &member.log).await
             };
-            remember(member, key, end);
-            end
+            remember(member, key, ended);
+            ended
         }
     };
-    let Some(end) = end else {
+    let Some(ended) = ended else {
         // Without an answer of the rank, the leader may ask again.
         member.orders.borrow_mut().shift_remove(&key);
         return;
@@ -63,7 +63,7 @@
         member.send(from, &Datagram::Status(status)).await;
     }
     let rank = member.own_rank.get().unwrap_or_default();
-    member.send(from, &Datagram::End { rank, number, fence, end }).await;
+    member.send(from, &Datagram::End { rank, number, fence, ended }).await;
 }
 
 /// Has the leader tell a map as a whole.
@@ -76,13 +76,13 @@
     let line = DecisionLog::fields("order").with("kind", "prepare-change").with("fence", fence);
     member.log.note(line.with("error", error).with("outcome", "lacks-map"));
     let rank = member.own_rank.get().unwrap_or_default();
-    let end = OrderEnd::LacksMap;
-    member.send(leader, &Datagram::End { rank, number, fence, end }).await;
+    let ended = Ended { end: OrderEnd::LacksMap, sends: 0 };
+    member.send(leader, &Datagram::End { rank, number, fence, ended }).await;
 }
 
-fn remember(member: &Member, key: (u64, u64), end: Option<OrderEnd>) {
+fn remember(member: &Member, key: (u64, u64), ended: Option<Ended>) {
     let mut orders = member.orders.borrow_mut();
-    orders.insert(key, end);
+    orders.insert(key, ended);
     while orders.len() > MOST_KEPT_ENDS {
         orders.shift_remove_index(0);
     }
