feat(agent): says for how long its rank held a pass

Nothing told an operator that a group stood on a held pass, or for how long: the leader's lines name phases, and a leader that froze writes none. The agent beside the rank that holds now writes a line at the hold and one when the pass is let go, with its length and the part of it in which no earlier pass was left, and counts both in hickorycross_pass_held_seconds. It looks where it reads its rank anyway.

--- a/crates/core/src/map_change/mod.rs
+++ b/crates/core/src/map_change/mod.rs
@@ -23,12 +23,14 @@
 //! - [`Polls`] says when a leader asks whom; a [`Collection`] is what an agent hears for it.
 //! - [`LinkPace`] says how fast long messages may follow each other.
 //! - [`Demand`] estimates the load of each expert.
+//! - [`HoldClock`] says how long a rank held a pass.
 //! - [`Unheard`] says which agents entries are to be told of, because nothing is heard of them.
 
 mod change;
 mod collection;
 mod decide;
 mod demand;
+mod hold_clock;
 mod known_maps;
 mod leader;
 mod link_pace;
@@ -45,6 +47,7 @@
 
 pub use collection::{Collected, Collection};
 pub use demand::Demand;
+pub use hold_clock::{HoldClock, HoldEvent};
 pub use known_maps::{KnownMaps, UnknownMap};
 pub use leader::{Leader, LeaderAction, LeaderNote};
 pub use link_pace::LinkPace;
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -10,7 +10,7 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
-use hickorycross_core::map_change::{Ended, KnownMaps, Leader, Witness};
+use hickorycross_core::map_change::{Ended, HoldClock, KnownMaps, Leader, Witness};
 use indexmap::IndexMap;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
@@ -56,6 +56,8 @@
     pub(super) under_way: UnderWay,
     /// What this agent knows of the leader for which the own rank holds a pass, or held the last one.
     pub(super) witness: Cell<Option<Witness>>,
+    /// How long the own rank holds a pass.
+    pub(super) hold_clock: RefCell<HoldClock>,
     /// The leader in whose place this agent is to lead when it goes silent.
     pub(super) watched: Cell<Option<Watched>>,
     /// What the link carries.
@@ -100,6 +102,7 @@
             silent: SilentRanks::default(),
             under_way: UnderWay::default(),
             witness: Cell::new(None),
+            hold_clock: RefCell::default(),
             watched: Cell::new(None),
             link: LinkLoad::default(),
             bulk: BulkQueue::default(),
--- a/crates/direct/src/agent/status.rs
+++ b/crates/direct/src/agent/status.rs
@@ -2,7 +2,9 @@
 
 use super::member::Member;
 use super::rank::{ExpertCounts, RankReport};
-use hickorycross_core::map_change::{CountsSample, RankStatus};
+use crate::clock::boot_now;
+use crate::decision_log::DecisionLog;
+use hickorycross_core::map_change::{CountsSample, HoldEvent, RankStatus};
 
 /// Reads the rank and tells of it.
 pub(crate) async fn status(
@@ -12,6 +14,7 @@
 ) -> Option<RankStatus> {
     let report = member.engine.report().await.ok()?;
     member.pace_permille.set(report.pace_permille);
+    note_hold(member, &report);
     let told = status_of(report)?;
     let counts = if wants_counts {
         sample(member, member.engine.counts().await.ok()?)
@@ -29,6 +32,26 @@
     Some(RankStatus { highest_fence, witness, counts, experts, ..told })
 }
 
+/// Says that the own rank holds a pass, and for how long it did.
+fn note_hold(member: &Member, report: &RankReport) {
+    let event = member.hold_clock.borrow_mut().note(boot_now(), report.step, report.held_step);
+    let line = DecisionLog::fields("hold").with("now_step", report.step);
+    match event {
+        Some(HoldEvent::Begun { step }) => {
+            member.log.note(line.with("step", step).with("outcome", "held"));
+        }
+        Some(HoldEvent::Ended { step, held_ms, last_pass_ms }) => {
+            for (part, ms) in [("held", held_ms), ("last-pass", last_pass_ms)] {
+                metrics::histogram!("hickorycross_pass_held_seconds", "part" => part)
+                    .record(ms as f64 / 1000.0);
+            }
+            let line = line.with("step", step).with("held_ms", held_ms);
+            member.log.note(line.with("last_pass_ms", last_pass_ms).with("outcome", "let-go"));
+        }
+        None => {}
+    }
+}
+
 /// What a rank's report alone says of it: nothing that its agent knows.
 pub(crate) fn status_of(report: RankReport) -> Option<RankStatus> {
     let seat = report.seat?;
