fix(entry): a request that was sent before waits for no pass and goes first

Callers: left after 2 s without an event, though their request had been taken away from a frozen machine 0.2 to 0.3 s after the freeze.

Its caller left then, and the frozen rank's copy of it broke GONE.

Change: one that was sent before waits for no pass, and is as urgent as a fresh request of its priority; so is one whose caller has used up half of its patience. Priorities stay apart. Decisions in core/direct/waiting, without a network.

Ruled out: a later word of the freeze; entries were told 0.15 s after it, and all ten to twelve requests at the rank were moved within 0.3 s.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -45,4 +45,6 @@
 pub use passes::Passes;
 pub use peer_table::{Peer, PeerTable};
 pub use retry_allowance::{AllowanceSettings, RetryAllowance};
-pub use waiting::{FirstDeadlines, come_back_ms, patience_used, urgency, waits_until};
+pub use waiting::{
+    FirstDeadlines, come_back_ms, hastened, pass_wait_until, patience_used, urgency, waits_until,
+};
--- a/crates/core/src/direct/waiting.rs
+++ b/crates/core/src/direct/waiting.rs
@@ -39,6 +39,13 @@
 /// The lowest priority up to which each has two urgencies.
 const MOST_SPLIT_PRIORITY: u8 = LEAST_URGENT / 2;
 
+/// Part of the time for a first event that a request waits for a pass in which it may begin, as a
+/// divisor. In a group that is even a first event takes less than half of its time.
+const PASS_WAIT_DIVISOR: u64 = 2;
+
+/// Part of its caller's patience after which a late request counts as urgent as one that can be on time.
+const HASTENED_PART: f64 = 0.5;
+
 /// Time that a request may have used up before it reaches an entry for the first time.
 const FRESH_MS: u64 = 50;
 
@@ -74,6 +81,20 @@
     (first_ms + (spread_ms as f64 * draw) as u64).min(most_ms)
 }
 
+/// Until when a request that entered its wait at `entered_at` waits for a pass in which it may begin.
+///
+/// One that is late already gives way to those that are not. One that was `sent` before does not wait: its
+/// backend server went silent or turned it away, after most of its caller's patience.
+#[must_use]
+pub fn pass_wait_until(route: &Route, entered_at: BootMs, is_late: bool, sent: bool) -> BootMs {
+    let target_ms = route.target_latency_ms;
+    match (sent, is_late) {
+        (true, _) => entered_at,
+        (false, true) => entered_at.after(target_ms),
+        (false, false) => entered_at.after(target_ms / PASS_WAIT_DIVISOR),
+    }
+}
+
 /// How much time callers of one route give their requests at first.
 ///
 /// A request that comes back after a refusal has less time left than it had. That tells it from a fresh
@@ -117,3 +138,16 @@
     let is_late = is_resumed || (route.kind.is_stream() && used_ms >= route.target_latency_ms);
     priority * 2 + u8::from(is_late)
 }
+
+/// The urgency of a request whose caller has used up `patience_used` of its patience, or that was `sent`
+/// before, in place of the one by priority and lateness alone.
+///
+/// While a group is busy late requests may never begin. A late answer is worth about half of one on time,
+/// and a caller that leaves gets none; what was sent before has no further try. If it lay at a frozen
+/// machine, a caller that leaves also leaves work behind that nobody waits for.
+#[must_use]
+pub fn hastened(urgency: u8, lowest_priority: u8, patience_used: f64, sent: bool) -> u8 {
+    let is_split = lowest_priority <= MOST_SPLIT_PRIORITY;
+    let is_last_chance = sent || patience_used >= HASTENED_PART;
+    if is_split && is_last_chance { urgency - urgency % 2 } else { urgency }
+}
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -6,7 +6,7 @@
 use crate::clock::boot_now;
 use crate::state::EntryState;
 use bytes::Bytes;
-use hickorycross_core::direct::{AttemptEnd, BackendServer, urgency};
+use hickorycross_core::direct::{AttemptEnd, BackendServer};
 use http::header::{
     AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderName, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -99,14 +99,22 @@
     }
 }
 
-/// Sends a request once, to the backend server that `patience` names. `resume_after` is the last event that
-/// the caller has got from here.
+/// What one send adds to a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Terms {
+    /// Urgency at the backend server, 0 first.
+    pub(crate) urgency: u8,
+    /// The last event that the caller has got from here.
+    pub(crate) resume_after: Option<u64>,
+}
+
+/// Sends a request once, to the backend server that `patience` names.
 pub(crate) async fn send(
     state: &Rc<EntryState>,
     request: &CallerRequest,
     body: &Bytes,
     patience: &Patience<'_>,
-    resume_after: Option<u64>,
+    terms: Terms,
 ) -> Brought {
     let server = patience.server;
     state.note_sent_to_group(&server.service, body.len());
@@ -124,7 +132,7 @@
     let Ok(mut connection) = state.pool.take(&attempt.server, fresh).await else {
         return Brought::End(AttemptEnd::NothingSent);
     };
-    let outgoing = outgoing(state, request, body, &attempt.server, resume_after);
+    let outgoing = outgoing(state, request, body, &attempt.server, terms);
     let sending = connection.sender.try_send_request(outgoing);
     let waited = patience.wait(sending).await;
     attempt.connection = Some(connection);
@@ -146,7 +154,7 @@
     request: &CallerRequest,
     body: &Bytes,
     server: &BackendServer,
-    resume_after: Option<u64>,
+    terms: Terms,
 ) -> Request<Full<Bytes>> {
     let names = &state.names;
     let mut headers = end_to_end(&request.headers);
@@ -155,17 +163,13 @@
     }
     let left_ms = request.limit_at.since(boot_now()).max(1);
     headers.insert(names.deadline_ms.clone(), left_ms.into());
-    let used_ms = request.used_ms + boot_now().since(request.arrived_at);
-    let lowest = request.catalog.lowest_priority();
-    let is_resumed = resume_after.is_some();
-    let urgency = urgency(request.priority, lowest, used_ms, &request.route, is_resumed);
-    let urgency = urgency.min(names.lowest_urgency);
+    let urgency = terms.urgency.min(names.lowest_urgency);
     headers.insert(names.urgency.clone(), u16::from(urgency).into());
     insert_text(&mut headers, &names.expected_incarnation, &server.id);
     if let Some(team) = &request.team {
         insert_text(&mut headers, &names.team, team);
     }
-    if let Some(id) = resume_after {
+    if let Some(id) = terms.resume_after {
         headers.insert(LAST_EVENT_ID, id.into());
     }
     let mut outgoing = Request::new(Full::new(body.clone()));
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -1,6 +1,6 @@
 //! Chooses backend servers for a request and decides about further attempts.
 
-use super::attempt::{self, Attempt, Brought, Reply, end_to_end};
+use super::attempt::{self, Attempt, Brought, Reply, Terms, end_to_end};
 use super::patience::{Awaited, Impatience, Patience};
 use super::stream;
 use crate::callers::{AnswerBody, CallerRequest, Refusal, whole};
@@ -142,8 +142,8 @@
             self.sends += 1;
             self.sent_at = boot_now();
             let patience = self.patience(&server, Awaited::Head);
-            let sending =
-                attempt::send(&self.state, &self.request, &self.body, &patience, resume_after);
+            let terms = Terms { urgency: self.urgency(resume_after.is_some()), resume_after };
+            let sending = attempt::send(&self.state, &self.request, &self.body, &patience, terms);
             match sending.await {
                 Brought::Answer(reply) => return Ok(*reply),
                 Brought::End(end) => self.note_end(&server, end)?,
--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -5,7 +5,8 @@
 use crate::clock::boot_now;
 use crate::state::UNEVEN_ENTRIES;
 use hickorycross_core::direct::{
-    BootMs, GroupOutlook, Outage, Passage, come_back_ms, patience_used, waits_until,
+    BootMs, GroupOutlook, Outage, Passage, come_back_ms, hastened, pass_wait_until, patience_used,
+    urgency, waits_until,
 };
 use rand::RngExt;
 use std::cell::Cell;
@@ -17,10 +18,6 @@
 /// A caller that is refused soon can come back and still be served; one that waited for long cannot.
 const ROOM_WAIT_DIVISOR: u64 = 10;
 
-/// Part of the time for a first event that a request waits for a pass in which it may begin, as a
-/// divisor. In a group that is even a first event takes less than half of its time.
-const PASS_WAIT_DIVISOR: u64 = 2;
-
 /// Time in which a group that is broken turns a request away: some times the way there and back.
 const TURNED_AWAY_MS: u64 = 25;
 
@@ -70,11 +67,22 @@
             || passes.get(&self.service).is_none_or(|passes| passes.may_send(now))
     }
 
-    /// Until when the request waits for a pass in which it may begin; one that is late already gives
-    /// way to those that are not.
     fn pass_until(&self, entered_at: BootMs) -> BootMs {
-        let target_ms = self.request.route.target_latency_ms;
-        entered_at.after(if self.is_late() { target_ms } else { target_ms / PASS_WAIT_DIVISOR })
+        pass_wait_until(&self.request.route, entered_at, self.is_late(), self.sends > 0)
+    }
+
+    /// Urgency of the request at a backend server, for a stream that is `is_resumed` or not.
+    pub(super) fn urgency(&self, is_resumed: bool) -> u8 {
+        let Life { request, .. } = self;
+        let now = boot_now();
+        let used_ms = request.used_ms + now.since(request.arrived_at);
+        let lowest = request.catalog.lowest_priority();
+        let urgency = urgency(request.priority, lowest, used_ms, &request.route, is_resumed);
+        if !request.route.kind.is_stream() {
+            return urgency;
+        }
+        let patience_used = patience_used(&request.route, self.heard_at, now);
+        hastened(urgency, lowest, patience_used, self.sends > 0)
     }
 
     async fn wait_for_pass(&self, entered_at: BootMs) -> Result<(), Refusal> {
