fix(entry): requests that never begin count against sending more

An entry bounds its open requests by how soon first events come. It counted only those that came, and those as slow from 1 s on, so in a group that gets too much the queues stayed about as long as callers wait.

Change: slow from 0.5 s on, a quarter of the least patience, and a request that ends unbegun after that counts as slow. The slots are taken all the same.

--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/admission.rs
@@ -3,6 +3,14 @@
 use super::BootMs;
 use indexmap::IndexMap;
 
+/// Time from a send until the first event from which a group counts as overloaded: a quarter of the least
+/// time for which callers wait. Slots are taken all the same, and what is refused can come back; what lies
+/// unrun for longer is lost with its caller, or with the machine of its rank.
+const SLOW_FIRST_MS: u64 = 500;
+
+/// The same for the pause between two events.
+const SLOW_GAP_MS: u64 = 500;
+
 /// Bounds of [`Admission`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdmissionSettings {
@@ -53,6 +61,26 @@
         f64::from(open) < bound.requests.min((share * part).max(least))
     }
 
+    /// Notes the first event of an answer, `took_ms` after its request was sent.
+    pub fn note_first(&mut self, service: &str, took_ms: u64, now: BootMs) {
+        self.note_pace(service, took_ms <= SLOW_FIRST_MS, now);
+    }
+
+    /// Notes a further event of an answer, `gap_ms` after the one before.
+    pub fn note_gap(&mut self, service: &str, gap_ms: u64, now: BootMs) {
+        self.note_pace(service, gap_ms <= SLOW_GAP_MS, now);
+    }
+
+    /// Notes the end of a request that was sent `waited_ms` ago and has not begun.
+    ///
+    /// Only answers tell of a group's pace otherwise. Of requests that never begin nothing would be heard, and
+    /// ever more would be sent to lie in queues until their callers leave.
+    pub fn note_unbegun(&mut self, service: &str, waited_ms: u64, now: BootMs) {
+        if waited_ms > SLOW_FIRST_MS {
+            self.note_pace(service, false, now);
+        }
+    }
+
     /// Notes how an answer kept its pace.
     pub fn note_pace(&mut self, service: &str, kept: bool, now: BootMs) {
         let AdmissionSettings { shrink, grow_requests, settle_ms, .. } = self.settings;
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -36,6 +36,8 @@
     pub(super) heard_at: BootMs,
     /// When it was last sent to a backend server.
     pub(super) sent_at: BootMs,
+    /// Whether its caller has got an event.
+    pub(super) is_begun: bool,
     /// Whether it has waited for a group that stood.
     pub(super) is_waiting: bool,
     pub(super) verdict: Verdict,
@@ -47,6 +49,7 @@
     /// The connection is gone before the end: the caller left, and its work is dropped with it.
     fn drop(&mut self) {
         if !self.is_ended.get() {
+            self.note_unbegun();
             self.note_end_as("caller-left", None);
         }
     }
@@ -63,6 +66,7 @@
     let mut life = Life {
         heard_at: request.arrived_at,
         sent_at: request.arrived_at,
+        is_begun: false,
         is_waiting: false,
         state,
         request,
@@ -272,6 +276,9 @@
         }
         drop(backends);
         self.note_attempt_end(&server.id, end, paused_until.is_some());
+        if end == AttemptEnd::Silent {
+            self.note_unbegun();
+        }
         if end == AttemptEnd::Rejected && self.note_rejected() {
             return self.wait_again();
         }
--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -71,6 +71,15 @@
         pass_wait_until(&self.request.route, entered_at, self.is_late(), self.sends > 0)
     }
 
+    /// Notes that a stream that was sent ends before its first event.
+    pub(super) fn note_unbegun(&self) {
+        if self.request.route.kind.is_stream() && self.sends > 0 && !self.is_begun {
+            let now = boot_now();
+            let waited_ms = now.since(self.sent_at);
+            self.state.admission.borrow_mut().note_unbegun(&self.service, waited_ms, now);
+        }
+    }
+
     /// Urgency of the request at a backend server, for a stream that is `is_resumed` or not.
     pub(super) fn urgency(&self, is_resumed: bool) -> u8 {
         let Life { request, .. } = self;
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -15,15 +15,6 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
-/// Time for a first event from which a group counts as overloaded.
-///
-/// Callers leave after 2 s of silence. A late answer is still worth about half to them and a refused
-/// one nothing, so the bound on open requests shrinks only when callers are about to leave.
-const SLOW_FIRST_MS: u64 = 1_000;
-
-/// The same for the pause between two events.
-const SLOW_GAP_MS: u64 = 500;
-
 /// A stream on its way to a caller.
 struct Relay {
     life: Life,
@@ -145,8 +136,11 @@
         let Life { state, service, .. } = &self.life;
         // Time in which the request waited here says nothing of the group.
         let span_ms = now.since(self.last_event_at.max(self.life.sent_at));
-        let bound_ms = if self.events == 0 { SLOW_FIRST_MS } else { SLOW_GAP_MS };
-        state.admission.borrow_mut().note_pace(service, span_ms <= bound_ms, now);
+        if self.events == 0 {
+            state.admission.borrow_mut().note_first(service, span_ms, now);
+        } else {
+            state.admission.borrow_mut().note_gap(service, span_ms, now);
+        }
         let target_gap_ms = self.life.request.route.target_gap_ms;
         let mut passes = state.passes.borrow_mut();
         if passes.entry(service.clone()).or_default().note_event(now, target_gap_ms) {
@@ -159,6 +153,7 @@
             metrics::histogram!("hickorycross_first_event_seconds").record(took_ms as f64 / 1000.0);
         }
         self.last_event_at = now;
+        self.life.is_begun = true;
         self.events += 1;
         self.last_id = event.id.or(self.last_id);
         Step::Event(event.bytes)
