fix(agent): agents stop watching a leader whose change is over

Cause, by log: `leader … instead_of=` 0.16 s after each `cause=switched`. Agents beside that of the holder watch a leader since "a held pass waits for no machine that need not be asked"; the holder's sees at its own rank that nothing is held any more, the others have only the polls that stop.

--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -256,6 +256,11 @@
         }
     }
 
+    /// How many leaders have begun.
+    pub(crate) fn leaders_begun(&self) -> usize {
+        self.leaders.len()
+    }
+
     /// Goes on for `span_ms`.
     pub(crate) fn run(&mut self, span_ms: u64) {
         for _ in 0..span_ms / TICK_MS {
@@ -562,6 +567,13 @@
     fn watch(&mut self, index: usize, leader: &mut Leader) {
         let (fence, witness_rank) = (leader.fence(), leader.witness_rank());
         let watchers = leader.watchers();
+        if watchers.is_empty() {
+            // It says so to those that watched.
+            let is_over = |watch: &Watch| watch.fence <= fence && watch.place > 0;
+            for watch in &mut self.watches {
+                *watch = watch.filter(|watch| !is_over(watch));
+            }
+        }
         for (place, rank) in (0..).zip(&watchers) {
             let watcher = usize::from(*rank);
             if self.is_mute(watcher) || fence < self.agents_fence[watcher] {
--- a/crates/core/tests/map_held.rs
+++ b/crates/core/tests/map_held.rs
@@ -220,3 +220,15 @@
         expect_that!(case.orders_given(), eq(case.orders), "{}", case.name);
     }
 }
+
+// Guards against agents that take over from a leader that lives, as its change is over: each new one has to
+// learn the demand anew.
+#[gtest]
+fn nobody_takes_over_from_a_leader_that_lives() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, Trouble::default());
+        world.run(RUN_MS);
+        expect_that!(world.switches, ge(5), "seed {seed}");
+        expect_that!(world.leaders_begun(), eq(1), "seed {seed}");
+    }
+}
--- a/crates/direct/src/agent/datagram.rs
+++ b/crates/direct/src/agent/datagram.rs
@@ -66,6 +66,8 @@
     pub(crate) wants_counts: bool,
     /// That the agent is to take over when such polls stop.
     pub(crate) watch: Option<Watch>,
+    /// Whether any agent is: no pass is held otherwise, nor about to be.
+    pub(crate) is_watched: bool,
 }
 
 /// Names an agent that watches a leader for which a rank holds a pass, or is about to.
--- a/crates/direct/src/agent/hear.rs
+++ b/crates/direct/src/agent/hear.rs
@@ -97,8 +97,10 @@
         return false;
     }
     hear_leader(member, poll.fence);
-    if let Some(watch) = poll.watch {
-        watch::begin(member, from.ip(), poll.fence, watch);
+    match poll.watch {
+        Some(watch) => watch::begin(member, from.ip(), poll.fence, watch),
+        None if !poll.is_watched => watch::end(member, poll.fence),
+        None => {}
     }
     true
 }
--- a/crates/direct/src/agent/lead.rs
+++ b/crates/direct/src/agent/lead.rs
@@ -36,6 +36,10 @@
 /// group of 129 did so within 1.5 s after their start.
 const SILENT_PER_FURTHER_RANK_MS: u64 = 15;
 
+/// Times that agents are told that they need not watch any more. One that hears none of them takes over from
+/// a leader that lives.
+const DISMISSALS: u32 = 4;
+
 /// Lower digits of a fence tell leaders apart that began in the same millisecond.
 const FENCES_PER_MS: u64 = 1 << 10;
 
@@ -45,6 +49,7 @@
     let mut poll_watchers_at = BootMs(0);
     let mut looked_at = boot_now();
     let mut was_held = false;
+    let mut dismissal = Dismissal::default();
     loop {
         // A change stands still between an answer and the next look at it.
         let _ = tokio::time::timeout(Duration::from_millis(TICK_MS), member.news.notified()).await;
@@ -72,7 +77,9 @@
                 let line = DecisionLog::fields("leader").with("fence", fence);
                 member.log.note(line.with("outcome", "deposed"));
             }
-            let poll = Poll { group, fence, known_map, wants_counts: false, watch: None };
+            let is_watched = !watchers.ranks.is_empty();
+            let poll =
+                Poll { group, fence, known_map, wants_counts: false, watch: None, is_watched };
             (actions, poll, watchers, is_busy, is_held)
         };
         if is_held && !was_held {
@@ -88,7 +95,12 @@
         if now >= poll_watchers_at {
             // Each answer brings the loop here again; without a pause both would do nothing else.
             poll_watchers_at = now.after(TICK_MS);
-            poll_watchers(&member, &watchers, &poll).await;
+            if watchers.ranks.is_empty() {
+                dismissal.dismiss(&member, &poll).await;
+            } else {
+                poll_watchers(&member, &watchers, &poll).await;
+                dismissal = Dismissal { ranks: watchers.ranks, times: DISMISSALS };
+            }
         }
         for asked in polls.due(now, &sections, is_busy) {
             ask(&member, asked, &poll).await;
@@ -108,6 +120,28 @@
     member.send(at(collector), &datagram).await;
 }
 
+/// Agents that are told that they need not watch any more.
+#[derive(Default)]
+struct Dismissal {
+    ranks: Vec<u16>,
+    /// How many times they are still to be told.
+    times: u32,
+}
+
+impl Dismissal {
+    async fn dismiss(&mut self, member: &Member, poll: &Poll) {
+        if self.times == 0 {
+            return;
+        }
+        self.times -= 1;
+        for rank in &self.ranks {
+            let Some(to) = member.ranks.borrow().get(rank).copied() else { continue };
+            let poll = Poll { wants_counts: false, ..poll.clone() };
+            member.send(to, &Datagram::Poll(poll)).await;
+        }
+    }
+}
+
 /// Ranks whose agents watch a leader, in the order in which they take over, and the witness among them.
 struct Watchers {
     ranks: Vec<u16>,
--- a/crates/direct/src/agent/watch.rs
+++ b/crates/direct/src/agent/watch.rs
@@ -37,6 +37,14 @@
     }
 }
 
+/// Notes that a leader needs no watch any more. Whether the own rank still holds is seen at the rank itself.
+pub(super) fn end(member: &Member, fence: u64) {
+    let is_over = |watched: Watched| watched.fence <= fence && watched.place > 0;
+    if member.watched.get().is_some_and(is_over) {
+        member.watched.set(None);
+    }
+}
+
 /// Notes that from now on this agent alone orders the rank beside the leader to switch.
 fn be_witness(member: &Member, fence: u64) {
     let is_known = member.witness.get().is_some_and(|witness| witness.fence == fence);
