refactor(agent): the watchers of a leader in a file of their own

A preparing change is a struct like the phases after it, so that its step takes four arguments; who watches and who is dismissed moved out of the leader's loop. No behaviour changes. The model's run without trouble also asserts one leader.

--- a/crates/core/src/map_change/change.rs
+++ b/crates/core/src/map_change/change.rs
@@ -2,7 +2,7 @@
 
 use super::leader::{Leader, LeaderAction};
 use super::order::{OrderEnd, OrderKind};
-use super::phase::{Arming, Holding, Orders, Phase};
+use super::phase::{Arming, Holding, Orders, Phase, Preparing};
 use crate::direct::BootMs;
 use crate::placement::{ExpertMap, MapChange};
 use std::cmp::Reverse;
@@ -62,7 +62,7 @@
         let mut orders = self.orders_to(&ranks, epoch, &kind);
         orders.spread(now, (experts / MAP_EXPERTS_PER_MS) as u64);
         let (holder, give_up_at) = (self.choose_holder(), now.after(PREPARE_MS));
-        self.phase = Phase::Preparing { version, holder, orders, give_up_at };
+        self.phase = Phase::Preparing(Preparing { version, holder, orders, give_up_at });
         self.note("uneven", version, epoch, bottleneck, actions);
     }
 
@@ -104,17 +104,16 @@
         ranks
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the parts of a phase, and what a step takes")]
+    /// Waits until all ranks have the map and can be asked, and has a pass held.
     pub(super) fn prepare(
         &mut self,
         now: BootMs,
         epoch: u64,
-        version: u64,
-        holder: u16,
-        orders: Orders,
-        give_up_at: BootMs,
+        mut preparing: Preparing,
         actions: &mut Vec<LeaderAction>,
     ) {
+        let Preparing { version, holder, give_up_at, .. } = preparing;
+        let orders = &preparing.orders;
         let is_ready = self.statuses().all(|status| status.prepared == Some(version));
         let is_held = self.statuses().any(|status| status.held_step.is_some());
         if orders.any(OrderEnd::Refused) || is_held || now >= give_up_at {
@@ -123,8 +122,10 @@
             return;
         }
         if !orders.all_done() || !is_ready || !self.may_hold(holder, now) {
-            let holder = if self.is_fresh(holder, now) { holder } else { self.choose_holder() };
-            self.phase = Phase::Preparing { version, holder, orders, give_up_at };
+            if !self.is_fresh(holder, now) {
+                preparing.holder = self.choose_holder();
+            }
+            self.phase = Phase::Preparing(preparing);
             return;
         }
         let order = self.order(epoch, OrderKind::HoldAhead { steps: self.steps_ahead() });
--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -251,7 +251,7 @@
     /// Takes the end of an order that an agent tells of.
     pub fn on_ended(&mut self, rank: u16, number: u64, ended: Ended) {
         // Others are given several times at once, whether they get lost or not.
-        if matches!(self.phase, Phase::Preparing { .. }) {
+        if matches!(self.phase, Phase::Preparing(_)) {
             self.order_sends.note(ended.sends);
         }
         self.on_end(rank, number, ended.end);
@@ -290,7 +290,7 @@
     /// 0.7 s, so that its members took it for gone.
     pub fn due(&mut self, now: BootMs) -> Vec<LeaderAction> {
         let again_ms = match self.phase {
-            Phase::Preparing { .. } => MAP_AGAIN_MS,
+            Phase::Preparing(_) => MAP_AGAIN_MS,
             _ => AGAIN_MS,
         };
         self.phase.orders().map(|orders| orders.due(now, again_ms)).unwrap_or_default()
@@ -311,7 +311,7 @@
                 return self.release(version, holder, orders, epoch, actions);
             }
             Phase::Undoing(undoing) => return self.undo(epoch, undoing, actions),
-            phase @ (Phase::Steady | Phase::Preparing { .. }) => self.phase = phase,
+            phase @ (Phase::Steady | Phase::Preparing(_)) => self.phase = phase,
         }
         if now >= self.may_be_held_until || self.all_answered(BootMs(0)) {
             self.may_be_held_until = BootMs(0);
@@ -323,9 +323,7 @@
             return;
         }
         match std::mem::replace(&mut self.phase, Phase::Steady) {
-            Phase::Preparing { version, holder, orders, give_up_at } => {
-                self.prepare(now, epoch, version, holder, orders, give_up_at, actions);
-            }
+            Phase::Preparing(preparing) => self.prepare(now, epoch, preparing, actions),
             _ => self.look(now, epoch, dimensions, actions),
         }
     }
@@ -356,7 +354,7 @@
         })
     }
 
-    /// Ranks whose agents were not heard for longer than some polls take.
+    /// Whether an agent was heard a moment ago.
     pub(super) fn is_fresh(&self, rank: u16, now: BootMs) -> bool {
         let seat = self.seats.get(&rank).filter(|seat| !seat.status.is_from_afar);
         seat.is_some_and(|seat| now.since(seat.heard_at) <= self.fresh_ms())
--- a/crates/core/src/map_change/phase.rs
+++ b/crates/core/src/map_change/phase.rs
@@ -19,8 +19,8 @@
 pub(crate) enum Phase {
     /// Nothing is under way.
     Steady,
-    /// Ranks copy what is new; the agent of the rank `holder` gets to know the leader meanwhile.
-    Preparing { version: u64, holder: u16, orders: Orders, give_up_at: BootMs },
+    /// Ranks copy what is new.
+    Preparing(Preparing),
     /// The rank `holder` is told to hold a pass, and all ranks are asked once more.
     Holding(Holding),
     /// Ranks are told to switch as the held pass begins.
@@ -31,6 +31,16 @@
     Undoing(Undoing),
 }
 
+/// A change whose map is being copied.
+#[derive(Clone, Debug)]
+pub(crate) struct Preparing {
+    pub(crate) version: u64,
+    /// The rank that is to hold a pass, whose agent gets to know the leader meanwhile.
+    pub(crate) holder: u16,
+    pub(crate) orders: Orders,
+    pub(crate) give_up_at: BootMs,
+}
+
 /// A change whose pass is to be held.
 #[derive(Clone, Debug)]
 pub(crate) struct Holding {
@@ -85,7 +95,7 @@
     pub(crate) const fn as_str(&self) -> &'static str {
         match self {
             Self::Steady => "steady",
-            Self::Preparing { .. } => "preparing",
+            Self::Preparing(_) => "preparing",
             Self::Holding(_) => "holding",
             Self::Arming(_) => "arming",
             Self::Releasing { .. } => "releasing",
@@ -96,7 +106,7 @@
     /// The rank that holds a pass, or is about to.
     pub(crate) fn holder(&self) -> Option<u16> {
         match self {
-            Self::Preparing { holder, .. }
+            Self::Preparing(Preparing { holder, .. })
             | Self::Holding(Holding { holder, .. })
             | Self::Arming(Arming { holder, .. })
             | Self::Releasing { holder, .. } => Some(*holder),
@@ -107,13 +117,13 @@
 
     /// Whether a pass is held, or is about to be.
     pub(crate) const fn is_held(&self) -> bool {
-        !matches!(self, Self::Steady | Self::Preparing { .. })
+        !matches!(self, Self::Steady | Self::Preparing(_))
     }
 
     pub(crate) fn orders(&mut self) -> Option<&mut Orders> {
         match self {
             Self::Steady => None,
-            Self::Preparing { orders, .. }
+            Self::Preparing(Preparing { orders, .. })
             | Self::Holding(Holding { orders, .. })
             | Self::Arming(Arming { orders, .. })
             | Self::Releasing { orders, .. }
--- a/crates/core/tests/map_change.rs
+++ b/crates/core/tests/map_change.rs
@@ -182,5 +182,6 @@
         world.run(RUN_MS);
         expect_that!(world.switches, ge(5), "seed {seed}");
         expect_that!(world.longest_standing_ms, le(LONGEST_WITHOUT_TROUBLE_MS), "seed {seed}");
+        expect_that!(world.leaders_begun(), eq(1), "seed {seed}");
     }
 }
--- a/crates/direct/src/agent/lead.rs
+++ b/crates/direct/src/agent/lead.rs
@@ -1,11 +1,12 @@
 //! An agent that leads its group: it decides, polls the members and sends orders.
 
-use super::datagram::{Datagram, Poll, Watch};
+use super::datagram::{Datagram, Poll};
 use super::give::give;
 use super::link::LINE_MS;
 use super::member::Member;
 use super::rank::RankSeat;
 use super::relay::Relays;
+use super::watchers::Watchers;
 use crate::clock::{boot_now, wall_ms};
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
@@ -36,10 +37,6 @@
 /// group of 129 did so within 1.5 s after their start.
 const SILENT_PER_FURTHER_RANK_MS: u64 = 15;
 
-/// Times that agents are told that they need not watch any more. One that hears none of them takes over from
-/// a leader that lives.
-const DISMISSALS: u32 = 4;
-
 /// Lower digits of a fence tell leaders apart that began in the same millisecond.
 const FENCES_PER_MS: u64 = 1 << 10;
 
@@ -49,7 +46,7 @@
     let mut poll_watchers_at = BootMs(0);
     let mut looked_at = boot_now();
     let mut was_held = false;
-    let mut dismissal = Dismissal::default();
+    let mut watchers = Watchers::default();
     loop {
         // A change stands still between an answer and the next look at it.
         let _ = tokio::time::timeout(Duration::from_millis(TICK_MS), member.news.notified()).await;
@@ -63,24 +60,24 @@
         let counts_per_rank =
             usize::from(dimensions.layers) * usize::from(dimensions.experts_per_layer);
         let machines = member.fleet.machines();
-        let (actions, poll, watchers, is_busy, is_held) = {
+        let (actions, poll, is_busy, is_held) = {
             let mut leading = member.leader.borrow_mut();
             let Some(leader) = leading.as_mut() else { continue };
             let mut actions = leader.decide(now, &dimensions);
             actions.extend(leader.due(boot_now()));
             let (fence, known_map) = (leader.fence(), leader.known_map());
             let group = leader.group().to_owned();
-            let watchers = Watchers { ranks: leader.watchers(), witness: leader.witness_rank() };
+            watchers.set(leader.watchers(), leader.witness_rank());
             let (is_busy, is_held) = (leader.is_busy(), leader.is_held());
             if leader.is_deposed() {
                 *leading = None;
                 let line = DecisionLog::fields("leader").with("fence", fence);
                 member.log.note(line.with("outcome", "deposed"));
             }
-            let is_watched = !watchers.ranks.is_empty();
+            let is_watched = watchers.are_needed();
             let poll =
                 Poll { group, fence, known_map, wants_counts: false, watch: None, is_watched };
-            (actions, poll, watchers, is_busy, is_held)
+            (actions, poll, is_busy, is_held)
         };
         if is_held && !was_held {
             polls.hurry();
@@ -95,12 +92,7 @@
         if now >= poll_watchers_at {
             // Each answer brings the loop here again; without a pause both would do nothing else.
             poll_watchers_at = now.after(TICK_MS);
-            if watchers.ranks.is_empty() {
-                dismissal.dismiss(&member, &poll).await;
-            } else {
-                poll_watchers(&member, &watchers, &poll).await;
-                dismissal = Dismissal { ranks: watchers.ranks, times: DISMISSALS };
-            }
+            watchers.poll(&member, &poll).await;
         }
         for asked in polls.due(now, &sections, is_busy) {
             ask(&member, asked, &poll).await;
@@ -120,44 +112,6 @@
     member.send(at(collector), &datagram).await;
 }
 
-/// Agents that are told that they need not watch any more.
-#[derive(Default)]
-struct Dismissal {
-    ranks: Vec<u16>,
-    /// How many times they are still to be told.
-    times: u32,
-}
-
-impl Dismissal {
-    async fn dismiss(&mut self, member: &Member, poll: &Poll) {
-        if self.times == 0 {
-            return;
-        }
-        self.times -= 1;
-        for rank in &self.ranks {
-            let Some(to) = member.ranks.borrow().get(rank).copied() else { continue };
-            let poll = Poll { wants_counts: false, ..poll.clone() };
-            member.send(to, &Datagram::Poll(poll)).await;
-        }
-    }
-}
-
-/// Ranks whose agents watch a leader, in the order in which they take over, and the witness among them.
-struct Watchers {
-    ranks: Vec<u16>,
-    witness: Option<u16>,
-}
-
-/// Asks the agents that watch, which also tells them that the leader lives.
-async fn poll_watchers(member: &Member, watchers: &Watchers, poll: &Poll) {
-    for (place, rank) in (0..).zip(&watchers.ranks) {
-        let Some(to) = member.ranks.borrow().get(rank).copied() else { continue };
-        let watch = Watch { place, is_witness: watchers.witness == Some(*rank) };
-        let poll = Poll { wants_counts: false, watch: Some(watch), ..poll.clone() };
-        member.send(to, &Datagram::Poll(poll)).await;
-    }
-}
-
 /// Begins to lead when no leader was heard for some time.
 async fn begin_if_silent(member: &Member, now: BootMs) {
     if member.leader.borrow().is_some() {
--- a/crates/direct/src/agent/mod.rs
+++ b/crates/direct/src/agent/mod.rs
@@ -8,9 +8,9 @@
 //! - `hear` answers and follows, `take_order` does as the leader says, `status` is what is answered.
 //! - `lead` leads; `collect` hears a section of a large group for the leader, and `relay` passes its orders
 //!   to many on.
-//! - `stand_in` reads ranks whose agents are not heard; `watch` takes over from a leader that goes silent
-//!   while this rank holds a pass for it; `tell` tells entries of ranks that are slow or
-//!   not heard.
+//! - `stand_in` reads ranks whose agents are not heard; `watchers` are polled by an agent that leads, and
+//!   `watch` takes over from it when it goes silent while a rank holds a pass for it; `tell` tells entries
+//!   of ranks that are slow or not heard.
 //! - `program` starts and stops the process.
 
 mod afar;
@@ -34,6 +34,7 @@
 mod take_order;
 mod tell;
 mod watch;
+mod watchers;
 
 pub use program::run_agent;
 pub use rank::{
