fix(agent): watchers of a leader that lives do not take over in the midst of an undoing

Where the holder's agent leads, the numbers of the others began at none, as if their own ranks held. And each rank of a group that heeds no fence voids what it has prepared, with one copy of the order after the other, 0.09 to 0.16 s.

Change: a poll of a leader that is watched tells all who may watch that it lives; numbers are those of the order of taking over; several copies of an order to void are under way, as nothing is copied for it.

Test: only_the_holders_agent_is_the_first_to_take_over; fails before.

--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -153,13 +153,14 @@
         Self { heeds_fences: false, ..self }
     }
 
-    /// Ranks whose agents are to hear this leader often, and to take over in this order if they do not: that
-    /// of the rank that holds a pass or is about to, and some others.
+    /// Ranks whose agents are to hear this leader often, and to take over if they do not, each with the number
+    /// of those that do so sooner. Only the agent of the rank that holds a pass, or is about to, has none.
     #[must_use]
-    pub fn watchers(&self) -> Vec<u16> {
+    pub fn watchers(&self) -> Vec<(u8, u16)> {
         let Some(holder) = self.phase.holder() else { return Vec::new() };
         let others = self.others_heard().filter(|rank| *rank != holder).take(FURTHER_WATCHERS);
-        iter::once(holder).chain(others).filter(|rank| *rank != self.own_rank).collect()
+        let all = (0..).zip(iter::once(holder).chain(others));
+        all.filter(|(_, rank)| *rank != self.own_rank).collect()
     }
 
     /// The rank whose agent is to know that it alone orders the rank beside this leader to switch.
--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -574,13 +574,14 @@
                 *watch = watch.filter(|watch| !is_over(watch));
             }
         }
-        for (place, rank) in (0..).zip(&watchers) {
+        for (place, rank) in &watchers {
             let watcher = usize::from(*rank);
             if self.is_mute(watcher) || fence < self.agents_fence[watcher] {
                 continue;
             }
             self.agents_fence[watcher] = fence;
-            self.watches[watcher] = Some(Watch { fence, place, heard_at: self.now });
+            self.watches[watcher] =
+                Some(Watch { fence, place: u64::from(*place), heard_at: self.now });
             if witness_rank == Some(*rank) {
                 self.be_witness(watcher, fence, self.leader_ranks[index]);
             }
--- a/crates/core/tests/map_held.rs
+++ b/crates/core/tests/map_held.rs
@@ -232,3 +232,28 @@
         expect_that!(world.leaders_begun(), eq(1), "seed {seed}");
     }
 }
+
+// Guards against an agent that is taken for that of the rank that holds, and so never takes over.
+#[gtest]
+fn only_the_holders_agent_is_the_first_to_take_over() {
+    for leads in [0, HOLDER] {
+        let left = Left {
+            name: "nothing was armed",
+            leads,
+            ordered: None,
+            are_armed: false,
+            left_is_heard: false,
+            orders: &[],
+        };
+        let mut leader = Leader::new("g", leads, 2 << 20, 1);
+        for rank in (0..RANKS).filter(|rank| *rank != LEFT_BY) {
+            leader.on_status(BootMs(0), left.status(rank, leader.fence()), &DIMENSIONS);
+        }
+        leader.tick(BootMs(0), &DIMENSIONS);
+        let watchers = leader.watchers();
+        expect_that!(watchers, not(is_empty()), "rank {leads} leads");
+        for (place, rank) in watchers {
+            expect_that!(place == 0, eq(rank == HOLDER), "rank {leads} leads, rank {rank} watches");
+        }
+    }
+}
--- a/crates/direct/src/agent/execute.rs
+++ b/crates/direct/src/agent/execute.rs
@@ -66,7 +66,8 @@
         };
         let order = meant.as_ref().unwrap_or(order);
         let armed = report.armed.map(|armed| armed.version);
-        let pace = Copies { pause_ms: AGAIN_BESIDE_MS, most: most_copies(&order.kind) };
+        let most = if copies(&order.kind) && !is_void { 1 } else { MOST_COPIES };
+        let pace = Copies { pause_ms: AGAIN_BESIDE_MS, most };
         let answer = first_answer(engine, order, armed, pace, &mut sends).await;
         let ended = |end| Some(Ended { end, sends });
         match answer {
@@ -206,17 +207,10 @@
 struct Copies {
     /// Pause between two of them.
     pause_ms: u64,
+    /// One for an order to copy a map: a rank refuses it while it copies.
     most: u32,
 }
 
-/// Copies of an order that a rank takes more than one of: it refuses a second one to prepare a map.
-const fn most_copies(kind: &OrderKind) -> u32 {
-    match kind {
-        OrderKind::Prepare { .. } | OrderKind::PrepareChange { .. } | OrderKind::Void { .. } => 1,
-        _ => MOST_COPIES,
-    }
-}
-
 /// Gives an order again and again while no answer comes, and takes the first answer of any of them.
 ///
 /// A group stands meanwhile. The link of a small machine may be full for some tens of milliseconds, so
--- a/crates/direct/src/agent/hear.rs
+++ b/crates/direct/src/agent/hear.rs
@@ -99,8 +99,8 @@
     hear_leader(member, poll.fence);
     match poll.watch {
         Some(watch) => watch::begin(member, from.ip(), poll.fence, watch),
-        None if !poll.is_watched => watch::end(member, poll.fence),
-        None => {}
+        None if poll.is_watched => watch::go_on(member, poll.fence),
+        None => watch::end(member, poll.fence),
     }
     true
 }
--- a/crates/direct/src/agent/watch.rs
+++ b/crates/direct/src/agent/watch.rs
@@ -37,6 +37,13 @@
     }
 }
 
+/// Notes that a leader lives that this agent may have been told to watch; it may watch no more, if others do.
+pub(super) fn go_on(member: &Member, fence: u64) {
+    if let Some(watched) = member.watched.get().filter(|watched| watched.fence <= fence) {
+        member.watched.set(Some(Watched { heard_at: boot_now(), ..watched }));
+    }
+}
+
 /// Notes that a leader needs no watch any more. Whether the own rank still holds is seen at the rank itself.
 pub(super) fn end(member: &Member, fence: u64) {
     let is_over = |watched: Watched| watched.fence <= fence && watched.place > 0;
--- a/crates/direct/src/agent/watchers.rs
+++ b/crates/direct/src/agent/watchers.rs
@@ -7,20 +7,20 @@
 /// a leader that lives.
 const DISMISSALS: u32 = 4;
 
-/// Ranks whose agents watch, in the order in which they take over.
+/// Ranks whose agents watch, each with the number of those that take over sooner.
 #[derive(Default)]
 pub(super) struct Watchers {
-    ranks: Vec<u16>,
+    ranks: Vec<(u8, u16)>,
     /// The one among them that alone orders the rank beside the leader to switch.
     witness: Option<u16>,
-    dismissed: Vec<u16>,
+    dismissed: Vec<(u8, u16)>,
     /// How many times those that are dismissed are still to be told.
     dismissals_left: u32,
 }
 
 impl Watchers {
     /// Takes those that are needed now.
-    pub(super) fn set(&mut self, ranks: Vec<u16>, witness: Option<u16>) {
+    pub(super) fn set(&mut self, ranks: Vec<(u8, u16)>, witness: Option<u16>) {
         if ranks.is_empty() && self.are_needed() {
             self.dismissed = std::mem::take(&mut self.ranks);
             self.dismissals_left = DISMISSALS;
@@ -36,13 +36,13 @@
 
     /// Asks those that watch, which also tells them that the leader lives, or dismisses them.
     pub(super) async fn poll(&mut self, member: &Member, poll: &Poll) {
-        for (place, rank) in (0..).zip(&self.ranks) {
-            let watch = Watch { place, is_witness: self.witness == Some(*rank) };
+        for (place, rank) in &self.ranks {
+            let watch = Watch { place: *place, is_witness: self.witness == Some(*rank) };
             send(member, *rank, poll, Some(watch)).await;
         }
         if !self.are_needed() && self.dismissals_left > 0 {
             self.dismissals_left -= 1;
-            for rank in &self.dismissed {
+            for (_, rank) in &self.dismissed {
                 send(member, *rank, poll, None).await;
             }
         }
