fix(agent): an undoing that is refused goes on, and its void map has a name of its own

Cause, by log, 27.6 to 29.6 s: the machine of a leader woke and its late order to hold was carried out, just as the next one had told a new map. The undoing voids what is prepared, by a map named higher than those that ranks tell of; they do not tell of one that they still copy, which had that very name, and refused. On any refusal the leader took the pass for let go, told one more map, found the pass held, and so on ten times.

Change: a new name is higher than that of the map told last; only a refused fence means that the pass is not held any more.

Tests: a_void_map_has_a_newer_name_than_one_that_was_told and a_refused_undoing_is_begun_again; each fails without its part.

--- a/crates/core/src/map_change/change.rs
+++ b/crates/core/src/map_change/change.rs
@@ -79,13 +79,16 @@
         }
     }
 
-    /// A name for a map that is higher than those of all maps that ranks tell of.
+    /// A name for a map that is higher than those of all maps that ranks tell of, or were told of.
+    ///
+    /// Ranks do not tell of a map that they still copy, and refuse another one of its name.
     pub(super) fn next_version(&self) -> u64 {
         let newest = self.statuses().flat_map(|status| {
             let armed = status.armed.map_or(0, |armed| armed.version);
             [status.map, status.prepared.unwrap_or(0), armed]
         });
-        let newest = newest.max().unwrap_or(0);
+        let told = self.told.as_ref().map(|(version, _)| *version);
+        let newest = newest.chain(told).max().unwrap_or(0);
         (newest / VERSION_STEP + 1) * VERSION_STEP + self.salt
     }
 
--- a/crates/core/src/map_change/undo.rs
+++ b/crates/core/src/map_change/undo.rs
@@ -44,7 +44,9 @@
             let is_refused = undoing.orders.any(OrderEnd::Refused) && undoing.orders.open() == 0;
             if is_refused {
                 // Decided anew from fresh statuses.
-                undoing.held.iter().for_each(|(rank, _)| self.note_let_go(*rank));
+                if undoing.stage == UndoStage::Fencing {
+                    undoing.held.iter().for_each(|(rank, _)| self.note_let_go(*rank));
+                }
                 self.note("undo-refused", version, epoch, None, actions);
                 return;
             }
--- a/crates/core/tests/map_held.rs
+++ b/crates/core/tests/map_held.rs
@@ -7,7 +7,8 @@
 use googletest::prelude::*;
 use hickorycross_core::direct::BootMs;
 use hickorycross_core::map_change::{
-    Armed, Leader, LeaderAction, OrderEnd, OrderKind, OrderedBeside, RankStatus, Witness,
+    Armed, CountsSample, Leader, LeaderAction, OrderEnd, OrderKind, OrderedBeside, RankStatus,
+    Witness,
 };
 use map_change_support::{DIMENSIONS, Trouble, World};
 use rank_status::open_rank;
@@ -257,3 +258,72 @@
         }
     }
 }
+
+/// Orders in the order in which they are first given, of a leader of ranks that heed no fence which finds a
+/// pass held right after it has told a map; `refuses` says which are refused.
+fn orders_after_telling_a_map(refuses: fn(&OrderKind) -> bool) -> Vec<OrderKind> {
+    let left = Left {
+        name: "a late order to hold",
+        leads: 0,
+        ordered: None,
+        are_armed: false,
+        left_is_heard: true,
+        orders: &[],
+    };
+    let experts = |rank: u16| {
+        let own = (0..DIMENSIONS.experts_per_layer).filter(|expert| expert % RANKS == rank);
+        Some(vec![own.collect(); usize::from(DIMENSIONS.layers)])
+    };
+    let choices: Vec<u32> = (0..DIMENSIONS.layers * DIMENSIONS.experts_per_layer)
+        .map(|expert| if expert == 0 { 90_000 } else { 10_000 })
+        .collect();
+    let mut leader = Leader::new("g", 0, 2 << 20, 1).without_fences();
+    let mut kinds: Vec<OrderKind> = Vec::new();
+    for now in (0..1_500).step_by(20).map(BootMs) {
+        let is_told = !kinds.is_empty();
+        for rank in 0..RANKS {
+            let status = left.status(rank, leader.fence());
+            let held_step = status.held_step.filter(|_| is_told);
+            let counts = CountsSample::of(&choices);
+            let experts = experts(rank);
+            let status = RankStatus { held_step, counts, experts, prepared: None, ..status };
+            leader.on_status(now, status, &DIMENSIONS);
+        }
+        // Looked at once more before the next statuses.
+        let again = BootMs(now.0 + 10);
+        let actions = leader.tick(now, &DIMENSIONS).into_iter();
+        for action in actions.chain(leader.tick(again, &DIMENSIONS)) {
+            let LeaderAction::Send { rank, number, order, .. } = action else { continue };
+            let end = if refuses(&order.kind) { OrderEnd::Refused } else { OrderEnd::Done };
+            leader.on_end(rank, number, end);
+            if kinds.last().map(OrderKind::as_str) != Some(order.kind.as_str()) {
+                kinds.push(order.kind);
+            }
+        }
+    }
+    kinds
+}
+
+// Guards against a group that stands for seconds as each undoing names its void map like one that ranks copy.
+#[gtest]
+fn a_void_map_has_a_newer_name_than_one_that_was_told() {
+    let kinds = orders_after_telling_a_map(|_| false);
+    let told = kinds.iter().find_map(|kind| match kind {
+        OrderKind::Prepare { version, .. } => Some(*version),
+        _ => None,
+    });
+    let void = kinds.iter().find_map(|kind| match kind {
+        OrderKind::Void { version, .. } => Some(*version),
+        _ => None,
+    });
+    expect_that!(told, some(anything()));
+    expect_that!(void, gt(told));
+}
+
+// Guards against a change that is begun while a pass is held, because an order of the undoing was refused.
+#[gtest]
+fn a_refused_undoing_is_begun_again() {
+    let kinds = orders_after_telling_a_map(|kind| matches!(kind, OrderKind::Void { .. }));
+    let names: Vec<&str> = kinds.iter().map(OrderKind::as_str).collect();
+    expect_that!(names[..5], eq(&["prepare", "fence", "disarm", "void", "fence"]));
+}
