--- a/crates/direct/src/agent/execute.rs
+++ b/crates/direct/src/agent/execute.rs
@@ -214,8 +214,7 @@
 /// Gives an order again and again while no answer comes, and takes the first answer of any of them.
 ///
 /// A group stands meanwhile. The link of a small machine may be full for some tens of milliseconds, so
-/// that an answer is neither soon nor lost; giving up on it each time would never get one. Waiting for each
-/// in turn, twelve ranks of which half answer took 0.13 s.
+/// that an answer is neither soon nor lost; giving up on it each time would never get one.
 async fn first_answer(
     target: &dyn RankEngine,
     order: &RankOrder,
--- a/crates/direct/src/agent/watch.rs
+++ b/crates/direct/src/agent/watch.rs
@@ -37,7 +37,7 @@
     }
 }
 
-/// Notes that a leader lives that this agent may have been told to watch; it may watch no more, if others do.
+/// Notes that a watched leader lives. An agent that is no longer asked to watch would take over otherwise.
 pub(super) fn go_on(member: &Member, fence: u64) {
     if let Some(watched) = member.watched.get().filter(|watched| watched.fence <= fence) {
         member.watched.set(Some(Watched { heard_at: boot_now(), ..watched }));
