feat(entry): logs tell a request that comes back, and whether its run had begun

Attempts now carry a digest of caller, method, host, path and body, and the end of one whether its answer had a head.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -12,6 +12,7 @@
 //!   [`urgency`] say what becomes of requests while it does not, and in which order after that.
 //! - [`Passes`] tells how long a group's passes take, and how many requests may begin in the next one.
 //! - [`EventCutter`] cuts an event stream into whole events, so that it can be resumed.
+//! - [`RequestDigest`] tells a request that comes back from a fresh one.
 //! - [`PeerTable`] holds the other processes of the fleet.
 //!
 //! Moments are in [`BootMs`], which also counts the time in which the machine was suspended.
@@ -27,6 +28,7 @@
 mod outlook;
 mod passes;
 mod peer_table;
+mod request_digest;
 mod retry_allowance;
 mod waiting;
 
@@ -44,6 +46,7 @@
 pub use outlook::{GroupOutlook, Outage, Passage};
 pub use passes::Passes;
 pub use peer_table::{Peer, PeerTable};
+pub use request_digest::{RequestDigest, RequestIdentity};
 pub use retry_allowance::{AllowanceSettings, RetryAllowance};
 pub use waiting::{
     FirstDeadlines, come_back_ms, hastened, pass_wait_until, patience_used, urgency, waits_until,
--- a/crates/direct/src/callers/connection.rs
+++ b/crates/direct/src/callers/connection.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -46,8 +47,8 @@
 pub(crate) async fn accept(state: Rc<EntryState>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(Rc::clone(&state), stream));
+            Ok((stream, caller)) => {
+                tokio::task::spawn_local(serve(Rc::clone(&state), stream, caller.ip()));
             }
             Err(error) => {
                 let line = DecisionLog::fields("accept").with("error", error);
@@ -59,7 +60,7 @@
 }
 
 /// Serves one connection until either side closes it.
-async fn serve(state: Rc<EntryState>, stream: TcpStream) {
+async fn serve(state: Rc<EntryState>, stream: TcpStream, caller: IpAddr) {
     let _counted = Counted::new(&state.open_connections);
     // Without it an event would wait for the acknowledgement of the one before.
     if let Err(error) = stream.set_nodelay(true) {
@@ -70,7 +71,7 @@
     let service_state = Rc::clone(&state);
     let service = service_fn(move |request| {
         let state = Rc::clone(&service_state);
-        async move { Ok::<_, Infallible>(handle(state, request).await) }
+        async move { Ok::<_, Infallible>(handle(state, request, caller).await) }
     });
     let buffer_bytes = usize::try_from(limits.max_header_bytes).unwrap_or(LEAST_BUFFER_BYTES);
     let connection = http1::Builder::new()
@@ -102,11 +103,15 @@
 }
 
 /// Answers one request.
-async fn handle(state: Rc<EntryState>, request: Request<Incoming>) -> Response<AnswerBody> {
+async fn handle(
+    state: Rc<EntryState>,
+    request: Request<Incoming>,
+    caller: IpAddr,
+) -> Response<AnswerBody> {
     let _counted = Counted::new(&state.open_requests);
     let (parts, body) = request.into_parts();
     let id = parts.headers.get(&state.names.attempt_id).cloned();
-    let mut response = match CallerRequest::judge(&state, parts) {
+    let mut response = match CallerRequest::judge(&state, parts, caller) {
         Ok(request) => answer(&state, request, body).await,
         Err(refusal) => {
             let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("none");
--- a/crates/direct/src/callers/head.rs
+++ b/crates/direct/src/callers/head.rs
@@ -3,10 +3,12 @@
 use super::Refusal;
 use crate::clock::boot_now;
 use crate::state::EntryState;
-use hickorycross_core::direct::{BootMs, Catalog, Route};
+use hickorycross_core::direct::{BootMs, Catalog, RequestDigest, RequestIdentity, Route};
 use http::header::{AUTHORIZATION, HOST};
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Uri};
+use std::net::IpAddr;
 use std::sync::Arc;
 
 /// Time for which a caller is taken to wait that does not say so.
@@ -16,6 +18,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct CallerRequest {
     pub(crate) method: Method,
+    host: String,
+    /// Where the caller's connection comes from.
+    address: IpAddr,
     /// Path and query as the caller sent them.
     pub(crate) target: Uri,
     pub(crate) headers: HeaderMap,
@@ -39,20 +44,36 @@
         self.attempt_id.to_str().unwrap_or("unreadable")
     }
 
-    /// Judges a request's head.
-    pub(crate) fn judge(state: &EntryState, parts: Parts) -> Result<Self, Refusal> {
+    /// What the request asks for, together with its `body`.
+    pub(crate) fn digest(&self, body: &[u8]) -> RequestDigest {
+        let caller = self.team.clone().unwrap_or_else(|| self.address.to_string());
+        RequestDigest::of(&RequestIdentity {
+            caller: &caller,
+            method: self.method.as_str(),
+            host: &self.host,
+            target: self.target.path_and_query().map_or("", PathAndQuery::as_str),
+            body,
+        })
+    }
+
+    /// Judges a request's head, sent from `address`.
+    pub(crate) fn judge(
+        state: &EntryState,
+        parts: Parts,
+        address: IpAddr,
+    ) -> Result<Self, Refusal> {
         let now = boot_now();
         let catalog = state.catalog.borrow().catalog().cloned().ok_or(Refusal::NoConfiguration)?;
         let is_fresh = state.keys_are_fresh(now);
         let attempt_id = parts.headers.get(&state.names.attempt_id).cloned();
         let attempt_id = attempt_id.ok_or(Refusal::BadHead("the attempt id is missing"))?;
         let told_ms = deadline_ms(state, &parts.headers)?;
-        let host = host(&parts).ok_or(Refusal::BadHead("the host is missing"))?;
+        let host = host(&parts).ok_or(Refusal::BadHead("the host is missing"))?.to_owned();
         // An entry that lost touch may lack a route or key that was just added; it must not say
         // that there is none.
         let unknown_route =
             if is_fresh { Refusal::UnknownRoute } else { Refusal::StaleConfiguration };
-        let route = catalog.route(host, parts.uri.path()).cloned().ok_or(unknown_route)?;
+        let route = catalog.route(&host, parts.uri.path()).cloned().ok_or(unknown_route)?;
         let mut team = None;
         let mut priority = route.priority;
         if !route.public && !catalog.teams.is_empty() {
@@ -70,6 +91,8 @@
         let target = target(&parts.uri).ok_or(Refusal::BadHead("the target has no path"))?;
         Ok(Self {
             method: parts.method,
+            host,
+            address,
             target,
             headers: parts.headers,
             attempt_id,
--- a/crates/direct/src/forward/account.rs
+++ b/crates/direct/src/forward/account.rs
@@ -18,6 +18,7 @@
         let line = self.line("attempt").with("backend", &choice.server.id);
         let line = line.with("load", format_args!("{:.1}", choice.load_requests));
         let line = line.with("others", choice.others).with("sends", self.sends + 1);
+        let line = line.with("digest", self.digest);
         let now = boot_now();
         let line = line.with("waited_ms", now.since(self.heard_at));
         let line = line.with("left_ms", self.request.limit_at.since(now));
@@ -40,6 +41,7 @@
         metrics::counter!("hickorycross_attempts_failed_total", "end" => end.as_str()).increment(1);
         let line = self.line("attempt-end").with("backend", id).with("end", end.as_str());
         let line = line.with("verdict", self.verdict).with("paused", is_paused);
+        let line = line.with("digest", self.digest).with("has_head", self.has_head);
         self.state.log.note(line.with("sends", self.sends));
     }
 
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -8,7 +8,9 @@
 use crate::state::EntryState;
 use bytes::Bytes;
 use hickorycross_core::Verdict;
-use hickorycross_core::direct::{AttemptEnd, BackendServer, BootMs, Choice, Route, judge_attempt};
+use hickorycross_core::direct::{
+    AttemptEnd, BackendServer, BootMs, Choice, RequestDigest, Route, judge_attempt,
+};
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Response, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
@@ -29,6 +31,7 @@
     pub(crate) request: CallerRequest,
     pub(crate) service: String,
     body: Bytes,
+    pub(super) digest: RequestDigest,
     tried: Vec<String>,
     pub(super) sends: u32,
     connect_failures: u32,
@@ -36,6 +39,8 @@
     pub(super) heard_at: BootMs,
     /// When it was last sent to a backend server.
     pub(super) sent_at: BootMs,
+    /// Whether the backend server that has it has begun its answer.
+    pub(super) has_head: bool,
     /// Whether its caller has got an event.
     pub(super) is_begun: bool,
     /// Whether it has waited for a group that stood.
@@ -62,16 +67,19 @@
     body: Bytes,
 ) -> Response<AnswerBody> {
     let service = choose_service(&state, &request.route);
+    let digest = request.digest(&body);
     state.allowance.borrow_mut().note_first(boot_now(), &service);
     let mut life = Life {
         heard_at: request.arrived_at,
         sent_at: request.arrived_at,
+        has_head: false,
         is_begun: false,
         is_waiting: false,
         state,
         request,
         service,
         body,
+        digest,
         tried: Vec::new(),
         sends: 0,
         connect_failures: 0,
@@ -145,11 +153,15 @@
             self.tried.push(server.id.clone());
             self.sends += 1;
             self.sent_at = boot_now();
+            self.has_head = false;
             let patience = self.patience(&server, Awaited::Head);
             let terms = Terms { urgency: self.urgency(resume_after.is_some()), resume_after };
             let sending = attempt::send(&self.state, &self.request, &self.body, &patience, terms);
             match sending.await {
-                Brought::Answer(reply) => return Ok(*reply),
+                Brought::Answer(reply) => {
+                    self.has_head = true;
+                    return Ok(*reply);
+                }
                 Brought::End(end) => self.note_end(&server, end)?,
                 Brought::Limit { sent } => {
                     if sent {
