fix(entry): a request that ends backend servers is refused by every entry

Cause: what an entry knows of a request ends with it, and no entry knows what another one saw, so each repeat was a fresh request. Class: entries that act each on their own word.

Now an entry whose connection to a backend server breaks looks whether it has ended, and tells a few peers under which requests (digest of caller, method, host, path and body), who tell others: 250 ms a round, two rounds, four peers. Questions to peers, every 2 s now, bring what was missed, and an entry asks before it takes callers. After three ends a request gets 400, on which callers do not come back; 503 would bring it back at once. What waited there unrun counts half. Who has seen the request answered says so, and that voids what was counted: a popular request is at work wherever something ends. A backend server that still takes connections has not ended: at the end of one rank the others break off what they run. One that was leaving may end with work.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -13,6 +13,7 @@
 //! - [`Passes`] tells how long a group's passes take, and how many requests may begin in the next one.
 //! - [`EventCutter`] cuts an event stream into whole events, so that it can be resumed.
 //! - [`RequestDigest`] tells a request that comes back from a fresh one.
+//! - [`CrashTable`] tells which requests end the backend servers that run them.
 //! - [`PeerTable`] holds the other processes of the fleet.
 //!
 //! Moments are in [`BootMs`], which also counts the time in which the machine was suspended.
@@ -23,6 +24,7 @@
 mod boot_time;
 mod catalog;
 mod choice;
+mod crash_table;
 mod event_cutter;
 mod outcome;
 mod outlook;
@@ -41,6 +43,7 @@
 };
 pub use choice::Choice;
 pub(crate) use choice::most_left;
+pub use crash_table::{CrashTable, Hearing, IncarnationDigest, RequestWord, Seen};
 pub use event_cutter::{EventCutter, StreamEvent};
 pub use outcome::{AttemptEnd, Judgement, judge_attempt};
 pub use outlook::{GroupOutlook, Outage, Passage};
--- a/crates/core/src/direct/peer_table.rs
+++ b/crates/core/src/direct/peer_table.rs
@@ -2,6 +2,8 @@
 
 use super::BootMs;
 use indexmap::IndexMap;
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use std::net::SocketAddr;
 
 /// Span without word after which a peer is no longer named to others.
@@ -85,12 +87,23 @@
         self.peers.is_empty()
     }
 
+    /// All that may be asked: known peers, and seeds that were not heard of.
+    #[must_use]
+    pub fn candidates(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.iter().copied().filter(|seed| Some(*seed) != self.own);
+        let unheard = seeds.filter(|seed| !self.peers.contains_key(seed));
+        self.peers.keys().copied().chain(unheard).collect()
+    }
+
+    /// So many of them at random, or all if they are fewer.
+    #[must_use]
+    pub fn draw(&self, count: usize, random: &mut impl Rng) -> Vec<SocketAddr> {
+        self.candidates().into_iter().sample(random, count)
+    }
+
     /// The peer to ask next: all known peers and seeds by turns.
     pub fn next_to_ask(&mut self) -> Option<SocketAddr> {
-        let own = self.own;
-        let seeds = self.seeds.iter().copied().filter(|seed| Some(*seed) != own);
-        let unheard = seeds.filter(|seed| !self.peers.contains_key(seed));
-        let candidates: Vec<SocketAddr> = self.peers.keys().copied().chain(unheard).collect();
+        let candidates = self.candidates();
         if candidates.is_empty() {
             return None;
         }
--- /dev/null
+++ b/crates/core/tests/crash_table.rs
@@ -0,0 +1,165 @@
+//! Which requests are refused because backend servers end under them.
+
+use googletest::prelude::*;
+use hickorycross_core::direct::{
+    BootMs, CrashTable, Hearing, IncarnationDigest, RequestDigest, RequestWord, Seen,
+};
+
+const REQUEST: RequestDigest = RequestDigest(1);
+const NOW: BootMs = BootMs(1_000_000);
+
+/// What an entry hears, in this order.
+#[derive(Clone, Copy)]
+enum Heard {
+    /// A backend server of this number ended under the request that was at work there.
+    Ended(u64),
+    /// One ended that had the request in its queue.
+    EndedUnbegun(u64),
+    /// Another entry saw it answered, so long ago.
+    AnsweredAgo(u64),
+    /// This entry saw it answered.
+    Answered,
+    /// One that was thought to have ended lives.
+    Lives(u64),
+}
+
+struct Case {
+    name: &'static str,
+    heard: &'static [Heard],
+    is_refused: bool,
+}
+
+use Heard::{Answered, AnsweredAgo, Ended, EndedUnbegun, Lives};
+
+const CASES: &[Case] = &[
+    Case { name: "two ends", heard: &[Ended(1), Ended(2)], is_refused: false },
+    Case { name: "three ends", heard: &[Ended(1), Ended(2), Ended(3)], is_refused: true },
+    Case {
+        name: "one end that is told thrice",
+        heard: &[Ended(1), Ended(1), Ended(1), EndedUnbegun(1)],
+        is_refused: false,
+    },
+    Case {
+        name: "a bystander in three queues",
+        heard: &[EndedUnbegun(1), EndedUnbegun(2), EndedUnbegun(3)],
+        is_refused: false,
+    },
+    Case {
+        name: "a request that ends engines before they have sent a head",
+        heard: &[
+            EndedUnbegun(1),
+            EndedUnbegun(2),
+            EndedUnbegun(3),
+            EndedUnbegun(4),
+            EndedUnbegun(5),
+            EndedUnbegun(6),
+        ],
+        is_refused: true,
+    },
+    Case {
+        name: "a popular request that this entry sees answered",
+        heard: &[Ended(1), Ended(2), Answered, Ended(3), Ended(4), Ended(5)],
+        is_refused: false,
+    },
+    Case {
+        name: "a popular request that others see answered",
+        heard: &[Ended(1), Ended(2), AnsweredAgo(0), Ended(3)],
+        is_refused: false,
+    },
+    Case {
+        name: "an answer from before",
+        heard: &[Ended(1), AnsweredAgo(1), Ended(2), Ended(3)],
+        is_refused: true,
+    },
+    Case {
+        name: "a connection that broke though its backend server lives",
+        heard: &[Ended(1), Ended(2), Ended(3), Lives(3)],
+        is_refused: false,
+    },
+];
+
+fn ended(number: u64, had_begun: bool, age_ms: u64) -> RequestWord {
+    let seen = Seen::BackendEnded { incarnation: IncarnationDigest(number), had_begun };
+    RequestWord { digest: REQUEST, seen, age_ms }
+}
+
+fn hear(table: &mut CrashTable, heard: Heard) {
+    let answered = |age_ms| RequestWord { digest: REQUEST, seen: Seen::Answered, age_ms };
+    let _ = match heard {
+        Ended(number) => table.note(ended(number, true, 0), NOW),
+        EndedUnbegun(number) => table.note(ended(number, false, 0), NOW),
+        AnsweredAgo(age_ms) => table.note(answered(age_ms), NOW),
+        Answered => {
+            let _ = table.note_answered(REQUEST, NOW);
+            Hearing::Known
+        }
+        Lives(number) => {
+            table.retract(REQUEST, IncarnationDigest(number));
+            Hearing::Known
+        }
+    };
+}
+
+/// Guards against callers who are refused for what ran beside their request.
+#[gtest]
+fn a_request_is_refused_for_ends_that_only_it_explains() {
+    for case in CASES {
+        let mut table = CrashTable::default();
+        case.heard.iter().for_each(|heard| hear(&mut table, *heard));
+        expect_that!(table.is_refused(REQUEST), eq(case.is_refused), "{}", case.name);
+        expect_false!(table.is_refused(RequestDigest(2)), "{}: another request", case.name);
+    }
+}
+
+/// Guards against an entry that has just started and takes its empty table for the truth.
+#[gtest]
+fn what_one_entry_knows_makes_another_one_know_the_same() {
+    for case in CASES {
+        let (mut one, mut other) = (CrashTable::default(), CrashTable::default());
+        case.heard.iter().for_each(|heard| hear(&mut one, *heard));
+        let words = one.words(NOW);
+        for word in words.iter().rev() {
+            let _ = other.note(*word, NOW);
+        }
+        expect_that!(other.is_refused(REQUEST), eq(one.is_refused(REQUEST)), "{}", case.name);
+        expect_that!(other.sum(), eq(one.sum()), "{}", case.name);
+    }
+}
+
+/// Guards against one entry's answered request that stays refused at others.
+#[gtest]
+fn an_entry_that_has_seen_an_answer_contradicts() {
+    let mut table = CrashTable::default();
+    let _ = table.note_answered(REQUEST, NOW);
+    expect_that!(table.note(ended(1, true, 0), NOW), eq(Hearing::Contradicted));
+}
+
+/// Guards against a table that grows without bound, or forgets a refused request for ones that are not.
+#[gtest]
+fn a_full_table_keeps_what_it_refuses() {
+    let mut table = CrashTable::default();
+    [Ended(1), Ended(2), Ended(3)].into_iter().for_each(|heard| hear(&mut table, heard));
+    for request in 2..2_000 {
+        let word = RequestWord { digest: RequestDigest(request), ..ended(4, true, 0) };
+        let _ = table.note(word, NOW);
+    }
+    expect_true!(table.is_refused(REQUEST));
+    expect_that!(table.words(NOW).len(), lt(300));
+}
+
+/// Guards against a request that is refused for good, and one that is forgotten while it keeps coming.
+#[gtest]
+fn a_request_is_forgotten_once_it_stays_away() {
+    const MINUTE_MS: u64 = 60_000;
+    let mut table = CrashTable::default();
+    [Ended(1), Ended(2), Ended(3)].into_iter().for_each(|heard| hear(&mut table, heard));
+    let mut now = NOW;
+    for _ in 0..30 {
+        now = now.after(MINUTE_MS);
+        table.note_refused(REQUEST, now);
+        table.expire(now);
+    }
+    expect_true!(table.is_refused(REQUEST));
+    table.expire(now.after(30 * MINUTE_MS));
+    expect_false!(table.is_refused(REQUEST));
+}
--- a/crates/direct/src/agent/fleet.rs
+++ b/crates/direct/src/agent/fleet.rs
@@ -102,7 +102,7 @@
         let peer = fleet.peers.borrow_mut().next_to_ask();
         if let Some(peer) = peer {
             let version = fleet.catalog.borrow().version();
-            let question = Question { from: None, version, backends_as_of, word: None };
+            let question = Question { version, backends_as_of, ..Question::of_nothing() };
             let sent_at = boot_now();
             match exchange::call(&client, peer, &question).await {
                 Ok(answer) => {
--- a/crates/direct/src/agent/tell.rs
+++ b/crates/direct/src/agent/tell.rs
@@ -77,9 +77,7 @@
 }
 
 async fn tell(client: reqwest::Client, entry: SocketAddr, word: BackendWord) {
-    let word = Some(word);
-    // The versions say that nothing is to be sent back.
-    let question = Question { from: None, version: u64::MAX, backends_as_of: u64::MAX, word };
+    let question = Question { word: Some(word), ..Question::of_nothing() };
     if exchange::call(&client, entry, &question).await.is_err() {
         metrics::counter!("hickorycross_exchange_failures_total").increment(1);
     }
--- a/crates/direct/src/callers/refusal.rs
+++ b/crates/direct/src/callers/refusal.rs
@@ -55,6 +55,8 @@
     },
     /// No backend server takes work.
     NoBackend,
+    /// Backend servers end when they run the request.
+    EndsBackendServers,
     /// The last attempt ended without an answer to hand on.
     Failed(Verdict),
     /// The caller's or the route's time is over.
@@ -75,6 +77,7 @@
             Self::Full => "full",
             Self::Standing { .. } => "standing",
             Self::NoBackend => "no-backend",
+            Self::EndsBackendServers => "ends-backend-servers",
             Self::Failed(_) => "failed",
             Self::TimedOut(_) => "timed-out",
         }
@@ -83,7 +86,10 @@
     /// The status. 503 says that the request has not run; where it may have, 502 or 504 say so.
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
-            Self::BadHead(_) | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
+            // Callers do not come back on it, as they would on a 503.
+            Self::BadHead(_) | Self::BodyIncomplete | Self::EndsBackendServers => {
+                StatusCode::BAD_REQUEST
+            }
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -123,6 +129,7 @@
             Self::Full => "all backend servers are full",
             Self::Standing { .. } => "the backend servers of this group stand still",
             Self::NoBackend => "no backend server takes work",
+            Self::EndsBackendServers => "backend servers end when they run this request",
             Self::Failed(_) => "no backend server gave an answer",
             Self::TimedOut(_) => "no answer came in time",
         }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -8,7 +8,7 @@
 use crate::state::EntryState;
 use crate::store::SharedStore;
 use crate::wire_names::WireNames;
-use crate::{callers, exchange, follow, operators};
+use crate::{callers, exchange, follow, operators, spread};
 use hickorycross_runtime::exposition::Exposition;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,7 +27,7 @@
 /// Part of the grace that is left unused, so that the process ends by itself.
 const GRACE_MARGIN_MS: u64 = 400;
 
-/// Pause between looks for connections to backend servers that are past their time.
+/// Pause between looks for what is past its time.
 const PRUNE_PAUSE_MS: u64 = 1_000;
 
 /// Pause between looks at what is still open.
@@ -55,7 +55,8 @@
     tokio::task::spawn_local(follow::follow_catalog(Rc::clone(&state), Rc::clone(&store)));
     tokio::task::spawn_local(follow::follow_backends(Rc::clone(&state), store));
     tokio::task::spawn_local(exchange::follow_peers(Rc::clone(&state)));
-    tokio::task::spawn_local(prune_connections(Rc::clone(&state)));
+    tokio::task::spawn_local(spread::spread(Rc::clone(&state)));
+    tokio::task::spawn_local(keep_house(Rc::clone(&state)));
     let reloaded = Rc::clone(&state);
     let following = reload.follow(move |settings| take_settings(&reloaded, settings));
     tokio::task::spawn_local(following);
@@ -119,10 +120,11 @@
     state.split_slack();
 }
 
-/// Closes connections to backend servers that are past their time.
-async fn prune_connections(state: Rc<EntryState>) {
+/// Closes connections to backend servers that are past their time, and forgets requests that are.
+async fn keep_house(state: Rc<EntryState>) {
     loop {
         tokio::time::sleep(Duration::from_millis(PRUNE_PAUSE_MS)).await;
         state.pool.prune(|id, born_ms| state.backends.borrow().takes_work(id, born_ms));
+        state.crashes.borrow_mut().expire(boot_now());
     }
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,5 +1,5 @@
 //! What processes of the fleet tell each other: the configuration with its age, the backend servers,
-//! and each other's addresses.
+//! what entries have seen of requests, and each other's addresses.
 //!
 //! An answer is about the moment at which the question was sent, so a question that travels or
 //! waits for long makes the answer look older than it is, never fresher.
@@ -7,7 +7,9 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::follow::offer;
+use crate::spread::{SharedWord, hear};
 use crate::state::EntryState;
+use futures_util::future::join_all;
 use hickorycross_core::direct::{BackendServer, BootMs, Catalog};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -29,8 +31,9 @@
 /// Questions sent at the start of a process, so that seeds learn of it soon.
 const FIRST_QUESTIONS: u32 = 3;
 
-/// Pause between questions that only keep the members known.
-const CALM_PAUSE_MS: u64 = 5_000;
+/// Pause between questions while the own word is fresh. They keep the members known, and bring what an entry
+/// missed of its peers' words while it was cut off.
+const CALM_PAUSE_MS: u64 = 2_000;
 
 /// Time for an answer: some times the way between failure domains and a peer's turn on a core.
 const ANSWER_TIMEOUT_MS: u64 = 500;
@@ -49,6 +52,24 @@
     pub(crate) backends_as_of: u64,
     /// What an agent says of a backend server.
     pub(crate) word: Option<BackendWord>,
+    /// What the asker tells.
+    pub(crate) shared: Vec<SharedWord>,
+    /// The asker's sum over the words that it has, if it wants those that it lacks.
+    pub(crate) shared_sum: Option<u64>,
+}
+
+impl Question {
+    /// A question that brings nothing back but who else is there.
+    pub(crate) const fn of_nothing() -> Self {
+        Self {
+            from: None,
+            version: u64::MAX,
+            backends_as_of: u64::MAX,
+            word: None,
+            shared: Vec::new(),
+            shared_sum: None,
+        }
+    }
 }
 
 /// What an agent says of a backend server.
@@ -90,6 +111,8 @@
     pub(crate) backends: Option<Vec<BackendServer>>,
     /// Members, each with the time since it was heard of.
     pub(crate) members: Vec<(SocketAddr, u64)>,
+    /// All that the peer knows of requests, when the asker knows something else.
+    pub(crate) shared: Vec<SharedWord>,
 }
 
 /// Answers a peer's question.
@@ -101,6 +124,7 @@
     if let Some(word) = question.word {
         note_word(state, word, now);
     }
+    hear(state, &question.shared, true);
     let belief = state.catalog.borrow();
     let newer = belief.catalog().filter(|catalog| catalog.version > question.version);
     let backends_as_of = state.backends_as_of.get();
@@ -115,6 +139,7 @@
         backends_as_of,
         backends,
         members: members.take(MOST_MEMBERS).collect(),
+        shared: state.words_for(question.shared_sum, now),
     }
 }
 
@@ -137,6 +162,7 @@
 /// Takes over a peer's answer to a question sent at `sent_at`.
 pub(crate) fn take_over(state: &EntryState, peer: SocketAddr, answer: Answer, sent_at: BootMs) {
     note_member(state, peer, boot_now());
+    hear(state, &answer.shared, false);
     for (address, silent_ms) in answer.members {
         note_member(state, address, sent_at.before(silent_ms));
     }
@@ -164,10 +190,14 @@
     }
 }
 
-/// Asks peers for ever: often while the own word is old, now and then otherwise.
+/// Asks peers for ever: all that are known at the start, then one at a time, often while the own word is
+/// old, now and then otherwise.
 pub(crate) async fn follow_peers(state: Rc<EntryState>) {
     let client = client();
     let mut asked = 0;
+    let first = state.peers.borrow().candidates();
+    join_all(first.into_iter().map(|peer| ask(Rc::clone(&state), client.clone(), peer))).await;
+    state.has_asked_peers.set(true);
     loop {
         if let Some(peer) = state.peers.borrow_mut().next_to_ask() {
             let asking = ask(Rc::clone(&state), client.clone(), peer);
@@ -200,15 +230,33 @@
 }
 
 async fn ask(state: Rc<EntryState>, client: reqwest::Client, peer: SocketAddr) {
-    let question = Question {
+    let shared_sum = Some(state.words_sum());
+    put(&state, &client, peer, Question { shared_sum, ..question(&state) }).await;
+}
+
+/// Tells a peer what entries tell each other.
+pub(crate) async fn tell(
+    state: Rc<EntryState>,
+    client: reqwest::Client,
+    peer: SocketAddr,
+    shared: Vec<SharedWord>,
+) {
+    put(&state, &client, peer, Question { shared, ..question(&state) }).await;
+}
+
+fn question(state: &EntryState) -> Question {
+    Question {
         from: state.settings.borrow().listen.control,
         version: state.catalog.borrow().version(),
         backends_as_of: state.backends_as_of.get(),
-        word: None,
-    };
+        ..Question::of_nothing()
+    }
+}
+
+async fn put(state: &EntryState, client: &reqwest::Client, peer: SocketAddr, question: Question) {
     let sent_at = boot_now();
-    match call(&client, peer, &question).await {
-        Ok(answer) => take_over(&state, peer, answer, sent_at),
+    match call(client, peer, &question).await {
+        Ok(answer) => take_over(state, peer, answer, sent_at),
         Err(error) => {
             metrics::counter!("hickorycross_exchange_failures_total").increment(1);
             let line = DecisionLog::fields("member").with("peer", peer).with("error", error);
--- a/crates/direct/src/forward/account.rs
+++ b/crates/direct/src/forward/account.rs
@@ -45,6 +45,13 @@
         self.state.log.note(line.with("sends", self.sends));
     }
 
+    /// Says that the request is not sent, because so many backend servers have ended under it.
+    pub(super) fn note_crashes(&self, ended_under_it: usize) {
+        let line = self.line("request-refused").with("digest", self.digest);
+        let line = line.with("ended_under_it", ended_under_it).with("sends", self.sends);
+        self.state.log.note(line.with("verdict", self.verdict));
+    }
+
     /// Says what becomes of an answer in which a backend server says that it failed.
     pub(super) fn note_failure(&self, id: &str, status: StatusCode, is_left: bool) {
         metrics::counter!("hickorycross_attempts_failed_total", "end" => "failed").increment(1);
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -1,6 +1,7 @@
 //! Chooses backend servers for a request and decides about further attempts.
 
 use super::attempt::{self, Attempt, Brought, Reply, Terms, end_to_end};
+use super::crash::note_answered;
 use super::patience::{Awaited, Impatience, Patience};
 use super::stream;
 use crate::callers::{AnswerBody, CallerRequest, Refusal, whole};
@@ -143,7 +144,7 @@
     /// the caller has got.
     pub(crate) async fn obtain(&mut self, resume_after: Option<u64>) -> Result<Reply, Refusal> {
         loop {
-            self.check_time_and_key()?;
+            self.check_before_send()?;
             let is_probe = self.enter().await?;
             let choice = self.choose()?;
             self.take_allowance()?;
@@ -173,8 +174,10 @@
         }
     }
 
-    /// A wait may have outlasted the request or the word by which its key was judged.
-    pub(super) fn check_time_and_key(&self) -> Result<(), Refusal> {
+    /// A wait may have outlasted the request or the word by which its key was judged, or the request may
+    /// have ended too many backend servers meanwhile.
+    pub(super) fn check_before_send(&self) -> Result<(), Refusal> {
+        self.check_crashes()?;
         let now = boot_now();
         if now >= self.request.limit_at {
             return Err(Refusal::TimedOut(self.verdict));
@@ -288,8 +291,10 @@
         }
         drop(backends);
         self.note_attempt_end(&server.id, end, paused_until.is_some());
-        if end == AttemptEnd::Silent {
-            self.note_unbegun();
+        match end {
+            AttemptEnd::Silent => self.note_unbegun(),
+            AttemptEnd::Broken => self.note_broken(server),
+            _ => {}
         }
         if end == AttemptEnd::Rejected && self.note_rejected() {
             return self.wait_again();
@@ -315,6 +320,7 @@
     }
 
     pub(crate) fn note_success(&self, attempt: &Attempt, status: StatusCode) {
+        note_answered(&self.state, self.digest);
         let mut backends = self.state.backends.borrow_mut();
         if status.is_server_error() {
             backends.note_failure(&attempt.server, boot_now());
--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -54,7 +54,7 @@
             let freed = self.state.room.notified();
             // Whatever ends the wait, everything is looked at anew.
             let _ = tokio::time::timeout(Duration::from_millis(left_ms), freed).await;
-            self.check_time_and_key()?;
+            self.check_before_send()?;
         }
     }
 
@@ -100,7 +100,7 @@
         let ended = self.state.pass_ended.notified();
         // Whatever ends the wait, everything is looked at anew.
         let _ = tokio::time::timeout(Duration::from_millis(left_ms), ended).await;
-        self.check_time_and_key()
+        self.check_before_send()
     }
 
     /// Notes a request that was neither answered nor turned away for a moment as a proof that the
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -21,6 +21,7 @@
 mod process;
 mod reload;
 mod settings;
+mod spread;
 mod state;
 mod store;
 mod wire_names;
--- /dev/null
+++ b/crates/direct/src/spread.rs
@@ -0,0 +1,156 @@
+//! Spreads what one entry has seen among all entries.
+//!
+//! Whoever learns something new tells a few peers at once, and each of them does the same, so that all of a
+//! large fleet know it after a few rounds. What a process misses while it is cut off, it gets with its next
+//! question ([`crate::exchange`]).
+
+use crate::clock::boot_now;
+use crate::decision_log::DecisionLog;
+use crate::exchange;
+use crate::state::EntryState;
+use hickorycross_core::direct::{BootMs, Hearing, RequestWord, Seen};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Pause between two rounds: some times the way between two entries.
+const ROUND_MS: u64 = 250;
+
+/// Rounds in which a word is passed on by one entry.
+const ROUNDS: u32 = 2;
+
+/// Peers that get it in one round. Eight peers of each entry leave out less than one in a thousand; a small
+/// fleet is told whole at once.
+const PEERS_A_ROUND: usize = 4;
+
+/// Words in one message. With the round this bounds what the sudden end of many backend servers costs on
+/// the network.
+const MOST_WORDS: usize = 24;
+
+/// Words that wait to be passed on. More are left to the next question of who lacks them.
+const MOST_WAITING: usize = 256;
+
+/// What entries tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum SharedWord {
+    /// What was seen of a request.
+    Request(RequestWord),
+}
+
+impl SharedWord {
+    /// The same word `span_ms` later.
+    const fn aged(self, span_ms: u64) -> Self {
+        match self {
+            Self::Request(word) => {
+                Self::Request(RequestWord { age_ms: word.age_ms.saturating_add(span_ms), ..word })
+            }
+        }
+    }
+}
+
+/// Words on their way to other entries.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    waiting: RefCell<VecDeque<Outgoing>>,
+    filled: Notify,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Outgoing {
+    word: SharedWord,
+    noted_at: BootMs,
+    rounds_left: u32,
+}
+
+impl Outbox {
+    /// Adds a word; when there is no room the oldest one goes.
+    pub(crate) fn add(&self, word: SharedWord, now: BootMs) {
+        let mut waiting = self.waiting.borrow_mut();
+        if waiting.len() >= MOST_WAITING {
+            waiting.pop_front();
+        }
+        waiting.push_back(Outgoing { word, noted_at: now, rounds_left: ROUNDS });
+        self.filled.notify_one();
+    }
+
+    /// Words of the next round, with their present age.
+    fn next_round(&self, now: BootMs) -> Vec<SharedWord> {
+        let mut waiting = self.waiting.borrow_mut();
+        let count = waiting.len().min(MOST_WORDS);
+        let mut words = Vec::with_capacity(count);
+        for mut outgoing in waiting.drain(..count).collect::<Vec<_>>() {
+            words.push(outgoing.word.aged(now.since(outgoing.noted_at)));
+            outgoing.rounds_left -= 1;
+            if outgoing.rounds_left > 0 {
+                waiting.push_back(outgoing);
+            }
+        }
+        words
+    }
+}
+
+/// Tells peers what is in the outbox, for ever.
+pub(crate) async fn spread(state: Rc<EntryState>) {
+    let client = exchange::client();
+    loop {
+        let words = state.outbox.next_round(boot_now());
+        if words.is_empty() {
+            state.outbox.filled.notified().await;
+            continue;
+        }
+        let peers = state.peers.borrow().draw(PEERS_A_ROUND, &mut *state.random.borrow_mut());
+        for peer in peers {
+            let telling = exchange::tell(Rc::clone(&state), client.clone(), peer, words.clone());
+            tokio::task::spawn_local(telling);
+        }
+        tokio::time::sleep(Duration::from_millis(ROUND_MS)).await;
+    }
+}
+
+/// Takes over words of a peer, passing on what is new if it was pushed here.
+pub(crate) fn hear(state: &EntryState, words: &[SharedWord], passes_on: bool) {
+    for word in words {
+        match word {
+            SharedWord::Request(word) => hear_of_request(state, *word, passes_on),
+        }
+    }
+}
+
+fn hear_of_request(state: &EntryState, word: RequestWord, passes_on: bool) {
+    let now = boot_now();
+    let hearing = state.crashes.borrow_mut().note(word, now);
+    let outcome = match hearing {
+        Hearing::Known => return,
+        Hearing::New => "heard",
+        Hearing::Contradicted => "answered-here",
+    };
+    note_request_word(state, word, outcome);
+    let told = match hearing {
+        Hearing::Contradicted => RequestWord { seen: Seen::Answered, age_ms: 0, ..word },
+        _ => word,
+    };
+    if passes_on || hearing == Hearing::Contradicted {
+        state.outbox.add(SharedWord::Request(told), now);
+    }
+}
+
+/// Says what is believed of a request under which a backend server is said to have ended.
+pub(crate) fn note_request_word(state: &EntryState, word: RequestWord, outcome: &'static str) {
+    let crashes = state.crashes.borrow();
+    metrics::gauge!("hickorycross_requests_refused_for_crashes").set(crashes.refused() as f64);
+    let line = DecisionLog::fields("request-word").with("digest", word.digest);
+    let line = match word.seen {
+        Seen::BackendEnded { incarnation, had_begun } => {
+            let line = line.with("backend_digest", format_args!("{:016x}", incarnation.0));
+            line.with("had_begun", had_begun)
+        }
+        Seen::Answered => line.with("answered", true),
+    };
+    let line = line.with("age_ms", word.age_ms);
+    let line = line.with("ended_under_it", crashes.ended_under(word.digest));
+    let line = line.with("is_refused", crashes.is_refused(word.digest));
+    state.log.note(line.with("outcome", outcome));
+}
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -3,12 +3,13 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::follow::CATALOG_WAIT_MS;
-use crate::forward::Pool;
+use crate::forward::{Pool, Suspicions};
 use crate::settings::ProcessSettings;
+use crate::spread::{Outbox, SharedWord};
 use crate::wire_names::WireNames;
 use hickorycross_core::direct::{
     Admission, AdmissionSettings, AllowanceSettings, BackendTable, BootMs, CatalogBelief,
-    FirstDeadlines, GroupOutlook, Passes, PeerTable, RetryAllowance, key_bound_ms,
+    CrashTable, FirstDeadlines, GroupOutlook, Passes, PeerTable, RetryAllowance, key_bound_ms,
 };
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -85,6 +86,14 @@
     pub(crate) allowance: RefCell<RetryAllowance>,
     pub(crate) admission: RefCell<Admission>,
     pub(crate) peers: RefCell<PeerTable>,
+    /// Whether every peer that was known at the start was asked, and has answered or not.
+    pub(crate) has_asked_peers: Cell<bool>,
+    /// Requests under which backend servers have ended.
+    pub(crate) crashes: RefCell<CrashTable>,
+    /// Backend servers that may just have ended under requests.
+    pub(crate) suspicions: Suspicions,
+    /// What other entries are to be told.
+    pub(crate) outbox: Outbox,
     pub(crate) random: RefCell<ChaCha8Rng>,
     /// Whether the groups of a service make passes.
     pub(crate) outlooks: RefCell<IndexMap<String, GroupOutlook>>,
@@ -123,6 +132,10 @@
             allowance: RefCell::new(allowance),
             admission: RefCell::new(Admission::new(ADMISSION)),
             peers: RefCell::new(peers),
+            has_asked_peers: Cell::new(false),
+            crashes: RefCell::default(),
+            suspicions: Suspicions::default(),
+            outbox: Outbox::default(),
             random: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
             outlooks: RefCell::default(),
             first_deadlines: RefCell::default(),
@@ -144,10 +157,13 @@
         self.catalog.borrow().is_fresh(now, key_bound_ms(revoke_ms, CATALOG_WAIT_MS))
     }
 
-    /// Whether a configuration and backend servers are known, and callers' keys can be judged.
+    /// Whether a configuration and backend servers are known, callers' keys can be judged, and peers were
+    /// asked what they have seen.
     pub(crate) fn is_informed(&self) -> bool {
         let now = boot_now();
-        self.is_ready(now) && self.backends.borrow().servers().next().is_some()
+        self.has_asked_peers.get()
+            && self.is_ready(now)
+            && self.backends.borrow().servers().next().is_some()
     }
 
     /// Whether this entry should get callers' connections.
@@ -174,6 +190,19 @@
         self.passes.borrow_mut().entry(service.to_owned()).or_default().note_sent(bytes);
     }
 
+    /// All words of this entry, for a peer whose words have another sum.
+    pub(crate) fn words_for(&self, sum: Option<u64>, now: BootMs) -> Vec<SharedWord> {
+        if sum.is_none_or(|sum| sum == self.words_sum()) {
+            return Vec::new();
+        }
+        self.crashes.borrow().words(now).into_iter().map(SharedWord::Request).collect()
+    }
+
+    /// A sum over the words of this entry, the same at entries that know the same.
+    pub(crate) fn words_sum(&self) -> u64 {
+        self.crashes.borrow().sum()
+    }
+
     /// Other entries that are known, and this one.
     pub(crate) fn entries(&self) -> usize {
         (self.peers.borrow().len() + 1).max(1)
