--- a/crates/core/src/direct/crash_table.rs
+++ b/crates/core/src/direct/crash_table.rs
@@ -10,7 +10,7 @@
 use super::{BackendServer, BootMs, RequestDigest};
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
-use std::mem;
+use std::{fmt, mem};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// Backend servers that must have ended under a request that was at work there until it is refused.
@@ -51,6 +51,12 @@
     }
 }
 
+impl fmt::Display for IncarnationDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// What was seen of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Seen {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -14,6 +14,7 @@
 //! - [`EventCutter`] cuts an event stream into whole events, so that it can be resumed.
 //! - [`RequestDigest`] tells a request that comes back from a fresh one.
 //! - [`CrashTable`] tells which requests end the backend servers that run them.
+//! - [`NamedLimits`] holds what backend servers in need take from all entries together.
 //! - [`PeerTable`] holds the other processes of the fleet.
 //!
 //! Moments are in [`BootMs`], which also counts the time in which the machine was suspended.
@@ -26,6 +27,7 @@
 mod choice;
 mod crash_table;
 mod event_cutter;
+mod named_limits;
 mod outcome;
 mod outlook;
 mod passes;
@@ -45,6 +47,7 @@
 pub(crate) use choice::most_left;
 pub use crash_table::{CrashTable, Hearing, IncarnationDigest, RequestWord, Seen};
 pub use event_cutter::{EventCutter, StreamEvent};
+pub use named_limits::{LimitWord, NamedLimits};
 pub use outcome::{AttemptEnd, Judgement, judge_attempt};
 pub use outlook::{GroupOutlook, Outage, Passage};
 pub use passes::Passes;
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -125,6 +125,8 @@
     loop {
         tokio::time::sleep(Duration::from_millis(PRUNE_PAUSE_MS)).await;
         state.pool.prune(|id, born_ms| state.backends.borrow().takes_work(id, born_ms));
-        state.crashes.borrow_mut().expire(boot_now());
+        let now = boot_now();
+        state.crashes.borrow_mut().expire(now);
+        state.limits.borrow_mut().expire(now);
     }
 }
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -1,5 +1,6 @@
 //! One send of a request to one backend server.
 
+use super::limit::note_limit;
 use super::patience::{Impatience, Patience};
 use super::pool::Connection;
 use crate::callers::CallerRequest;
@@ -210,6 +211,9 @@
 ) -> Brought {
     let (parts, body) = response.into_parts();
     attempt.note_connection_fields(&parts.headers);
+    if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        note_limit(state, &attempt.server, &parts.headers);
+    }
     let is_rejection = parts.headers.contains_key(&state.names.not_run);
     if is_rejection || parts.status == StatusCode::MISDIRECTED_REQUEST {
         attempt.finish_rejected(body).await;
--- a/crates/direct/src/forward/mod.rs
+++ b/crates/direct/src/forward/mod.rs
@@ -1,5 +1,6 @@
 //! The life of a request from its judged head to its final answer.
 //!
+//! - `limit` reads how many requests a backend server in need takes.
 //! - `life` chooses backend servers and decides about further attempts.
 //! - `account` logs and counts what happens to it.
 //! - `attempt` sends a request once and judges the head of what comes back.
@@ -15,6 +16,7 @@
 mod crash;
 mod leave;
 mod life;
+mod limit;
 mod patience;
 mod pool;
 mod room;
--- a/crates/direct/src/spread.rs
+++ b/crates/direct/src/spread.rs
@@ -144,7 +144,7 @@
     let line = DecisionLog::fields("request-word").with("digest", word.digest);
     let line = match word.seen {
         Seen::BackendEnded { incarnation, had_begun } => {
-            let line = line.with("backend_digest", format_args!("{:016x}", incarnation.0));
+            let line = line.with("backend_digest", incarnation);
             line.with("had_begun", had_begun)
         }
         Seen::Answered => line.with("answered", true),
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -9,7 +9,8 @@
 use crate::wire_names::WireNames;
 use hickorycross_core::direct::{
     Admission, AdmissionSettings, AllowanceSettings, BackendTable, BootMs, CatalogBelief,
-    CrashTable, FirstDeadlines, GroupOutlook, Passes, PeerTable, RetryAllowance, key_bound_ms,
+    CrashTable, FirstDeadlines, GroupOutlook, NamedLimits, Passes, PeerTable, RetryAllowance,
+    key_bound_ms,
 };
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -92,6 +93,8 @@
     pub(crate) crashes: RefCell<CrashTable>,
     /// Backend servers that may just have ended under requests.
     pub(crate) suspicions: Suspicions,
+    /// What backend servers in need take.
+    pub(crate) limits: RefCell<NamedLimits>,
     /// What other entries are to be told.
     pub(crate) outbox: Outbox,
     pub(crate) random: RefCell<ChaCha8Rng>,
@@ -135,6 +138,7 @@
             has_asked_peers: Cell::new(false),
             crashes: RefCell::default(),
             suspicions: Suspicions::default(),
+            limits: RefCell::default(),
             outbox: Outbox::default(),
             random: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
             outlooks: RefCell::default(),
--- a/crates/direct/src/wire_names.rs
+++ b/crates/direct/src/wire_names.rs
@@ -19,6 +19,8 @@
     pub not_run: HeaderName,
     /// Urgency, 0 first.
     pub urgency: HeaderName,
+    /// How many requests a second a backend server in need takes from all entries together.
+    pub server_limit: HeaderName,
     /// Scheme in front of the key in `Authorization`.
     pub key_scheme: &'static str,
     /// Path of the balancer's question.
