fix(entry): entries share what a backend server in need takes

Cause: no entry read the limit. Class: entries that act each on their own word; each keeping the limit by itself would give five times as much, and 400 times as much in a large fleet. Ruled out: requests that were chosen before the word came, since the rate did not fall at all.

Now the newest word of each backend server is spread among entries as ends of backend servers are. One entry, the same for all who know the same entries, grants permits out of one bucket that begins empty; the others ask it before they send there, and who is asked and knows a better one says so. A request waits for no permit, it goes to another backend server; where all are limited it gets 503 at once. Who has requests gets what others do not ask for. An entry that does not answer is passed over for 5 s.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -14,7 +14,8 @@
 //! - [`EventCutter`] cuts an event stream into whole events, so that it can be resumed.
 //! - [`RequestDigest`] tells a request that comes back from a fresh one.
 //! - [`CrashTable`] tells which requests end the backend servers that run them.
-//! - [`NamedLimits`] holds what backend servers in need take from all entries together.
+//! - [`NamedLimits`] holds what backend servers in need take from all entries together; [`LimitGrants`] and
+//!   [`LimitPermits`] share it among them.
 //! - [`PeerTable`] holds the other processes of the fleet.
 //!
 //! Moments are in [`BootMs`], which also counts the time in which the machine was suspended.
@@ -27,6 +28,7 @@
 mod choice;
 mod crash_table;
 mod event_cutter;
+mod limit_shares;
 mod named_limits;
 mod outcome;
 mod outlook;
@@ -47,6 +49,7 @@
 pub(crate) use choice::most_left;
 pub use crash_table::{CrashTable, Hearing, IncarnationDigest, RequestWord, Seen};
 pub use event_cutter::{EventCutter, StreamEvent};
+pub use limit_shares::{LimitGrant, LimitGrants, LimitPermits, granting_entry};
 pub use named_limits::{LimitWord, NamedLimits};
 pub use outcome::{AttemptEnd, Judgement, judge_attempt};
 pub use outlook::{GroupOutlook, Outage, Passage};
--- a/crates/core/src/direct/named_limits.rs
+++ b/crates/core/src/direct/named_limits.rs
@@ -69,6 +69,12 @@
         self.words.get(&incarnation)?.millirequests_per_s
     }
 
+    /// The newest word of a backend server that has named a limit at some time.
+    #[must_use]
+    pub fn word(&self, incarnation: IncarnationDigest, now: BootMs) -> Option<LimitWord> {
+        self.words.get(&incarnation).map(|said| said.word(incarnation, now))
+    }
+
     /// Whether no backend server is limited.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -78,12 +84,7 @@
     /// Everything that is known, for an entry that may lack some of it.
     #[must_use]
     pub fn words(&self, now: BootMs) -> Vec<LimitWord> {
-        let word = |(incarnation, said): (&IncarnationDigest, &Said)| LimitWord {
-            incarnation: *incarnation,
-            millirequests_per_s: said.millirequests_per_s,
-            age_ms: now.since(said.at),
-        };
-        self.words.iter().map(word).collect()
+        self.words.iter().map(|(incarnation, said)| said.word(*incarnation, now)).collect()
     }
 
     /// A sum over the limits that hold, the same at entries that know the same ones.
@@ -109,6 +110,13 @@
     }
 }
 
+impl Said {
+    const fn word(self, incarnation: IncarnationDigest, now: BootMs) -> LimitWord {
+        let Self { millirequests_per_s, at } = self;
+        LimitWord { incarnation, millirequests_per_s, age_ms: now.since(at) }
+    }
+}
+
 /// Whether two limits are the same but for a slight difference.
 fn is_about(one: Option<u64>, other: Option<u64>) -> bool {
     match (one, other) {
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -128,5 +128,7 @@
         let now = boot_now();
         state.crashes.borrow_mut().expire(now);
         state.limits.borrow_mut().expire(now);
+        state.limit_grants.borrow_mut().expire(now);
+        state.limit_permits.borrow_mut().expire(now);
     }
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -11,6 +11,7 @@
 use crate::state::EntryState;
 use futures_util::future::join_all;
 use hickorycross_core::direct::{BackendServer, BootMs, Catalog};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -194,7 +195,7 @@
 /// Asks peers for ever: all that are known at the start, then one at a time, often while the own word is
 /// old, now and then otherwise.
 pub(crate) async fn follow_peers(state: Rc<EntryState>) {
-    let client = client();
+    let client = state.client.clone();
     let mut asked = 0;
     let first = state.peers.borrow().candidates();
     join_all(first.into_iter().map(|peer| ask(Rc::clone(&state), client.clone(), peer))).await;
@@ -289,8 +290,18 @@
     peer: SocketAddr,
     question: &Question,
 ) -> Result<Answer, ExchangeError> {
+    post(client, peer, EXCHANGE_PATH, question).await
+}
+
+/// Sends a question to `path` of a peer.
+pub(crate) async fn post<Q: Serialize, A: DeserializeOwned>(
+    client: &reqwest::Client,
+    peer: SocketAddr,
+    path: &str,
+    question: &Q,
+) -> Result<A, ExchangeError> {
     let body = postcard::to_stdvec(question)?;
-    let request = client.post(format!("http://{peer}{EXCHANGE_PATH}")).body(body);
+    let request = client.post(format!("http://{peer}{path}")).body(body);
     let response = request.send().await?.error_for_status()?;
     Ok(postcard::from_bytes(&response.bytes().await?)?)
 }
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -33,7 +33,7 @@
     pub(crate) service: String,
     body: Bytes,
     pub(super) digest: RequestDigest,
-    tried: Vec<String>,
+    pub(super) tried: Vec<String>,
     pub(super) sends: u32,
     connect_failures: u32,
     /// When the caller sent the request or got the last event, for which it waits since then.
@@ -192,10 +192,15 @@
     }
 
     fn choose(&self) -> Result<Choice, Refusal> {
-        let backends = self.state.backends.borrow();
         let draw = self.state.random.borrow_mut().random::<f64>();
-        let choice = backends.choose(&self.service, &self.tried, boot_now(), draw);
+        let passed_over = self.passed_over();
+        let backends = self.state.backends.borrow();
+        let choice = backends.choose(&self.service, &passed_over, boot_now(), draw);
+        drop(backends);
+        self.use_limits(choice.as_ref().map(|choice| &choice.server));
+        let is_limited = passed_over.len() > self.tried.len();
         choice.ok_or(match self.verdict {
+            _ if is_limited => self.given_up(),
             Verdict::NotRun if self.sends == 0 => Refusal::NoBackend,
             _ => self.given_up(),
         })
@@ -233,8 +238,9 @@
     /// Whether to leave a backend server's own failure and try again elsewhere, at once: a failure that hangs
     /// on the request comes again after any pause, another one hardly ever comes twice.
     fn leaves_failure(&mut self, attempt: &Attempt, status: StatusCode) -> bool {
+        let passed_over = self.passed_over();
         let others = self.state.backends.borrow();
-        let has_other = others.choose(&self.service, &self.tried, boot_now(), 0.0).is_some();
+        let has_other = others.choose(&self.service, &passed_over, boot_now(), 0.0).is_some();
         drop(others);
         let leaves = self.request.route.kind.is_idempotent() && has_other && self.may_send_again();
         self.note_failure(&attempt.server.id, status, leaves);
--- a/crates/direct/src/forward/limit.rs
+++ b/crates/direct/src/forward/limit.rs
@@ -1,28 +1,29 @@
 //! Backend servers in need, which name in their answers how many requests they take.
 
+use super::life::Life;
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
+use crate::limit_share;
+use crate::spread::{SharedWord, note_limit_word};
 use crate::state::EntryState;
 use hickorycross_core::direct::{BackendServer, IncarnationDigest, LimitWord};
 use http::HeaderMap;
+use std::rc::Rc;
 
-/// Takes note of the limit that an answer's head names, or of its lack.
+/// Takes note of the limit that an answer's head names, or of its lack, and tells other entries.
 pub(super) fn note_limit(state: &EntryState, server: &BackendServer, headers: &HeaderMap) {
-    let incarnation = IncarnationDigest::of(server);
     let Ok(millirequests_per_s) = named_limit(state, headers) else {
         let line = DecisionLog::fields("backend-server").with("incarnation", &server.id);
         state.log.note(line.with("outcome", "limit-not-readable"));
         return;
     };
+    let incarnation = IncarnationDigest::of(server);
     let word = LimitWord { incarnation, millirequests_per_s, age_ms: 0 };
-    if !state.limits.borrow_mut().note(word, boot_now()) {
-        return;
+    let now = boot_now();
+    if state.limits.borrow_mut().note(word, now) {
+        note_limit_word(state, word, Some(&server.id));
+        state.outbox.add(SharedWord::Limit(word), now);
     }
-    let line = DecisionLog::fields("backend-server").with("incarnation", &server.id);
-    let line = line.with("backend_digest", incarnation);
-    let line = line.with_some("limit_millirequests_per_s", millirequests_per_s);
-    let outcome = if millirequests_per_s.is_some() { "limited" } else { "limit-over" };
-    state.log.note(line.with("outcome", outcome));
 }
 
 /// The limit that a head names, in thousandths of a request a second.
@@ -35,3 +36,49 @@
 
 /// A head names a limit that is no number.
 struct UnreadableLimit;
+
+impl Life {
+    /// Backend servers that the request is not sent to: those that had it, and those in need for which this
+    /// entry has no permit.
+    pub(super) fn passed_over(&self) -> Vec<String> {
+        let withheld = self.limited().into_iter().filter(|(_, word)| {
+            let permits = self.state.limit_permits.borrow();
+            !permits.has_one(word.incarnation, boot_now())
+        });
+        let withheld = withheld.map(|(server, _)| server.id);
+        self.tried.iter().cloned().chain(withheld).collect()
+    }
+
+    /// Asks for permits for the backend servers in need that the request passes over, or uses one up for the
+    /// one that it is sent to.
+    pub(super) fn use_limits(&self, chosen: Option<&BackendServer>) {
+        let now = boot_now();
+        for (server, word) in self.limited() {
+            let mut permits = self.state.limit_permits.borrow_mut();
+            if chosen == Some(&server) {
+                permits.take(word.incarnation);
+            } else if !permits.has_one(word.incarnation, now)
+                && let Some(wanted) = permits.note_missed(word.incarnation, now)
+            {
+                let asking = limit_share::ask(Rc::clone(&self.state), word, wanted);
+                tokio::task::spawn_local(asking);
+            }
+        }
+    }
+
+    /// Backend servers of the request's service that are in need, with what they take.
+    fn limited(&self) -> Vec<(BackendServer, LimitWord)> {
+        let limits = self.state.limits.borrow();
+        if limits.is_empty() {
+            return Vec::new();
+        }
+        let backends = self.state.backends.borrow();
+        let of_service = backends.servers().filter(|server| server.service == self.service);
+        let now = boot_now();
+        let limited = of_service.filter_map(|server| {
+            let word = limits.word(IncarnationDigest::of(server), now)?;
+            word.millirequests_per_s.map(|_| (server.clone(), word))
+        });
+        limited.collect()
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,6 +17,7 @@
 mod exchange;
 mod follow;
 mod forward;
+mod limit_share;
 mod operators;
 mod process;
 mod reload;
--- /dev/null
+++ b/crates/direct/src/limit_share.rs
@@ -0,0 +1,132 @@
+//! Asks the entry that grants them for permits to send to a backend server in need, and grants them.
+
+use crate::clock::boot_now;
+use crate::decision_log::DecisionLog;
+use crate::exchange::{self, ExchangeError};
+use crate::spread::{SharedWord, hear};
+use crate::state::EntryState;
+use hickorycross_core::direct::{BootMs, IncarnationDigest, LimitGrant, LimitWord, granting_entry};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Path of the questions on the control address.
+pub(crate) const LIMIT_SHARE_PATH: &str = "/limit-share";
+
+/// Time for which an entry that did not answer is not asked for permits; another one grants meanwhile.
+const SILENT_KEPT_MS: u64 = 5_000;
+
+/// Entries that a question is handed on to, when those that are asked know one that should grant instead.
+const MOST_HOPS: u32 = 2;
+
+/// A question for permits.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct LimitQuestion {
+    asker: SocketAddr,
+    /// What the asker knows of the limit.
+    word: LimitWord,
+    wanted: u32,
+}
+
+/// An answer to a question for permits.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum LimitAnswer {
+    /// What is granted.
+    Granted(LimitGrant),
+    /// Another entry grants.
+    Ask(SocketAddr),
+}
+
+/// Entries that did not answer lately, and until when they are not asked.
+#[derive(Debug, Default)]
+pub(crate) struct SilentEntries(RefCell<IndexMap<SocketAddr, BootMs>>);
+
+impl SilentEntries {
+    fn note(&self, entry: SocketAddr) {
+        self.0.borrow_mut().insert(entry, boot_now().after(SILENT_KEPT_MS));
+    }
+
+    fn contains(&self, entry: SocketAddr) -> bool {
+        self.0.borrow().get(&entry).is_some_and(|until| *until > boot_now())
+    }
+}
+
+/// The entry that grants the permits of a backend server, as far as this one knows.
+fn granting(state: &EntryState, own: SocketAddr, incarnation: IncarnationDigest) -> SocketAddr {
+    let peers = state.peers.borrow();
+    let others = peers.peers().map(|peer| peer.address);
+    let answering = others.filter(|entry| !state.silent_entries.contains(*entry));
+    granting_entry(incarnation, answering.chain([own])).unwrap_or(own)
+}
+
+/// Answers a question for permits.
+pub(crate) fn answer(state: &EntryState, question: &LimitQuestion) -> LimitAnswer {
+    let LimitQuestion { asker, word, wanted } = *question;
+    hear(state, &[SharedWord::Limit(word)], true);
+    let own = state.settings.borrow().listen.control;
+    let granting = own.map(|own| granting(state, own, word.incarnation));
+    match granting {
+        Some(entry) if Some(entry) != own && entry != asker => LimitAnswer::Ask(entry),
+        _ => LimitAnswer::Granted(grant(state, word.incarnation, asker, wanted)),
+    }
+}
+
+fn grant(
+    state: &EntryState,
+    incarnation: IncarnationDigest,
+    asker: SocketAddr,
+    wanted: u32,
+) -> LimitGrant {
+    let limit = state.limits.borrow().millirequests_per_s(incarnation).unwrap_or(0);
+    let now = boot_now();
+    let grant = state.limit_grants.borrow_mut().grant(incarnation, limit, asker, wanted, now);
+    let line = DecisionLog::fields("limit-grant").with("backend_digest", incarnation);
+    let line = line.with("limit_millirequests_per_s", limit).with("asker", asker);
+    let line = line.with("wanted", wanted).with("permits", grant.permits);
+    state.log.note_ordinary(line.with("ask_again_ms", grant.ask_again_ms));
+    grant
+}
+
+/// Asks for permits, and takes over what is granted.
+pub(crate) async fn ask(state: Rc<EntryState>, word: LimitWord, wanted: u32) {
+    let incarnation = word.incarnation;
+    let asked_at = boot_now();
+    let Some(own) = state.settings.borrow().listen.control else { return };
+    let question = LimitQuestion { asker: own, word, wanted };
+    match obtain(&state, own, question).await {
+        Some(grant) => {
+            state.limit_permits.borrow_mut().note_grant(incarnation, grant, asked_at);
+            state.room.notify_waiters();
+        }
+        None => state.limit_permits.borrow_mut().note_unanswered(incarnation, boot_now()),
+    }
+}
+
+async fn obtain(
+    state: &EntryState,
+    own: SocketAddr,
+    question: LimitQuestion,
+) -> Option<LimitGrant> {
+    let LimitQuestion { word, wanted, .. } = question;
+    let mut entry = granting(state, own, word.incarnation);
+    for _ in 0..=MOST_HOPS {
+        if entry == own {
+            return Some(grant(state, word.incarnation, own, wanted));
+        }
+        let answer: Result<LimitAnswer, ExchangeError> =
+            exchange::post(&state.client, entry, LIMIT_SHARE_PATH, &question).await;
+        match answer {
+            Ok(LimitAnswer::Granted(grant)) => return Some(grant),
+            Ok(LimitAnswer::Ask(other)) => entry = other,
+            Err(error) => {
+                state.silent_entries.note(entry);
+                let line = DecisionLog::fields("member").with("peer", entry);
+                state.log.note_ordinary(line.with("error", error).with("outcome", "no-permits"));
+                return None;
+            }
+        }
+    }
+    None
+}
--- a/crates/direct/src/operators.rs
+++ b/crates/direct/src/operators.rs
@@ -1,7 +1,8 @@
 //! The addresses for the balancer, for operators and for other processes of the fleet.
 
 use crate::clock::boot_now;
-use crate::exchange::{self, EXCHANGE_PATH, Question};
+use crate::exchange::{self, EXCHANGE_PATH};
+use crate::limit_share::{self, LIMIT_SHARE_PATH};
 use crate::state::EntryState;
 use bytes::Bytes;
 use hickorycross_runtime::exposition::Exposition;
@@ -11,6 +12,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
@@ -57,7 +60,12 @@
             }
             match (request.method(), path) {
                 (&Method::GET, METRICS_PATH) => metrics_page(&self.exposition),
-                (&Method::POST, EXCHANGE_PATH) => answer_peer(&self.state, request).await,
+                (&Method::POST, EXCHANGE_PATH) => {
+                    answer_peer(&self.state, request, exchange::answer).await
+                }
+                (&Method::POST, LIMIT_SHARE_PATH) => {
+                    answer_peer(&self.state, request, limit_share::answer).await
+                }
                 _ => no_such_page(),
             }
         })
@@ -106,14 +114,17 @@
     }
 }
 
-async fn answer_peer(state: &EntryState, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer_peer<Q: DeserializeOwned, A: Serialize>(
+    state: &EntryState,
+    request: Request<Incoming>,
+    answer: impl FnOnce(&EntryState, &Q) -> A,
+) -> Response<Full<Bytes>> {
     let body = Limited::new(request.into_body(), MOST_QUESTION_BYTES).collect().await;
-    let question =
-        body.ok().and_then(|body| postcard::from_bytes::<Question>(&body.to_bytes()).ok());
+    let question = body.ok().and_then(|body| postcard::from_bytes::<Q>(&body.to_bytes()).ok());
     let Some(question) = question else {
         return plain(StatusCode::BAD_REQUEST, Bytes::from_static(b"unreadable question\n"));
     };
-    match postcard::to_stdvec(&exchange::answer(state, &question)) {
+    match postcard::to_stdvec(&answer(state, &question)) {
         Ok(bytes) => plain(StatusCode::OK, bytes.into()),
         Err(error) => {
             let line = crate::DecisionLog::fields("exchange").with("error", error);
--- a/crates/direct/src/spread.rs
+++ b/crates/direct/src/spread.rs
@@ -8,7 +8,7 @@
 use crate::decision_log::DecisionLog;
 use crate::exchange;
 use crate::state::EntryState;
-use hickorycross_core::direct::{BootMs, Hearing, RequestWord, Seen};
+use hickorycross_core::direct::{BootMs, Hearing, LimitWord, RequestWord, Seen};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -38,6 +38,8 @@
 pub(crate) enum SharedWord {
     /// What was seen of a request.
     Request(RequestWord),
+    /// What a backend server in need takes.
+    Limit(LimitWord),
 }
 
 impl SharedWord {
@@ -47,6 +49,9 @@
             Self::Request(word) => {
                 Self::Request(RequestWord { age_ms: word.age_ms.saturating_add(span_ms), ..word })
             }
+            Self::Limit(word) => {
+                Self::Limit(LimitWord { age_ms: word.age_ms.saturating_add(span_ms), ..word })
+            }
         }
     }
 }
@@ -94,7 +99,7 @@
 
 /// Tells peers what is in the outbox, for ever.
 pub(crate) async fn spread(state: Rc<EntryState>) {
-    let client = exchange::client();
+    let client = state.client.clone();
     loop {
         let words = state.outbox.next_round(boot_now());
         if words.is_empty() {
@@ -115,6 +120,7 @@
     for word in words {
         match word {
             SharedWord::Request(word) => hear_of_request(state, *word, passes_on),
+            SharedWord::Limit(word) => hear_of_limit(state, *word, passes_on),
         }
     }
 }
@@ -137,6 +143,26 @@
     }
 }
 
+fn hear_of_limit(state: &EntryState, word: LimitWord, passes_on: bool) {
+    let now = boot_now();
+    if !state.limits.borrow_mut().note(word, now) {
+        return;
+    }
+    note_limit_word(state, word, None);
+    if passes_on {
+        state.outbox.add(SharedWord::Limit(word), now);
+    }
+}
+
+/// Says what a backend server takes; `id` names the one that said so to this entry itself.
+pub(crate) fn note_limit_word(state: &EntryState, word: LimitWord, id: Option<&str>) {
+    let line = DecisionLog::fields("backend-server").with_some("incarnation", id);
+    let line = line.with("backend_digest", word.incarnation).with("age_ms", word.age_ms);
+    let line = line.with_some("limit_millirequests_per_s", word.millirequests_per_s);
+    let is_limited = word.millirequests_per_s.is_some();
+    state.log.note(line.with("outcome", if is_limited { "limited" } else { "limit-over" }));
+}
+
 /// Says what is believed of a request under which a backend server is said to have ended.
 pub(crate) fn note_request_word(state: &EntryState, word: RequestWord, outcome: &'static str) {
     let crashes = state.crashes.borrow();
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -2,15 +2,17 @@
 
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
+use crate::exchange;
 use crate::follow::CATALOG_WAIT_MS;
 use crate::forward::{Pool, Suspicions};
+use crate::limit_share::SilentEntries;
 use crate::settings::ProcessSettings;
 use crate::spread::{Outbox, SharedWord};
 use crate::wire_names::WireNames;
 use hickorycross_core::direct::{
     Admission, AdmissionSettings, AllowanceSettings, BackendTable, BootMs, CatalogBelief,
-    CrashTable, FirstDeadlines, GroupOutlook, NamedLimits, Passes, PeerTable, RetryAllowance,
-    key_bound_ms,
+    CrashTable, FirstDeadlines, GroupOutlook, LimitGrants, LimitPermits, NamedLimits, Passes,
+    PeerTable, RetryAllowance, key_bound_ms,
 };
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -96,6 +98,14 @@
     pub(crate) suspicions: Suspicions,
     /// What backend servers in need take.
     pub(crate) limits: RefCell<NamedLimits>,
+    /// What this entry grants of that to all.
+    pub(crate) limit_grants: RefCell<LimitGrants>,
+    /// What this entry was granted.
+    pub(crate) limit_permits: RefCell<LimitPermits>,
+    /// Entries that did not answer a question for permits.
+    pub(crate) silent_entries: SilentEntries,
+    /// For questions to other entries.
+    pub(crate) client: reqwest::Client,
     /// What other entries are to be told.
     pub(crate) outbox: Outbox,
     pub(crate) random: RefCell<ChaCha8Rng>,
@@ -140,6 +150,10 @@
             crashes: RefCell::default(),
             suspicions: Suspicions::default(),
             limits: RefCell::default(),
+            limit_grants: RefCell::default(),
+            limit_permits: RefCell::default(),
+            silent_entries: SilentEntries::default(),
+            client: exchange::client(),
             outbox: Outbox::default(),
             random: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
             outlooks: RefCell::default(),
@@ -205,12 +219,14 @@
         if sum.is_none_or(|sum| sum == self.words_sum()) {
             return Vec::new();
         }
-        self.crashes.borrow().words(now).into_iter().map(SharedWord::Request).collect()
+        let requests = self.crashes.borrow().words(now).into_iter().map(SharedWord::Request);
+        let limits = self.limits.borrow().words(now).into_iter().map(SharedWord::Limit);
+        requests.chain(limits).collect()
     }
 
     /// A sum over the words of this entry, the same at entries that know the same.
     pub(crate) fn words_sum(&self) -> u64 {
-        self.crashes.borrow().sum()
+        self.crashes.borrow().sum() ^ self.limits.borrow().sum()
     }
 
     /// Other entries that are known, and this one.
