fix(entry): the log says that an answered request has run

Cause: only an attempt's failed end set the verdict. The head of an answer does so now; a 503 without the backend server's word that it did not run the request says may-have-run.

--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -161,6 +161,8 @@
             match sending.await {
                 Brought::Answer(reply) => {
                     self.has_head = true;
+                    let answered = verdict_of_answer(reply.response.status());
+                    self.verdict = self.verdict.max(answered);
                     return Ok(*reply);
                 }
                 Brought::End(end) => self.note_end(&server, end)?,
@@ -350,6 +352,11 @@
     }
 }
 
+/// What the head of an answer proves: a backend server that rejects a request says so beside its status.
+const fn verdict_of_answer(status: StatusCode) -> Verdict {
+    if is_unproved_promise(status) { Verdict::MayHaveRun } else { Verdict::Ran }
+}
+
 /// Whether a status would promise that the request has not run, without the backend server's word.
 const fn is_unproved_promise(status: StatusCode) -> bool {
     matches!(
