fix(agent): an order that a leader gives from afar names its whole map

By log (13.289 s): a leader that orders the rank of a silent agent itself gave a prepare-change as it stood, refused right after the change began.

Cause: agents make such an order whole before they carry it out, a leader that orders from afar did not, and the platform's folder wrote what it got without a map, silently. Now it is made whole; if the map that it changes is not known here, the leader hears that and tells it whole. The engine takes a type of its own, EngineOrder, that cannot be made of an order without its map or its pass, so that nothing half told can be written: the class ends there.

--- a/crates/core/src/map_change/mod.rs
+++ b/crates/core/src/map_change/mod.rs
@@ -19,6 +19,7 @@
 //! leads next how the change ends, also while the machine that led before is frozen.
 //!
 //! - [`Leader`] is the state machine; [`RankStatus`] is what it hears, [`RankOrder`] what it sends.
+//! - [`EngineOrder`] is what a rank's engine is told at last.
 //! - [`Roster`] says which machines there are to ask.
 //! - [`Polls`] says when a leader asks whom; a [`Collection`] is what an agent hears for it.
 //! - [`LinkPace`] says how fast long messages may follow each other.
@@ -30,6 +31,7 @@
 mod collection;
 mod decide;
 mod demand;
+mod engine_order;
 mod hold_clock;
 mod known_maps;
 mod leader;
@@ -47,6 +49,7 @@
 
 pub use collection::{Collected, Collection};
 pub use demand::Demand;
+pub use engine_order::{EngineOrder, EngineOrderKind};
 pub use hold_clock::{HoldClock, HoldEvent};
 pub use known_maps::{KnownMaps, UnknownMap};
 pub use leader::{Leader, LeaderAction, LeaderNote};
--- a/crates/direct/src/agent/afar.rs
+++ b/crates/direct/src/agent/afar.rs
@@ -9,6 +9,7 @@
 use super::execute::{SHOW_PAUSE_AFAR_MS, execute, execute_afar};
 use super::member::Member;
 use super::rank::RankEngine;
+use crate::decision_log::DecisionLog;
 use hickorycross_core::map_change::{
     Ended, OrderEnd, OrderKind, OrderedBeside, RankOrder, Witness,
 };
@@ -23,6 +24,7 @@
     number: u64,
     order: RankOrder,
 ) {
+    let order = whole(member, order);
     let log = member.log.clone();
     let is_current = is_current(member, &order);
     let own = Rc::clone(&member.engine);
@@ -35,6 +37,21 @@
     });
 }
 
+/// An order with its whole map, as far as this agent was told of the map that it changes.
+///
+/// Where it was not, the leader hears that the map is lacking, and tells it whole.
+fn whole(member: &Member, order: RankOrder) -> RankOrder {
+    match member.known_maps.borrow_mut().whole(&order.kind) {
+        Ok(kind) => RankOrder { kind, ..order },
+        Err(error) => {
+            let line = DecisionLog::fields("order").with("kind", order.kind.as_str());
+            let line = line.with("fence", order.fence).with("error", error);
+            member.log.note(line.with("outcome", "map-not-known"));
+            order
+        }
+    }
+}
+
 /// Whether an order is about what a rank has prepared, so that the rank's own word is needed.
 const fn has_map(kind: &OrderKind) -> bool {
     matches!(
--- a/crates/direct/src/agent/execute.rs
+++ b/crates/direct/src/agent/execute.rs
@@ -4,7 +4,7 @@
 use crate::decision_log::DecisionLog;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use hickorycross_core::map_change::{Ended, OrderEnd, OrderKind, RankOrder};
+use hickorycross_core::map_change::{Ended, EngineOrder, OrderEnd, OrderKind, RankOrder};
 use hickorycross_core::placement::ExpertMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,7 +68,11 @@
         let armed = report.armed.map(|armed| armed.version);
         let most = if copies(&order.kind) && !is_void { 1 } else { MOST_COPIES };
         let pace = Copies { pause_ms: AGAIN_BESIDE_MS, most };
-        let answer = first_answer(engine, order, armed, pace, &mut sends).await;
+        let Some(given) = EngineOrder::of(order, armed) else {
+            note(log, order, send, "lacks-map");
+            return Some(Ended { end: OrderEnd::LacksMap, sends });
+        };
+        let answer = first_answer(engine, &given, pace, &mut sends).await;
         let ended = |end| Some(Ended { end, sends });
         match answer {
             // The copies take time; that they are complete is read from the statuses.
@@ -133,8 +137,11 @@
         };
         let meant = meant_afar(if is_standing { &next } else { order }, &report);
         let pace = Copies { pause_ms: AGAIN_AFAR_MS, most: MOST_COPIES };
-        let answer =
-            first_answer(target, meant.as_ref().unwrap_or(order), None, pace, &mut sends).await;
+        let Some(given) = EngineOrder::of(meant.as_ref().unwrap_or(order), None) else {
+            note(log, order, send, "lacks-map");
+            return Some(Ended { end: OrderEnd::LacksMap, sends });
+        };
+        let answer = first_answer(target, &given, pace, &mut sends).await;
         let ended = |end| Some(Ended { end, sends });
         match answer {
             Ok(OrderReply::Accepted) => {
@@ -217,13 +224,12 @@
 /// that an answer is neither soon nor lost; giving up on it each time would never get one.
 async fn first_answer(
     target: &dyn RankEngine,
-    order: &RankOrder,
-    armed: Option<u64>,
+    order: &EngineOrder,
     pace: Copies,
     sends: &mut u32,
 ) -> Result<OrderReply, RankError> {
     let mut given = FuturesUnordered::new();
-    given.push(target.order(order, armed));
+    given.push(target.order(order));
     *sends += 1;
     let mut copies = 1;
     loop {
@@ -235,7 +241,7 @@
                 answered => return answered,
             },
             () = again, if copies < pace.most => {
-                given.push(target.order(order, armed));
+                given.push(target.order(order));
                 *sends += 1;
                 copies += 1;
             }
--- a/crates/direct/src/agent/rank.rs
+++ b/crates/direct/src/agent/rank.rs
@@ -1,6 +1,6 @@
 //! What a platform must give about the rank beside an agent.
 
-use hickorycross_core::map_change::{Armed, RankOrder};
+use hickorycross_core::map_change::{Armed, EngineOrder};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -102,8 +102,8 @@
     /// Reads which experts the rank holds.
     fn lists(&self) -> RankFuture<'_, ExpertLists>;
 
-    /// Gives an order. `armed` names the map that a `Disarm` is about.
-    fn order<'a>(&'a self, order: &'a RankOrder, armed: Option<u64>) -> RankFuture<'a, OrderReply>;
+    /// Gives an order.
+    fn order<'a>(&'a self, order: &'a EngineOrder) -> RankFuture<'a, OrderReply>;
 }
 
 /// Gives clients of ranks by their address, also of those on other machines.
