fix(entry): an entry that does not answer is not named as the one that grants

Seen by a_named_limit_holds_while_entries_come_and_go, which failed in 5 of 7 runs (0 or 1 request in 7 s, 7 wanted) after it had passed twice: an entry is not asked for 5 s after it did not answer, but who was asked instead still knew it as alive and named it, each time, so that nobody granted. Which entry that is depends on a hash of addresses, so the test passed where it fell on a living one.

A question names the entries that did not answer, and for how long that still counts; passed on anew each time, the word on one that answers again would never end.

--- a/crates/direct/src/limit_share.rs
+++ b/crates/direct/src/limit_share.rs
@@ -18,16 +18,22 @@
 /// Time for which an entry that did not answer is not asked for permits; another one grants meanwhile.
 const SILENT_KEPT_MS: u64 = 5_000;
 
+/// Silent entries that a question names at most.
+const MOST_SILENT: usize = 16;
+
 /// Entries that a question is handed on to, when those that are asked know one that should grant instead.
 const MOST_HOPS: u32 = 2;
 
 /// A question for permits.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct LimitQuestion {
     asker: SocketAddr,
     /// What the asker knows of the limit.
     word: LimitWord,
     wanted: u32,
+    /// Entries that did not answer lately, and for how many milliseconds more they are not asked. Who is asked
+    /// would name them as the ones that grant, and nobody would.
+    silent: Vec<(SocketAddr, u64)>,
 }
 
 /// An answer to a question for permits.
@@ -51,6 +57,26 @@
     fn contains(&self, entry: SocketAddr) -> bool {
         self.0.borrow().get(&entry).is_some_and(|until| *until > boot_now())
     }
+
+    /// Takes over what another entry says. Its time is kept: passed on anew each time, the word of an entry
+    /// that answers again would never end.
+    fn hear(&self, entries: &[(SocketAddr, u64)]) {
+        let now = boot_now();
+        for (entry, left_ms) in entries {
+            let heard_until = now.after((*left_ms).min(SILENT_KEPT_MS));
+            let mut silent = self.0.borrow_mut();
+            let until = silent.entry(*entry).or_default();
+            *until = heard_until.max(*until);
+        }
+    }
+
+    fn all(&self) -> Vec<(SocketAddr, u64)> {
+        let now = boot_now();
+        self.0.borrow_mut().retain(|_, until| *until > now);
+        let silent = self.0.borrow();
+        let left = silent.iter().map(|(entry, until)| (*entry, until.since(now)));
+        left.take(MOST_SILENT).collect()
+    }
 }
 
 /// The entry that grants the permits of a backend server, as far as this one knows.
@@ -63,7 +89,8 @@
 
 /// Answers a question for permits.
 pub(crate) fn answer(state: &EntryState, question: &LimitQuestion) -> LimitAnswer {
-    let LimitQuestion { asker, word, wanted } = *question;
+    let LimitQuestion { asker, word, wanted, ref silent } = *question;
+    state.silent_entries.hear(silent);
     hear(state, &[SharedWord::Limit(word)], true);
     let own = state.settings.borrow().listen.control;
     let granting = own.map(|own| granting(state, own, word.incarnation));
@@ -94,8 +121,7 @@
     let incarnation = word.incarnation;
     let asked_at = boot_now();
     let Some(own) = state.settings.borrow().listen.control else { return };
-    let question = LimitQuestion { asker: own, word, wanted };
-    match obtain(&state, own, question).await {
+    match obtain(&state, own, word, wanted).await {
         Some(grant) => {
             state.limit_permits.borrow_mut().note_grant(incarnation, grant, asked_at);
             state.room.notify_waiters();
@@ -107,14 +133,16 @@
 async fn obtain(
     state: &EntryState,
     own: SocketAddr,
-    question: LimitQuestion,
+    word: LimitWord,
+    wanted: u32,
 ) -> Option<LimitGrant> {
-    let LimitQuestion { word, wanted, .. } = question;
     let mut entry = granting(state, own, word.incarnation);
     for _ in 0..=MOST_HOPS {
         if entry == own {
             return Some(grant(state, word.incarnation, own, wanted));
         }
+        let silent = state.silent_entries.all();
+        let question = LimitQuestion { asker: own, word, wanted, silent };
         let answer: Result<LimitAnswer, ExchangeError> =
             exchange::post(&state.client, entry, LIMIT_SHARE_PATH, &question).await;
         match answer {
