fix(entry): what is only suspected of a request is told to nobody

Read in the code: an end that is not certain yet stood in the table from which peers are answered. Asked within the look at the backend server (up to 0.4 s), a peer took it for certain, kept it when it was retracted, and gave it back: callers could pay for what all ranks of a group break off. Such ends still keep this entry from sending the request on, but are neither told nor part of the sum. A word's age counts from the break now. The new test of the table fails without that. An outcome shared its name, Hearing, with another type; it is WordOutcome.

--- a/crates/core/src/direct/crash_table.rs
+++ b/crates/core/src/direct/crash_table.rs
@@ -85,7 +85,7 @@
 /// What came of a word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[must_use]
-pub enum Hearing {
+pub enum WordOutcome {
     /// It says something new.
     New,
     /// It was known, or is too old to matter.
@@ -113,21 +113,23 @@
 struct End {
     at: BootMs,
     had_begun: bool,
+    /// Whether it is certain that the backend server has ended. What is not counts here, and is told to nobody.
+    is_certain: bool,
 }
 
 impl CrashTable {
     /// Takes note of what this entry has seen, or another one says, of a request.
-    pub fn note(&mut self, word: RequestWord, now: BootMs) -> Hearing {
+    pub fn note(&mut self, word: RequestWord, now: BootMs) -> WordOutcome {
         let RequestWord { digest, seen, age_ms } = word;
         if age_ms >= KEPT_MS {
-            return Hearing::Known;
+            return WordOutcome::Known;
         }
         let at = now.before(age_ms);
         match seen {
             Seen::Answered => self.note_answered_elsewhere(digest, at),
-            Seen::BackendEnded { .. } if self.answers.contains(digest) => Hearing::Contradicted,
+            Seen::BackendEnded { .. } if self.answers.contains(digest) => WordOutcome::Contradicted,
             Seen::BackendEnded { incarnation, had_begun } => {
-                self.note_end(digest, incarnation, End { at, had_begun })
+                self.note_end(digest, incarnation, End { at, had_begun, is_certain: true })
             }
         }
     }
@@ -137,28 +139,44 @@
         digest: RequestDigest,
         incarnation: IncarnationDigest,
         end: End,
-    ) -> Hearing {
+    ) -> WordOutcome {
         self.make_room(digest);
         let record = self.records.entry(digest).or_default();
         if record.answered_at.is_some_and(|answered_at| answered_at >= end.at) {
-            return Hearing::Known;
+            return WordOutcome::Known;
         }
         record.heard_at = record.heard_at.max(end.at);
-        // Two requests of one content may have been there, of which one had begun.
-        let known = record.ended.get(&incarnation);
-        if known.is_some_and(|known| known.had_begun || !end.had_begun) {
-            return Hearing::Known;
+        match record.ended.get_mut(&incarnation) {
+            Some(known) => known.join(end),
+            None => {
+                record.ended.insert(incarnation, end);
+                WordOutcome::New
+            }
         }
-        record.ended.insert(incarnation, end);
-        Hearing::New
     }
 
-    fn note_answered_elsewhere(&mut self, digest: RequestDigest, at: BootMs) -> Hearing {
-        let Some(record) = self.records.get_mut(&digest) else { return Hearing::Known };
+    /// Notes that a backend server may have ended while it had a request; returns whether that is new.
+    ///
+    /// Until it is certain or retracted, the request is treated as if the backend server had ended.
+    #[must_use]
+    pub fn suspect(
+        &mut self,
+        digest: RequestDigest,
+        incarnation: IncarnationDigest,
+        had_begun: bool,
+        now: BootMs,
+    ) -> bool {
+        let end = End { at: now, had_begun, is_certain: false };
+        !self.answers.contains(digest)
+            && self.note_end(digest, incarnation, end) == WordOutcome::New
+    }
+
+    fn note_answered_elsewhere(&mut self, digest: RequestDigest, at: BootMs) -> WordOutcome {
+        let Some(record) = self.records.get_mut(&digest) else { return WordOutcome::Known };
         let ended = record.ended.len();
         record.ended.retain(|_, end| end.at > at);
         record.answered_at = record.answered_at.max(Some(at));
-        if record.ended.len() < ended { Hearing::New } else { Hearing::Known }
+        if record.ended.len() < ended { WordOutcome::New } else { WordOutcome::Known }
     }
 
     /// Notes that a backend server answered a request. Returns whether others are to be told, because one
@@ -166,13 +184,13 @@
     #[must_use]
     pub fn note_answered(&mut self, digest: RequestDigest, now: BootMs) -> bool {
         self.answers.add(digest, now);
-        self.note_answered_elsewhere(digest, now) == Hearing::New
+        self.note_answered_elsewhere(digest, now) == WordOutcome::New
     }
 
-    /// Takes back that a backend server has ended under a request.
+    /// Takes back that a backend server may have ended under a request, unless that is certain by now.
     pub fn retract(&mut self, digest: RequestDigest, incarnation: IncarnationDigest) {
         let Some(record) = self.records.get_mut(&digest) else { return };
-        record.ended.swap_remove(&incarnation);
+        record.ended.retain(|known, end| *known != incarnation || end.is_certain);
         if record.ended.is_empty() && record.answered_at.is_none() {
             self.records.swap_remove(&digest);
         }
@@ -213,7 +231,7 @@
     #[must_use]
     pub fn sum(&self) -> u64 {
         let ends = self.records.iter().flat_map(|(digest, record)| {
-            record.ended.iter().map(|(incarnation, end)| (*digest, *incarnation, end.had_begun))
+            record.certain().map(|(incarnation, end)| (*digest, *incarnation, end.had_begun))
         });
         ends.map(|(digest, IncarnationDigest(incarnation), had_begun)| {
             let mut bytes = [0; 25];
@@ -245,14 +263,34 @@
     }
 }
 
+impl End {
+    /// Takes over what a further word says of the same end.
+    ///
+    /// Two requests of one content may have been there, of which one had begun.
+    fn join(&mut self, other: Self) -> WordOutcome {
+        let joined = Self {
+            had_begun: self.had_begun || other.had_begun,
+            is_certain: self.is_certain || other.is_certain,
+            ..*self
+        };
+        let is_known = (joined.had_begun, joined.is_certain) == (self.had_begun, self.is_certain);
+        *self = joined;
+        if is_known { WordOutcome::Known } else { WordOutcome::New }
+    }
+}
+
 impl Record {
+    fn certain(&self) -> impl Iterator<Item = (&IncarnationDigest, &End)> {
+        self.ended.iter().filter(|(_, end)| end.is_certain)
+    }
+
     fn is_refused(&self) -> bool {
         let weight = |end: &End| if end.had_begun { BEGUN_WEIGHT } else { UNBEGUN_WEIGHT };
         self.ended.values().map(weight).sum::<u32>() >= MOST_ENDED * BEGUN_WEIGHT
     }
 
     fn words(&self, digest: RequestDigest, now: BootMs) -> impl Iterator<Item = RequestWord> {
-        let ends = self.ended.iter().map(move |(incarnation, end)| RequestWord {
+        let ends = self.certain().map(move |(incarnation, end)| RequestWord {
             digest,
             seen: Seen::BackendEnded { incarnation: *incarnation, had_begun: end.had_begun },
             age_ms: now.since(end.at),
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -47,7 +47,7 @@
 };
 pub use choice::Choice;
 pub(crate) use choice::most_left;
-pub use crash_table::{CrashTable, Hearing, IncarnationDigest, RequestWord, Seen};
+pub use crash_table::{CrashTable, IncarnationDigest, RequestWord, Seen, WordOutcome};
 pub use event_cutter::{EventCutter, StreamEvent};
 pub use limit_shares::{LimitGrant, LimitGrants, LimitPermits, granting_entry};
 pub use named_limits::{LimitWord, NamedLimits};
--- a/crates/core/tests/crash_table.rs
+++ b/crates/core/tests/crash_table.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use hickorycross_core::direct::{
-    BootMs, CrashTable, Hearing, IncarnationDigest, RequestDigest, RequestWord, Seen,
+    BootMs, CrashTable, IncarnationDigest, RequestDigest, RequestWord, Seen, WordOutcome,
 };
 
 const REQUEST: RequestDigest = RequestDigest(1);
@@ -19,7 +19,9 @@
     AnsweredAgo(u64),
     /// This entry saw it answered.
     Answered,
-    /// One that was thought to have ended lives.
+    /// One may have ended under the request that was at work there.
+    Suspected(u64),
+    /// One that may have ended lives.
     Lives(u64),
 }
 
@@ -29,7 +31,7 @@
     is_refused: bool,
 }
 
-use Heard::{Answered, AnsweredAgo, Ended, EndedUnbegun, Lives};
+use Heard::{Answered, AnsweredAgo, Ended, EndedUnbegun, Lives, Suspected};
 
 const CASES: &[Case] = &[
     Case { name: "two ends", heard: &[Ended(1), Ended(2)], is_refused: false },
@@ -73,9 +75,14 @@
     },
     Case {
         name: "a connection that broke though its backend server lives",
-        heard: &[Ended(1), Ended(2), Ended(3), Lives(3)],
+        heard: &[Ended(1), Ended(2), Suspected(3), Lives(3)],
         is_refused: false,
     },
+    Case {
+        name: "a third end that others are certain of",
+        heard: &[Ended(1), Ended(2), Suspected(3), Ended(3), Lives(3)],
+        is_refused: true,
+    },
 ];
 
 fn ended(number: u64, had_begun: bool, age_ms: u64) -> RequestWord {
@@ -87,15 +94,19 @@
     let answered = |age_ms| RequestWord { digest: REQUEST, seen: Seen::Answered, age_ms };
     let _ = match heard {
         Ended(number) => table.note(ended(number, true, 0), NOW),
+        Suspected(number) => {
+            let _ = table.suspect(REQUEST, IncarnationDigest(number), true, NOW);
+            WordOutcome::Known
+        }
         EndedUnbegun(number) => table.note(ended(number, false, 0), NOW),
         AnsweredAgo(age_ms) => table.note(answered(age_ms), NOW),
         Answered => {
             let _ = table.note_answered(REQUEST, NOW);
-            Hearing::Known
+            WordOutcome::Known
         }
         Lives(number) => {
             table.retract(REQUEST, IncarnationDigest(number));
-            Hearing::Known
+            WordOutcome::Known
         }
     };
 }
@@ -126,12 +137,26 @@
     }
 }
 
+/// Guards against a mere suspicion that other entries take for certain, and nobody takes back.
+#[gtest]
+fn what_is_only_suspected_holds_here_and_is_not_told() {
+    let mut table = CrashTable::default();
+    [Ended(1), Ended(2)].into_iter().for_each(|heard| hear(&mut table, heard));
+    let (words, sum) = (table.words(NOW), table.sum());
+    expect_true!(table.suspect(REQUEST, IncarnationDigest(3), true, NOW));
+    expect_true!(table.is_refused(REQUEST));
+    expect_that!(table.words(NOW), eq(&words));
+    expect_that!(table.sum(), eq(sum));
+    expect_that!(table.note(ended(3, true, 0), NOW), eq(WordOutcome::New), "it is certain now");
+    expect_that!(table.words(NOW).len(), eq(words.len() + 1));
+}
+
 /// Guards against one entry's answered request that stays refused at others.
 #[gtest]
 fn an_entry_that_has_seen_an_answer_contradicts() {
     let mut table = CrashTable::default();
     let _ = table.note_answered(REQUEST, NOW);
-    expect_that!(table.note(ended(1, true, 0), NOW), eq(Hearing::Contradicted));
+    expect_that!(table.note(ended(1, true, 0), NOW), eq(WordOutcome::Contradicted));
 }
 
 /// Guards against a table that grows without bound, or forgets a refused request for ones that are not.
--- a/crates/direct/src/callers/head.rs
+++ b/crates/direct/src/callers/head.rs
@@ -46,9 +46,9 @@
 
     /// What the request asks for, together with its `body`.
     pub(crate) fn digest(&self, body: &[u8]) -> RequestDigest {
-        let caller = self.team.clone().unwrap_or_else(|| self.address.to_string());
+        let address = self.address.to_string();
         RequestDigest::of(&RequestIdentity {
-            caller: &caller,
+            caller: self.team.as_deref().unwrap_or(&address),
             method: self.method.as_str(),
             host: &self.host,
             target: self.target.path_and_query().map_or("", PathAndQuery::as_str),
--- a/crates/direct/src/forward/crash.rs
+++ b/crates/direct/src/forward/crash.rs
@@ -7,7 +7,7 @@
 use crate::state::EntryState;
 use hickorycross_core::Verdict;
 use hickorycross_core::direct::{
-    BackendServer, Hearing, IncarnationDigest, RequestDigest, RequestWord, Seen,
+    BackendServer, IncarnationDigest, RequestDigest, RequestWord, Seen, WordOutcome,
 };
 use indexmap::IndexMap;
 use std::cell::RefCell;
@@ -51,7 +51,8 @@
         let had_begun = self.has_head || !self.request.route.kind.is_stream();
         let seen = Seen::BackendEnded { incarnation, had_begun };
         let word = RequestWord { digest: self.digest, seen, age_ms: 0 };
-        if self.state.crashes.borrow_mut().note(word, boot_now()) == Hearing::New
+        let mut crashes = self.state.crashes.borrow_mut();
+        if crashes.suspect(self.digest, incarnation, had_begun, boot_now())
             && self.state.suspicions.add(incarnation, word)
         {
             let looking = look_for(Rc::clone(&self.state), server.clone(), incarnation);
@@ -78,6 +79,7 @@
 ///
 /// When one rank of a group ends, the others cut off what runs there as well, though they live.
 async fn look_for(state: Rc<EntryState>, server: BackendServer, incarnation: IncarnationDigest) {
+    let broke_at = boot_now();
     let connecting = TcpStream::connect(server.address);
     let timeout = Duration::from_millis(LOOK_TIMEOUT_MS);
     let lives = matches!(tokio::time::timeout(timeout, connecting).await, Ok(Ok(_)));
@@ -85,15 +87,21 @@
         if lives {
             state.crashes.borrow_mut().retract(word.digest, incarnation);
         } else {
-            tell(&state, word);
+            let age_ms = boot_now().since(broke_at);
+            note_certain(&state, RequestWord { age_ms, ..word });
         }
     }
 }
 
-fn tell(state: &EntryState, word: RequestWord) {
+/// Takes note that a backend server has ended under a request, and tells others.
+fn note_certain(state: &EntryState, word: RequestWord) {
+    let now = boot_now();
+    if state.crashes.borrow_mut().note(word, now) != WordOutcome::New {
+        return;
+    }
     metrics::counter!("hickorycross_backend_servers_ended_under_requests_total").increment(1);
     note_request_word(state, word, "ended-here");
-    state.outbox.add(SharedWord::Request(word), boot_now());
+    state.outbox.add(SharedWord::Request(word), now);
 }
 
 /// Notes that a backend server answered a request, and tells others if one was thought to have ended
--- a/crates/direct/src/spread.rs
+++ b/crates/direct/src/spread.rs
@@ -8,7 +8,7 @@
 use crate::decision_log::DecisionLog;
 use crate::exchange;
 use crate::state::EntryState;
-use hickorycross_core::direct::{BootMs, Hearing, LimitWord, RequestWord, Seen};
+use hickorycross_core::direct::{BootMs, LimitWord, RequestWord, Seen, WordOutcome};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -127,18 +127,18 @@
 
 fn hear_of_request(state: &EntryState, word: RequestWord, passes_on: bool) {
     let now = boot_now();
-    let hearing = state.crashes.borrow_mut().note(word, now);
-    let outcome = match hearing {
-        Hearing::Known => return,
-        Hearing::New => "heard",
-        Hearing::Contradicted => "answered-here",
+    let word_outcome = state.crashes.borrow_mut().note(word, now);
+    let outcome = match word_outcome {
+        WordOutcome::Known => return,
+        WordOutcome::New => "heard",
+        WordOutcome::Contradicted => "answered-here",
     };
     note_request_word(state, word, outcome);
-    let told = match hearing {
-        Hearing::Contradicted => RequestWord { seen: Seen::Answered, age_ms: 0, ..word },
+    let told = match word_outcome {
+        WordOutcome::Contradicted => RequestWord { seen: Seen::Answered, age_ms: 0, ..word },
         _ => word,
     };
-    if passes_on || hearing == Hearing::Contradicted {
+    if passes_on || word_outcome == WordOutcome::Contradicted {
         state.outbox.add(SharedWord::Request(told), now);
     }
 }
