fix(entry): what is split among entries is split among those that live

Peers are remembered for 60 s since entries of a large fleet are to know each other; one that was taken away kept its part of slots and second sends for as long. At 400 entries half of them or more count at any moment, at 35 all (the test asks for both).

--- a/crates/core/src/direct/peer_table.rs
+++ b/crates/core/src/direct/peer_table.rs
@@ -13,6 +13,10 @@
 /// in fewer, and a machine that freezes for some seconds stays known.
 const FORGET_AFTER_MS: u64 = 60_000;
 
+/// Span without word after which a peer no longer counts as one among whom something is split. One that was
+/// taken away would otherwise keep its part for as long as it is remembered.
+const LIVING_MS: u64 = 25_000;
+
 /// Most peers kept: more than the entries of a large fleet (400).
 const MOST_PEERS: usize = 512;
 
@@ -87,6 +91,13 @@
         peers
     }
 
+    /// Number of peers that live, as far as is known.
+    #[must_use]
+    pub fn living(&self, now: BootMs) -> usize {
+        let is_living = |peer: &&Peer| now.since(peer.heard_at) <= LIVING_MS;
+        self.peers.values().filter(is_living).count()
+    }
+
     /// Number of peers that were heard of.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/core/tests/peer_gossip.rs
+++ b/crates/core/tests/peer_gossip.rs
@@ -87,6 +87,9 @@
             fleet.play_round(case.entries);
             let known = fleet.fewest_known(case.entries);
             expect_that!(known, ge(case.known), "{} entries, round {round}", case.entries);
+            let counted = fleet.tables.iter().map(|table| table.living(fleet.now)).min();
+            let least = case.known.min(case.entries / 2);
+            expect_that!(counted, some(ge(least)), "{} entries count", case.entries);
         }
     }
 }
@@ -101,5 +104,7 @@
         (0..FORGET_ROUNDS).for_each(|_| fleet.play_round(living));
         let most = fleet.tables[..living].iter().map(PeerTable::len).max();
         expect_that!(most, some(le(living)), "{} entries", case.entries);
+        let counted = fleet.tables[..living].iter().map(|table| table.living(fleet.now)).max();
+        expect_that!(counted, some(le(living)), "{} entries count", case.entries);
     }
 }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -120,12 +120,13 @@
     state.split_slack();
 }
 
-/// Closes connections to backend servers that are past their time, and forgets requests that are.
+/// Closes connections to backend servers that are past their time, and forgets what else is.
 async fn keep_house(state: Rc<EntryState>) {
     loop {
         tokio::time::sleep(Duration::from_millis(PRUNE_PAUSE_MS)).await;
         state.pool.prune(|id, born_ms| state.backends.borrow().takes_work(id, born_ms));
         let now = boot_now();
+        state.split_slack();
         state.crashes.borrow_mut().expire(now);
         state.limits.borrow_mut().expire(now);
         state.limit_grants.borrow_mut().expire(now);
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -90,7 +90,7 @@
     pub(crate) allowance: RefCell<RetryAllowance>,
     pub(crate) admission: RefCell<Admission>,
     pub(crate) peers: RefCell<PeerTable>,
-    /// Whether every peer that was known at the start was asked, and has answered or not.
+    /// Whether a peer has answered, or none did that was known at the start.
     pub(crate) has_asked_peers: Cell<bool>,
     /// Requests under which backend servers have ended.
     pub(crate) crashes: RefCell<CrashTable>,
@@ -197,7 +197,7 @@
 
     /// Takes over the number of known entries for the split of the slack.
     pub(crate) fn split_slack(&self) {
-        let peers = self.peers.borrow().len();
+        let peers = self.peers.borrow().living(boot_now());
         self.allowance.borrow_mut().set(allowance_of(&self.settings.borrow(), peers));
     }
 
@@ -229,9 +229,9 @@
         self.crashes.borrow().sum() ^ self.limits.borrow().sum()
     }
 
-    /// Other entries that are known, and this one.
+    /// Other entries that live, as far as is known, and this one.
     pub(crate) fn entries(&self) -> usize {
-        (self.peers.borrow().len() + 1).max(1)
+        self.peers.borrow().living(boot_now()) + 1
     }
 }
 
