fix(entry): callers wait for the first peer's answer at a start, not for all

An entry asks all peers that it knows before it takes callers. After a loss of many machines some of these are gone as well, and a connection to one without power says nothing for 0.5 s, in which callers came in vain. One answer is enough, since peers that live know the same, and 0.2 s without one.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -29,6 +29,10 @@
 /// Pause between questions while the own word is old.
 const URGENT_PAUSE_MS: u64 = 400;
 
+/// Time at the start of a process in which callers wait for a peer's words. Peers may be gone as well; one that
+/// lives answers within some milliseconds.
+const FIRST_ANSWER_MS: u64 = 200;
+
 /// Questions sent at the start of a process, so that seeds learn of it soon.
 const FIRST_QUESTIONS: u32 = 3;
 
@@ -165,6 +169,8 @@
 pub(crate) fn take_over(state: &EntryState, peer: SocketAddr, answer: Answer, sent_at: BootMs) {
     note_member(state, peer, boot_now());
     hear(state, &answer.shared, false);
+    // Peers that live know the same.
+    state.has_asked_peers.set(true);
     for (address, silent_ms) in answer.members {
         note_member(state, address, sent_at.before(silent_ms));
     }
@@ -198,7 +204,9 @@
     let client = state.client.clone();
     let mut asked = 0;
     let first = state.peers.borrow().candidates();
-    join_all(first.into_iter().map(|peer| ask(Rc::clone(&state), client.clone(), peer))).await;
+    let asking = first.into_iter().map(|peer| ask(Rc::clone(&state), client.clone(), peer));
+    // Whoever has not answered by then is asked again below.
+    let _ = tokio::time::timeout(Duration::from_millis(FIRST_ANSWER_MS), join_all(asking)).await;
     state.has_asked_peers.set(true);
     loop {
         if let Some(peer) = state.next_to_ask() {
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -201,7 +201,7 @@
         drop(backends);
         self.use_limits(choice.as_ref().map(|choice| &choice.server));
         let is_limited = passed_over.len() > self.tried.len();
-        choice.ok_or(match self.verdict {
+        choice.ok_or_else(|| match self.verdict {
             _ if is_limited => self.given_up(),
             Verdict::NotRun if self.sends == 0 => Refusal::NoBackend,
             _ => self.given_up(),
