fix(entry): callers wait for a peer's first answer for 60 ms at most

By log: all machines lose power at 34.3 s, and as they are back at 35.9 s the seeds of an entry are still dark, so that it takes callers at 36.45 s, when its peers' time is over, in place of 35.85 s. All callers come at once then: 106 are told full, 76 standing (2 and 7 before).

Where peers live they answer within some milliseconds, about when the store does. A process that has just started hears the words of its peers with the next question otherwise, well within the 3 s in which all are to know.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -29,6 +29,11 @@
 /// Pause between questions while the own word is old.
 const URGENT_PAUSE_MS: u64 = 400;
 
+/// Time at the start of a process in which callers wait for a peer's words. One that lives answers within some
+/// milliseconds. After a loss of many machines peers say nothing, and callers that wait for them come all at once
+/// when the groups are back.
+const FIRST_ANSWER_MS: u64 = 60;
+
 /// Questions sent at the start of a process, so that seeds learn of it soon.
 const FIRST_QUESTIONS: u32 = 3;
 
@@ -200,7 +205,9 @@
     let client = state.client.clone();
     let mut asked = 0;
     let first = state.peers.borrow().candidates();
-    join_all(first.into_iter().map(|peer| ask(Rc::clone(&state), client.clone(), peer))).await;
+    let asking = first.into_iter().map(|peer| ask(Rc::clone(&state), client.clone(), peer));
+    // Whoever has not answered by then is asked again below.
+    let _ = tokio::time::timeout(Duration::from_millis(FIRST_ANSWER_MS), join_all(asking)).await;
     state.has_asked_peers.set(true);
     loop {
         if let Some(peer) = state.next_to_ask() {
