--- a/crates/direct/src/agent/fleet.rs
+++ b/crates/direct/src/agent/fleet.rs
@@ -3,6 +3,7 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::exchange::{self, Question};
+use crate::peer_call;
 use hickorycross_core::direct::{
     Adoption, BackendServer, CatalogBelief, GroupDimensions, PeerTable,
 };
@@ -100,7 +101,7 @@
 
 /// Asks entries for ever.
 pub(crate) async fn follow(fleet: Rc<Fleet>) {
-    let client = exchange::client();
+    let client = peer_call::client();
     let mut backends_as_of = 0;
     loop {
         let peer = fleet.peers.borrow().next_to_ask(&mut rand::rng());
--- a/crates/direct/src/agent/tell.rs
+++ b/crates/direct/src/agent/tell.rs
@@ -8,6 +8,7 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::exchange::{self, BackendWord, Question, Said};
+use crate::peer_call;
 use hickorycross_core::map_change::{Hearing, Unheard, machines_to_hear};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,7 +26,7 @@
 
 /// Looks at the rank's pace for ever.
 pub(crate) async fn follow(member: Rc<Member>, backend: SocketAddr) {
-    let client = exchange::client();
+    let client = peer_call::client();
     let mut said_permille = 1_000;
     let mut looks = 0;
     loop {
@@ -47,7 +48,7 @@
 
 /// While this agent leads, looks for ever at which others it hears.
 pub(crate) async fn follow_hearing(member: Rc<Member>) {
-    let client = exchange::client();
+    let client = peer_call::client();
     let mut unheard = Unheard::default();
     loop {
         tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -56,7 +56,7 @@
     tokio::task::spawn_local(follow::follow_backends(Rc::clone(&state), store));
     tokio::task::spawn_local(exchange::follow_peers(Rc::clone(&state)));
     tokio::task::spawn_local(spread::spread(Rc::clone(&state)));
-    tokio::task::spawn_local(keep_house(Rc::clone(&state)));
+    tokio::task::spawn_local(prune(Rc::clone(&state)));
     let reloaded = Rc::clone(&state);
     let following = reload.follow(move |settings| take_settings(&reloaded, settings));
     tokio::task::spawn_local(following);
@@ -121,7 +121,7 @@
 }
 
 /// Closes connections to backend servers that are past their time, and forgets what else is.
-async fn keep_house(state: Rc<EntryState>) {
+async fn prune(state: Rc<EntryState>) {
     loop {
         tokio::time::sleep(Duration::from_millis(PRUNE_PAUSE_MS)).await;
         state.pool.prune(|id, born_ms| state.backends.borrow().takes_work(id, born_ms));
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -7,11 +7,11 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::follow::offer;
+use crate::peer_call::{PeerCallError, post};
 use crate::spread::{SharedWord, hear};
 use crate::state::EntryState;
 use futures_util::future::join_all;
 use hickorycross_core::direct::{BackendServer, BootMs, Catalog};
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -41,9 +41,6 @@
 /// missed of its peers' words while it was cut off.
 const CALM_PAUSE_MS: u64 = 2_000;
 
-/// Time for an answer: some times the way between failure domains and a peer's turn on a core.
-const ANSWER_TIMEOUT_MS: u64 = 500;
-
 /// Addresses of members in one answer: about 700 bytes. With fewer the entries of a large fleet do not hear
 /// of each other before they forget each other.
 const MOST_MEMBERS: usize = 64;
@@ -202,16 +199,15 @@
 /// Asks peers for ever: all that are known at the start, then one at a time, often while the own word is
 /// old, now and then otherwise.
 pub(crate) async fn follow_peers(state: Rc<EntryState>) {
-    let client = state.client.clone();
     let mut asked = 0;
     let first = state.peers.borrow().candidates();
-    let asking = first.into_iter().map(|peer| ask(Rc::clone(&state), client.clone(), peer));
+    let asking = first.into_iter().map(|peer| ask(Rc::clone(&state), peer));
     // Whoever has not answered by then is asked again below.
     let _ = tokio::time::timeout(Duration::from_millis(FIRST_ANSWER_MS), join_all(asking)).await;
     state.has_asked_peers.set(true);
     loop {
         if let Some(peer) = state.next_to_ask() {
-            let asking = ask(Rc::clone(&state), client.clone(), peer);
+            let asking = ask(Rc::clone(&state), peer);
             tokio::task::spawn_local(asking);
             asked += 1;
         }
@@ -240,19 +236,14 @@
     }
 }
 
-async fn ask(state: Rc<EntryState>, client: reqwest::Client, peer: SocketAddr) {
+async fn ask(state: Rc<EntryState>, peer: SocketAddr) {
     let shared_sum = Some(state.words_sum());
-    put(&state, &client, peer, Question { shared_sum, ..question(&state) }).await;
+    exchange_with(&state, peer, Question { shared_sum, ..question(&state) }).await;
 }
 
 /// Tells a peer what entries tell each other.
-pub(crate) async fn tell(
-    state: Rc<EntryState>,
-    client: reqwest::Client,
-    peer: SocketAddr,
-    shared: Vec<SharedWord>,
-) {
-    put(&state, &client, peer, Question { shared, ..question(&state) }).await;
+pub(crate) async fn tell(state: Rc<EntryState>, peer: SocketAddr, shared: Vec<SharedWord>) {
+    exchange_with(&state, peer, Question { shared, ..question(&state) }).await;
 }
 
 fn question(state: &EntryState) -> Question {
@@ -264,9 +255,9 @@
     }
 }
 
-async fn put(state: &EntryState, client: &reqwest::Client, peer: SocketAddr, question: Question) {
+async fn exchange_with(state: &EntryState, peer: SocketAddr, question: Question) {
     let sent_at = boot_now();
-    match call(client, peer, &question).await {
+    match call(&state.client, peer, &question).await {
         Ok(answer) => take_over(state, peer, answer, sent_at),
         Err(error) => {
             metrics::counter!("hickorycross_exchange_failures_total").increment(1);
@@ -276,41 +267,11 @@
     }
 }
 
-/// Why a peer's answer could not be had.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum ExchangeError {
-    #[error("no answer: {0}")]
-    Unanswered(#[from] reqwest::Error),
-    #[error("unreadable: {0}")]
-    Unreadable(#[from] postcard::Error),
-}
-
-/// A client for questions to peers.
-pub(crate) fn client() -> reqwest::Client {
-    let builder = reqwest::Client::builder().no_proxy();
-    let builder = builder.timeout(Duration::from_millis(ANSWER_TIMEOUT_MS));
-    // A kept connection may have gone silent; a question every few seconds bears a fresh one.
-    builder.pool_max_idle_per_host(0).build().unwrap_or_default()
-}
-
 /// Asks one peer.
 pub(crate) async fn call(
     client: &reqwest::Client,
     peer: SocketAddr,
     question: &Question,
-) -> Result<Answer, ExchangeError> {
+) -> Result<Answer, PeerCallError> {
     post(client, peer, EXCHANGE_PATH, question).await
 }
-
-/// Sends a question to `path` of a peer.
-pub(crate) async fn post<Q: Serialize, A: DeserializeOwned>(
-    client: &reqwest::Client,
-    peer: SocketAddr,
-    path: &str,
-    question: &Q,
-) -> Result<A, ExchangeError> {
-    let body = postcard::to_stdvec(question)?;
-    let request = client.post(format!("http://{peer}{path}")).body(body);
-    let response = request.send().await?.error_for_status()?;
-    Ok(postcard::from_bytes(&response.bytes().await?)?)
-}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 mod forward;
 mod limit_share;
 mod operators;
+mod peer_call;
 mod process;
 mod reload;
 mod settings;
--- a/crates/direct/src/limit_share.rs
+++ b/crates/direct/src/limit_share.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
-use crate::exchange::{self, ExchangeError};
+use crate::peer_call::{self, PeerCallError};
 use crate::spread::{SharedWord, hear};
 use crate::state::EntryState;
 use hickorycross_core::direct::{BootMs, IncarnationDigest, LimitGrant, LimitWord, granting_entry};
@@ -143,8 +143,8 @@
         }
         let silent = state.silent_entries.all();
         let question = LimitQuestion { asker: own, word, wanted, silent };
-        let answer: Result<LimitAnswer, ExchangeError> =
-            exchange::post(&state.client, entry, LIMIT_SHARE_PATH, &question).await;
+        let answer: Result<LimitAnswer, PeerCallError> =
+            peer_call::post(&state.client, entry, LIMIT_SHARE_PATH, &question).await;
         match answer {
             Ok(LimitAnswer::Granted(grant)) => return Some(grant),
             Ok(LimitAnswer::Ask(other)) => entry = other,
--- a/crates/direct/src/spread.rs
+++ b/crates/direct/src/spread.rs
@@ -99,7 +99,6 @@
 
 /// Tells peers what is in the outbox, for ever.
 pub(crate) async fn spread(state: Rc<EntryState>) {
-    let client = state.client.clone();
     loop {
         let words = state.outbox.next_round(boot_now());
         if words.is_empty() {
@@ -108,7 +107,7 @@
         }
         let peers = state.peers.borrow().draw(PEERS_A_ROUND, &mut *state.random.borrow_mut());
         for peer in peers {
-            let telling = exchange::tell(Rc::clone(&state), client.clone(), peer, words.clone());
+            let telling = exchange::tell(Rc::clone(&state), peer, words.clone());
             tokio::task::spawn_local(telling);
         }
         tokio::time::sleep(Duration::from_millis(ROUND_MS)).await;
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -2,10 +2,10 @@
 
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
-use crate::exchange;
 use crate::follow::CATALOG_WAIT_MS;
 use crate::forward::{Pool, Suspicions};
 use crate::limit_share::SilentEntries;
+use crate::peer_call;
 use crate::settings::ProcessSettings;
 use crate::spread::{Outbox, SharedWord};
 use crate::wire_names::WireNames;
@@ -153,7 +153,7 @@
             limit_grants: RefCell::default(),
             limit_permits: RefCell::default(),
             silent_entries: SilentEntries::default(),
-            client: exchange::client(),
+            client: peer_call::client(),
             outbox: Outbox::default(),
             random: RefCell::new(ChaCha8Rng::from_rng(&mut rand::rng())),
             outlooks: RefCell::default(),
