fix(map-change): a phase belongs to its epoch also where it has no orders

Cause: whether a phase is of an epoch that is over was read off its orders. As the held pass is let go and not all ranks have said yet that they switched, the leader has nothing left to order; no orders at all are of any epoch. If the group goes down at that moment, the leader waits in the new epoch for a map that nobody has.

Change: orders carry the epoch of their phase. The model of a group goes down and is formed anew: one or two ranks crash, once or twice, the leader's own among them, and ranks tell of the new epoch up to 0.3 s apart.

--- a/crates/core/src/map_change/change.rs
+++ b/crates/core/src/map_change/change.rs
@@ -132,7 +132,7 @@
             return;
         }
         let order = self.order(epoch, OrderKind::HoldAhead { steps: self.steps_ahead() });
-        let mut orders = Orders::default();
+        let mut orders = Orders::of(epoch);
         orders.add_given_by(self.own_rank, holder, self.take_number(), order);
         self.phase = Phase::Holding(Holding { version, holder, orders, asked_at: now });
         self.note("prepared", version, epoch, None, actions);
@@ -248,7 +248,7 @@
     fn arm_own(&mut self, epoch: u64, arming: &mut Arming, giver: u16) {
         let (version, step) = (arming.version, arming.step);
         let order = self.order(epoch, OrderKind::Arm { version, step });
-        arming.orders = Orders::default();
+        arming.orders = Orders::of(epoch);
         arming.orders.add_given_by(giver, self.own_rank, self.take_number(), order);
         arming.own_armed_by = Some(giver);
     }
--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -411,7 +411,7 @@
     }
 
     pub(super) fn orders_to(&mut self, ranks: &[u16], epoch: u64, kind: &OrderKind) -> Orders {
-        let mut orders = Orders::default();
+        let mut orders = Orders::of(epoch);
         for rank in ranks {
             let order = self.order(epoch, kind.clone());
             orders.add(*rank, self.take_number(), order);
--- a/crates/core/src/map_change/phase.rs
+++ b/crates/core/src/map_change/phase.rs
@@ -145,8 +145,10 @@
 }
 
 /// Orders of one phase, one to each of some ranks.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Orders {
+    /// The group's epoch for which the phase is meant, also where there is nothing to order.
+    epoch: u64,
     rows: IndexMap<u16, OrderRow>,
     /// Time of the leader's link that one order takes.
     link_ms: u64,
@@ -167,6 +169,11 @@
 }
 
 impl Orders {
+    /// No orders yet, for a phase in `epoch`.
+    pub(crate) fn of(epoch: u64) -> Self {
+        Self { epoch, rows: IndexMap::new(), link_ms: 0, again_until: BootMs(0) }
+    }
+
     /// Adds an order that is sent at once, and given by the agent beside the rank.
     pub(crate) fn add(&mut self, rank: u16, number: u64, order: RankOrder) {
         self.add_given_by(rank, rank, number, order);
@@ -219,8 +226,8 @@
     }
 
     /// Whether the orders are meant for `epoch`.
-    pub(crate) fn is_of(&self, epoch: u64) -> bool {
-        self.rows.values().all(|row| row.order.epoch == epoch)
+    pub(crate) const fn is_of(&self, epoch: u64) -> bool {
+        self.epoch == epoch
     }
 
     pub(crate) fn all_done(&self) -> bool {
--- a/crates/core/src/map_change/settle.rs
+++ b/crates/core/src/map_change/settle.rs
@@ -118,7 +118,7 @@
 
     /// Orders to let held passes go.
     pub(super) fn orders_to_go(&mut self, epoch: u64, held: &[(u16, u64)]) -> Orders {
-        let mut orders = Orders::default();
+        let mut orders = Orders::of(epoch);
         for (rank, step) in held {
             let order = self.order(epoch, OrderKind::Go { step: *step });
             orders.add(*rank, self.take_number(), order);
--- a/crates/core/src/map_change/undo.rs
+++ b/crates/core/src/map_change/undo.rs
@@ -28,7 +28,7 @@
     ) {
         self.fence += FENCE_STEP;
         let version = self.abandoned_version();
-        let mut orders = Orders::default();
+        let mut orders = Orders::of(epoch);
         for (rank, step) in &held {
             let order = self.order(epoch, OrderKind::Fence { step: *step });
             orders.add(*rank, self.take_number(), order);
--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -32,6 +32,13 @@
 /// Age of what a rank says of itself to another machine.
 const REPORT_LAG_MS: u64 = 200;
 
+/// Time for which a group stalls when a rank crashes, before it is formed anew.
+const STALL_MS: u64 = 400;
+/// Time by which a rank may tell of a new epoch later than others.
+const MOST_EPOCH_LAG_MS: u64 = 300;
+/// Time between two crashes of one rank, in the same outage.
+const CRASH_AGAIN_MS: u64 = 150;
+
 pub(crate) const RANKS: u16 = 6;
 pub(crate) const DIMENSIONS: GroupDimensions = GroupDimensions {
     layers: 2,
@@ -43,6 +50,8 @@
 /// What a rank has been told.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Rank {
+    /// The epoch of which the rank knows.
+    epoch: u64,
     pub(crate) map: u64,
     pub(crate) experts: Vec<Vec<u16>>,
     pub(crate) prepared: Option<(u64, Vec<Vec<u16>>)>,
@@ -99,6 +108,19 @@
     pub(crate) agents_die_permille: u32,
     /// The agent that leads and that of the rank that holds die together, in each such tick.
     pub(crate) both_go_permille: u32,
+    /// A rank refuses an order that it could carry out.
+    pub(crate) refused_permille: u32,
+    /// Ranks crash and the group is formed anew, in each tick of a change.
+    pub(crate) group_breaks_permille: u32,
+}
+
+/// A group that stands because a rank crashed.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    /// When the group makes passes again, in another epoch.
+    formed_at: BootMs,
+    /// Until when the group still calls itself open.
+    open_until: BootMs,
 }
 
 /// What an agent was told by the leader that it watches.
@@ -118,6 +140,17 @@
     pub(crate) switches: u64,
     pub(crate) standing_ms: u64,
     pub(crate) longest_standing_ms: u64,
+    /// Time for which a group that is whole has kept the uneven map that it was formed with.
+    pub(crate) formed_map_ms: u64,
+    pub(crate) longest_formed_map_ms: u64,
+    /// How many times the group was formed anew.
+    pub(crate) formations: u64,
+    epoch: u64,
+    outage: Option<Outage>,
+    /// When a rank tells of the epoch that the group has.
+    epoch_told_at: Vec<BootMs>,
+    /// Until when a rank that crashed cannot be read.
+    down_until: Vec<BootMs>,
     rng: ChaCha8Rng,
     trouble: Trouble,
     leaders: Vec<Option<Leader>>,
@@ -150,20 +183,20 @@
 impl World {
     pub(crate) fn new(seed: u64, trouble: Trouble) -> Self {
         let count = usize::from(RANKS);
-        let experts = |rank: u16| {
-            let own: Vec<u16> =
-                (0..DIMENSIONS.experts_per_layer).filter(|e| e % RANKS == rank).collect();
-            vec![own; usize::from(DIMENSIONS.layers)]
-        };
         let mut world = Self {
             now: BootMs(10_000),
             step: 0,
-            ranks: (0..RANKS)
-                .map(|rank| Rank { experts: experts(rank), ..Rank::default() })
-                .collect(),
+            ranks: (0..RANKS).map(|rank| formed_rank(rank, 1)).collect(),
             switches: 0,
             standing_ms: 0,
             longest_standing_ms: 0,
+            formed_map_ms: 0,
+            longest_formed_map_ms: 0,
+            formations: 0,
+            epoch: 1,
+            outage: None,
+            epoch_told_at: vec![BootMs(0); count],
+            down_until: vec![BootMs(0); count],
             rng: ChaCha8Rng::seed_from_u64(seed),
             trouble,
             leaders: Vec::new(),
@@ -233,7 +266,9 @@
 
     /// Whether nothing is heard of an agent.
     fn is_mute(&self, rank: usize) -> bool {
-        self.is_frozen(rank) || self.agents_dead_until[rank] > self.now
+        self.is_frozen(rank)
+            || self.agents_dead_until[rank] > self.now
+            || self.down_until[rank] > self.now
     }
 
     /// Agents that watch a leader take over when it is not heard.
@@ -257,6 +292,7 @@
     }
 
     /// How many leaders have begun.
+    #[allow(dead_code, reason = "each test program uses a part of the model")]
     pub(crate) fn leaders_begun(&self) -> usize {
         self.leaders.len()
     }
@@ -266,12 +302,14 @@
         for _ in 0..span_ms / TICK_MS {
             self.now = self.now.after(TICK_MS);
             self.carry_out_late();
+            self.form_anew();
             self.finish_copies();
             self.restart_agents();
             self.agents();
             self.leaders();
             self.take_over();
             self.remember_said();
+            self.measure_formed_map();
             if self.now.0.is_multiple_of(PASS_MS) {
                 self.pass();
             }
@@ -283,6 +321,10 @@
 
     /// Begins a pass unless a rank holds it, and asserts that all ranks have one map in it.
     fn pass(&mut self) {
+        if self.outage.is_some() {
+            self.standing_ms = 0;
+            return;
+        }
         let next = self.step + 1;
         if self.ranks.iter().any(|rank| rank.held_step.is_some_and(|held| held <= next)) {
             self.standing_ms += PASS_MS;
@@ -334,6 +376,9 @@
     fn apply(&mut self, rank: usize, order: &RankOrder, named: Option<u64>) -> OrderEnd {
         let (now, step) = (self.now, self.step);
         let place = &mut self.ranks[rank];
+        if order.epoch != place.epoch || self.down_until[rank] > now {
+            return OrderEnd::Refused;
+        }
         if order.fence < place.fence && !self.trouble.ignores_fences {
             return OrderEnd::Fenced;
         }
@@ -485,6 +530,9 @@
             self.late.push(LateOrder { at, rank, order: order.clone(), armed });
             return None;
         }
+        if self.trouble.refused_permille > 0 && self.chance(self.trouble.refused_permille) {
+            return Some(OrderEnd::Refused);
+        }
         let end = self.apply(rank, order, named);
         if self.chance(self.trouble.lost_permille) {
             return None;
@@ -554,6 +602,7 @@
                 self.read_from_afar(&mut leader);
             }
             self.trouble_change(own_rank, &leader);
+            self.trouble_group(own_rank, &leader);
             let is_dead = self.agents_dead_until[own_rank] > self.now;
             self.leaders[index] = (!leader.is_deposed() && !is_dead).then_some(leader);
         }
@@ -624,6 +673,64 @@
         }
     }
 
+    /// Ranks crash while `leader`, beside the rank `own`, makes a change: one or two of any, its own among
+    /// them, and one of them twice at times.
+    fn trouble_group(&mut self, own: usize, leader: &Leader) {
+        let permille = self.trouble.group_breaks_permille;
+        let may_break = permille > 0 && self.outage.is_none() && leader.is_busy();
+        if may_break && self.chance(permille) {
+            let first = if self.chance(300) { own } else { self.rng.random_range(0..RANKS.into()) };
+            let second = self.rng.random_range(0..usize::from(RANKS));
+            let crashes = self.rng.random_range(1..=2);
+            self.break_group(&[first, second][..crashes]);
+        }
+    }
+
+    /// The ranks in `crashed` crash, and all others stall with them.
+    #[allow(dead_code, reason = "each test program uses a part of the model")]
+    pub(crate) fn break_group(&mut self, crashed: &[usize]) {
+        let open_until = self.now.after(STALL_MS);
+        let mut formed_at = open_until;
+        for rank in crashed {
+            let crashes = self.rng.random_range(1..=2);
+            let back_at = open_until.after(crashes * CRASH_AGAIN_MS);
+            self.down_until[*rank] = back_at;
+            self.ranks[*rank] = Rank { fence: 0, ..formed_rank(*rank as u16, self.epoch) };
+            formed_at = formed_at.max(back_at.after(CRASH_AGAIN_MS));
+        }
+        self.outage = Some(Outage { formed_at, open_until });
+    }
+
+    /// The group is whole again: nothing is prepared, armed or held, and the map is the first one.
+    fn form_anew(&mut self) {
+        if self.outage.is_none_or(|outage| outage.formed_at > self.now) {
+            return;
+        }
+        self.outage = None;
+        self.formations += 1;
+        self.epoch += 1;
+        self.step = 0;
+        self.formed_map_ms = 0;
+        for (index, rank) in self.ranks.iter_mut().enumerate() {
+            *rank = Rank { fence: rank.fence, ..formed_rank(index as u16, self.epoch) };
+            let lag_ms = self.rng.random_range(0..=MOST_EPOCH_LAG_MS);
+            self.epoch_told_at[index] = self.now.after(lag_ms);
+        }
+    }
+
+    /// Counts the time in which the group is whole and heard, and keeps the map that it was formed with.
+    fn measure_formed_map(&mut self) {
+        let is_heard = |rank: usize| !self.is_mute(rank) && self.epoch_told_at[rank] <= self.now;
+        let is_whole = self.outage.is_none() && (0..self.ranks.len()).all(is_heard);
+        let has_formed_map = self.ranks.iter().all(|rank| rank.map == 0);
+        if is_whole && has_formed_map {
+            self.formed_map_ms += TICK_MS;
+            self.longest_formed_map_ms = self.longest_formed_map_ms.max(self.formed_map_ms);
+        } else {
+            self.formed_map_ms = 0;
+        }
+    }
+
     fn kill_agent(&mut self, rank: usize) {
         self.agents_dead_until[rank] = self.now.after(DEAD_AGENT_MS);
         self.forget(rank);
@@ -766,6 +873,12 @@
         }
     }
 
+    /// The epoch that a rank's word is of; some ranks hear later than others that the group is formed anew.
+    fn told_epoch(&self, rank: usize) -> u64 {
+        let is_told = self.epoch_told_at[rank] <= self.now;
+        if is_told { self.ranks[rank].epoch } else { self.ranks[rank].epoch - 1 }
+    }
+
     pub(crate) fn status(&mut self, rank: usize) -> RankStatus {
         let layers = usize::from(DIMENSIONS.layers);
         let experts = DIMENSIONS.experts_per_layer;
@@ -777,8 +890,8 @@
             group: "g".to_owned(),
             rank: rank as u16,
             ranks: RANKS,
-            epoch: 1,
-            is_open: true,
+            epoch: self.told_epoch(rank),
+            is_open: self.outage.is_none_or(|outage| outage.open_until > self.now),
             step: self.step,
             map: place.map,
             prepared: place.prepared.as_ref().map(|(version, _)| *version),
@@ -799,3 +912,9 @@
     let ordered = witness.ordered.map(|ordered| OrderedBeside { is_armed: false, ..ordered });
     Witness { ordered, ..witness }
 }
+
+/// A rank as the group is formed: with every so many-th expert, by the map 0.
+fn formed_rank(rank: u16, epoch: u64) -> Rank {
+    let own: Vec<u16> = (0..DIMENSIONS.experts_per_layer).filter(|e| e % RANKS == rank).collect();
+    Rank { epoch, experts: vec![own; usize::from(DIMENSIONS.layers)], ..Rank::default() }
+}
