fix(map-change): a pass that its rank refuses to let go is let go again

A leader that has all ranks armed orders the holder to let the pass go. A refusal (the rank's platform answers 503 while its group stalls, say) was taken for nothing: the order had its end and was not given again, and the group stood before that pass until it was formed anew.

Now the order is given again while the rank says that it holds. All ranks are armed alike, so that nothing but the switch can follow.

--- a/crates/core/src/map_change/change.rs
+++ b/crates/core/src/map_change/change.rs
@@ -262,15 +262,15 @@
         actions: &mut Vec<LeaderAction>,
     ) {
         let has_switched = self.statuses().all(|status| status.map == version);
-        if !orders.all_done() {
+        if orders.open() > 0 {
             self.phase = Phase::Releasing { version, holder, orders };
         } else if has_switched {
             // Without this, all ranks would have to tell what they hold before the next change.
             self.map = self.told.clone().filter(|(told, _)| *told == version);
             self.note("switched", version, epoch, None, actions);
         } else {
-            // A hold of an earlier leader may have been carried out late. All ranks are armed alike
-            // and refuse its other orders, so that its pass may begin as well.
+            // The rank that holds may have refused, and a hold of an earlier leader may have been carried out
+            // late. All ranks are armed alike and refuse its other orders, so that its pass may begin as well.
             let held = self.held();
             let orders = self.orders_to_go(epoch, &held);
             self.phase = Phase::Releasing { version, holder, orders };
--- a/crates/core/tests/map_change.rs
+++ b/crates/core/tests/map_change.rs
@@ -94,6 +94,13 @@
             least_switches: 1,
             longest_standing_ms: LONGEST_STANDING_MS,
         },
+        Case {
+            name: "ranks refuse orders at times",
+            trouble: Trouble { refused_permille: 100, ..Trouble::default() },
+            seeds: 0..30,
+            least_switches: 3,
+            longest_standing_ms: LONGEST_STANDING_MS,
+        },
         Case {
             name: "leaders die and freeze",
             trouble: Trouble { leader_gone_permille: 10, ..Trouble::default() },
