feat(agent): a leader of an uneven group says why it gets no other map

Now, from one second without an even map on, event=uneven says once a second what keeps the leader from a change: the phase it is in, the rank that is missed and the age of its word, another epoch, a pass held or a rank armed for a change that was left, a map or demand that is not known. hickorycross_group_uneven_seconds is the time since the last even map.

--- a/crates/core/src/map_change/change.rs
+++ b/crates/core/src/map_change/change.rs
@@ -255,6 +255,7 @@
 
     pub(super) fn release(
         &mut self,
+        now: BootMs,
         version: u64,
         holder: u16,
         orders: Orders,
@@ -267,6 +268,7 @@
         } else if has_switched {
             // Without this, all ranks would have to tell what they hold before the next change.
             self.map = self.told.clone().filter(|(told, _)| *told == version);
+            self.even_clock.note_even(now);
             self.note("switched", version, epoch, None, actions);
         } else {
             // The rank that holds may have refused, and a hold of an earlier leader may have been carried out
--- a/crates/core/src/map_change/decide.rs
+++ b/crates/core/src/map_change/decide.rs
@@ -30,6 +30,14 @@
 /// have then left the newest ones. They are counted between two polls, which lie about as far apart.
 const SETTLE_MS: u64 = 100;
 
+/// What a search for a better map has found.
+enum Better {
+    /// A map, with the bottleneck before and after the change to it in thousandths of an even load.
+    Map(ExpertMap, (u64, u64)),
+    /// No map is worth its change.
+    None,
+}
+
 impl Leader {
     /// Looks at the demand, and begins a change that pays.
     pub(super) fn look(
@@ -56,14 +64,17 @@
         if !is_settled || self.demand.seen() < LEAST_CHOICES {
             return;
         }
-        if let Some((map, bottleneck_permille)) = self.better_map(dimensions) {
-            self.begin(now, epoch, map, Some(bottleneck_permille), actions);
+        match self.better_map(dimensions) {
+            Some(Better::Map(map, bottleneck_permille)) => {
+                self.begin(now, epoch, map, Some(bottleneck_permille), actions);
+            }
+            Some(Better::None) => self.even_clock.note_even(now),
+            None => {}
         }
     }
 
-    /// A map that is worth its change, with the bottleneck before and after it in thousandths of an
-    /// even load.
-    fn better_map(&self, dimensions: &GroupDimensions) -> Option<(ExpertMap, (u64, u64))> {
+    /// A map that is worth its change; nothing where the present one is not known for certain.
+    fn better_map(&self, dimensions: &GroupDimensions) -> Option<Better> {
         let (version, present) = self.map.as_ref()?;
         // A change with a rank whose agent is not heard would hold the group for long.
         let is_aligned =
@@ -77,7 +88,7 @@
         let even = self.demand.seen() / present.ranks().max(1) as f64;
         // No map is better than even; the search takes most of an agent's processor time.
         if before * (1.0 - LEAST_GAIN) <= even {
-            return None;
+            return Some(Better::None);
         }
         let settings = LevelSettings {
             slots_per_rank: dimensions.expert_slots_per_rank,
@@ -90,7 +101,9 @@
         // A map fits the chance in its estimate too, which brings nothing afterwards.
         let least_gain = LEAST_GAIN + self.demand.uncertainty();
         let permille = |load: f64| (load / even * 1000.0) as u64;
-        (after < before * (1.0 - least_gain)).then(|| (map, (permille(before), permille(after))))
+        let is_worth_it = after < before * (1.0 - least_gain);
+        let better = || Better::Map(map, (permille(before), permille(after)));
+        Some(if is_worth_it { better() } else { Better::None })
     }
 
     /// Whether demand has not shifted just now.
--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -7,6 +7,7 @@
 use super::pass_clock::PassClock;
 use super::phase::{Orders, Phase};
 use super::status::{CountsSample, RankStatus};
+use super::uneven::EvenClock;
 use crate::direct::{BootMs, GroupDimensions};
 use crate::placement::ExpertMap;
 use indexmap::IndexMap;
@@ -105,6 +106,7 @@
     pub(super) phase: Phase,
     pub(super) pass_clock: PassClock,
     pub(super) decide_at: BootMs,
+    pub(super) even_clock: EvenClock,
     /// Whether ranks refuse orders with an old fence.
     pub(super) heeds_fences: bool,
     /// How many times orders were given lately, against how many of them.
@@ -134,6 +136,7 @@
             phase: Phase::Steady,
             pass_clock: PassClock::default(),
             decide_at: BootMs(0),
+            even_clock: EvenClock::default(),
             heeds_fences: true,
             order_sends: OrderSends::default(),
             may_be_held_until: BootMs(0),
@@ -208,7 +211,12 @@
     /// Whether a change is under way, in which statuses should come often.
     #[must_use]
     pub fn is_busy(&self) -> bool {
-        !matches!(self.phase, Phase::Steady) || self.is_held()
+        self.is_changing() || self.is_held()
+    }
+
+    /// Whether a change, or the end of one, is under way.
+    pub(super) const fn is_changing(&self) -> bool {
+        !matches!(self.phase, Phase::Steady)
     }
 
     /// The group that is led.
@@ -309,7 +317,7 @@
             Phase::Holding(holding) => return self.hold(now, epoch, holding, actions),
             Phase::Arming(arming) => return self.arm(now, epoch, arming, actions),
             Phase::Releasing { version, holder, orders } => {
-                return self.release(version, holder, orders, epoch, actions);
+                return self.release(now, version, holder, orders, epoch, actions);
             }
             Phase::Undoing(undoing) => return self.undo(epoch, undoing, actions),
             phase @ (Phase::Steady | Phase::Preparing(_)) => self.phase = phase,
@@ -355,6 +363,11 @@
         })
     }
 
+    /// Age of a rank's last word.
+    pub(super) fn age_ms(&self, rank: u16, now: BootMs) -> Option<u64> {
+        self.seats.get(&rank).map(|seat| now.since(seat.heard_at))
+    }
+
     /// Whether an agent was heard a moment ago.
     pub(super) fn is_fresh(&self, rank: u16, now: BootMs) -> bool {
         let seat = self.seats.get(&rank).filter(|seat| !seat.status.is_from_afar);
--- a/crates/core/src/map_change/mod.rs
+++ b/crates/core/src/map_change/mod.rs
@@ -25,6 +25,7 @@
 //! - [`LinkPace`] says how fast long messages may follow each other.
 //! - [`Demand`] estimates the load of each expert.
 //! - [`HoldClock`] says how long a rank held a pass.
+//! - [`UnevenNote`] says why a group that is uneven gets no other map.
 //! - [`Unheard`] says which agents entries are to be told of, because nothing is heard of them.
 
 mod change;
@@ -45,6 +46,7 @@
 mod settle;
 mod status;
 mod undo;
+mod uneven;
 mod unheard;
 
 pub use collection::{Collected, Collection};
@@ -58,4 +60,5 @@
 pub use polls::{Asked, Polls, Sections};
 pub use roster::Roster;
 pub use status::{Armed, CountsSample, OrderedBeside, RankStatus, Witness};
+pub use uneven::{Obstacle, UnevenNote};
 pub use unheard::{Heard, Hearing, Unheard, machines_to_hear};
--- a/crates/direct/src/agent/lead.rs
+++ b/crates/direct/src/agent/lead.rs
@@ -10,7 +10,9 @@
 use crate::clock::{boot_now, wall_ms};
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
-use hickorycross_core::map_change::{Asked, Leader, LeaderAction, LeaderNote, Polls, Sections};
+use hickorycross_core::map_change::{
+    Asked, Leader, LeaderAction, LeaderNote, Polls, Sections, UnevenNote,
+};
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -40,6 +42,9 @@
 /// Lower digits of a fence tell leaders apart that began in the same millisecond.
 const FENCES_PER_MS: u64 = 1 << 10;
 
+/// Time for which the group that this agent leads has had no even map; 0 of one that does not lead.
+const UNEVEN_SECONDS: &str = "hickorycross_group_uneven_seconds";
+
 /// Leads whenever no leader is heard, for ever.
 pub(crate) async fn lead(member: Rc<Member>) {
     let mut polls = Polls::default();
@@ -62,13 +67,17 @@
         let machines = member.fleet.machines();
         let (actions, poll, is_busy, is_held) = {
             let mut leading = member.leader.borrow_mut();
-            let Some(leader) = leading.as_mut() else { continue };
+            let Some(leader) = leading.as_mut() else {
+                metrics::gauge!(UNEVEN_SECONDS).set(0.0);
+                continue;
+            };
             let mut actions = leader.decide(now, &dimensions);
             actions.extend(leader.due(boot_now()));
             let (fence, known_map) = (leader.fence(), leader.known_map());
             let group = leader.group().to_owned();
             watchers.set(leader.watchers(), leader.witness_rank());
             let (is_busy, is_held) = (leader.is_busy(), leader.is_held());
+            note_uneven(&member.log, leader, now);
             if leader.is_deposed() {
                 *leading = None;
                 let line = DecisionLog::fields("leader").with("fence", fence);
@@ -208,6 +217,17 @@
     member.log.note(line.with_some("bottleneck_after_permille", bottleneck.map(|it| it.1)));
 }
 
+/// Says why a group that is uneven gets no other map, and for how long it has had no even one.
+fn note_uneven(log: &DecisionLog, leader: &mut Leader, now: BootMs) {
+    let uneven_s = leader.uneven_ms(now) as f64 / 1_000.0;
+    metrics::gauge!(UNEVEN_SECONDS).set(uneven_s);
+    let Some(UnevenNote { obstacle, uneven_ms, epoch }) = leader.uneven_note(now) else { return };
+    let line = DecisionLog::fields("uneven").with("group", leader.group());
+    let line = line.with("uneven_ms", uneven_ms).with_some("epoch", epoch);
+    let line = line.with("fence", leader.fence()).with_some("rank", obstacle.rank());
+    log.note(line.with_some("age_ms", obstacle.age_ms()).with("outcome", obstacle.as_str()));
+}
+
 /// Writes a line a second while this agent leads, for ever.
 pub(super) async fn tell_link(member: Rc<Member>) {
     loop {
