fix(entry): a rank back from a cut gets a part of what comes, not all of it

Callers whose requests lay unrun at a rank as its machine froze left after 2 s, and the rank began them when it woke (GONE).

Cause: each entry sends to the least loaded rank by its own count, and one that is back is that for all of them at once.

Change: a backend server with far less than the middle one gets three times an even part of each entry's requests. That is three times an even part of all, however many entries there are, so that it is shared without a message. A stream that has not begun counts as three requests, so that a single entry does not fill the rank by itself.

--- a/crates/core/src/direct/backend_table.rs
+++ b/crates/core/src/direct/backend_table.rs
@@ -96,6 +96,8 @@
     pub(super) server: BackendServer,
     listing: Listing,
     pub(super) outstanding: u32,
+    /// Streams among them that have not given an event.
+    pub(super) unbegun: u32,
     failures_in_row: u32,
     pub(super) failure_share: f64,
     pub(super) paused_until: BootMs,
@@ -301,6 +303,20 @@
         }
     }
 
+    /// Counts a stream among the requests sent to a backend server, until its first event or its end.
+    pub fn note_unbegun(&mut self, server: &BackendServer) {
+        if let Some(row) = self.row_of(server) {
+            row.unbegun += 1;
+        }
+    }
+
+    /// Counts the first event of a stream, or the end of one that has given none.
+    pub fn note_begun(&mut self, server: &BackendServer) {
+        if let Some(row) = self.row_of(server) {
+            row.unbegun = row.unbegun.saturating_sub(1);
+        }
+    }
+
     /// Counts the end of a request at a backend server.
     pub fn note_ended(&mut self, server: &BackendServer) {
         if let Some(row) = self.row_of(server) {
@@ -378,6 +394,7 @@
             server,
             listing: Listing::Listed,
             outstanding: 0,
+            unbegun: 0,
             failures_in_row: 0,
             failure_share: 0.0,
             paused_until: BootMs(0),
--- a/crates/core/src/direct/choice.rs
+++ b/crates/core/src/direct/choice.rs
@@ -9,6 +9,17 @@
 /// Requests that being in another failure domain is worth: it only settles ties.
 const OTHER_DOMAIN_PENALTY_REQUESTS: f64 = 0.3;
 
+/// Requests that a stream without an event is worth beyond itself when loads are compared.
+///
+/// A rank begins a few streams in a pass; what lies there unrun is lost to its callers if the machine freezes.
+const UNBEGUN_PENALTY_REQUESTS: f64 = 2.0;
+
+/// Requests by which a load lies below the middle one from which it is far less.
+const FAR_LESS_REQUESTS: f64 = 0.9;
+
+/// Part of all requests that a backend server with far less than others gets, as a multiple of an even part.
+const CATCH_UP_PARTS: f64 = 3.0;
+
 /// Difference of two loads that counts as none.
 const EQUAL_REQUESTS: f64 = 0.05;
 
@@ -54,6 +65,8 @@
         let is_awake = |row: &&Row| row.paused_until <= now && !(leaves && row.is_avoided(now));
         let awake: Vec<&Row> = open.iter().copied().filter(is_awake).collect();
         let rows = if awake.is_empty() { open } else { awake };
+        let others = rows.len().saturating_sub(1);
+        let (rows, draw) = self.offered(rows, now, draw)?;
         let load_requests = rows.iter().map(|row| self.load(row, now)).min_by(f64::total_cmp)?;
         // Entries do not see each other's requests: if each took the first one among equals, the first
         // ones of the list would get the requests of all.
@@ -61,7 +74,32 @@
         let equals: Vec<&&Row> = rows.iter().filter(is_least).collect();
         let drawn = ((draw * equals.len() as f64) as usize).min(equals.len() - 1);
         let server = equals[drawn].server.clone();
-        Some(Choice { server, load_requests, others: rows.len() - 1 })
+        Some(Choice { server, load_requests, others })
+    }
+
+    /// Among which of `rows` a request chooses, and what is left of its draw.
+    ///
+    /// Entries do not see each other's requests. A rank that is back from a cut has nothing open at any of them, and
+    /// if it were the least loaded one for all it would get every request of all entries until each has sent it as
+    /// much as it has elsewhere. So those with far less than the others get some multiple of an even part of each
+    /// entry's requests, which is that of all entries' together, however many there are.
+    fn offered<'a>(
+        &self,
+        rows: Vec<&'a Row>,
+        now: BootMs,
+        draw: f64,
+    ) -> Option<(Vec<&'a Row>, f64)> {
+        let all = rows.len() as f64;
+        let mut loads: Vec<f64> = rows.iter().map(|row| self.load(row, now)).collect();
+        loads.sort_by(f64::total_cmp);
+        let middle = *loads.get(loads.len() / 2)?;
+        let has_far_less = |row: &&Row| self.load(row, now) + FAR_LESS_REQUESTS < middle;
+        let (few, rest): (Vec<&Row>, Vec<&Row>) = rows.into_iter().partition(has_far_less);
+        let part = (few.len() as f64 * CATCH_UP_PARTS / all).min(1.0);
+        if draw < part {
+            return Some((few, draw / part));
+        }
+        Some((rest, (draw - part) / (1.0 - part)))
     }
 
     /// Whether streams at a backend server should go on elsewhere, because it holds its group up.
@@ -89,8 +127,10 @@
     fn load(&self, row: &Row, now: BootMs) -> f64 {
         let is_near = row.server.failure_domain == self.own_failure_domain;
         let distance = if is_near { 0.0 } else { OTHER_DOMAIN_PENALTY_REQUESTS };
-        let requests =
-            f64::from(row.outstanding) + distance + row.failure_share * FAILURE_PENALTY_REQUESTS;
+        let requests = f64::from(row.outstanding)
+            + f64::from(row.unbegun) * UNBEGUN_PENALTY_REQUESTS
+            + distance
+            + row.failure_share * FAILURE_PENALTY_REQUESTS;
         let pace_permille = row.pace_permille(now);
         // The next request counts as well, so that a slow server is no choice even when it is idle.
         (requests + 1.0) * f64::from(pace_permille) / f64::from(USUAL_PACE_PERMILLE) - 1.0
--- /dev/null
+++ b/crates/core/tests/returning_rank.rs
@@ -0,0 +1,139 @@
+//! Plays entries that send streams to the ranks of a group, one of which is back from a cut.
+
+use googletest::prelude::*;
+use hickorycross_core::direct::{BackendServer, BackendState, BackendTable, BootMs};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+
+const TICK_MS: u64 = 10;
+/// Time of a pass, in which a rank begins a stream or two.
+const PASS_MS: u64 = 100;
+const BEGUN_IN_A_PASS: usize = 2;
+/// Time for which a stream runs.
+const STREAM_MS: u64 = 2_000;
+/// Streams that come in a second for each rank: twelve are open at each on the average.
+const COME_PER_RANK_S: f64 = 5.5;
+/// When the cut begins and ends, and for how long what is sent after it counts.
+const CUT_AT_MS: u64 = 6_000;
+const BACK_AT_MS: u64 = 9_000;
+const COUNTED_MS: u64 = 1_500;
+/// Time for which a stream may lie at a rank until it begins, on its callers' target of half a second.
+const MOST_UNBEGUN_MS: u64 = 300;
+
+struct Case {
+    name: &'static str,
+    entries: usize,
+    ranks: usize,
+}
+
+const CASES: [Case; 5] = [
+    Case { name: "one entry", entries: 1, ranks: 12 },
+    Case { name: "a small site", entries: 4, ranks: 12 },
+    Case { name: "many entries before few ranks", entries: 12, ranks: 16 },
+    Case { name: "a large site", entries: 11, ranks: 63 },
+    Case { name: "a large fleet", entries: 35, ranks: 129 },
+];
+
+/// A stream at a rank.
+#[derive(Clone, Copy)]
+struct Stream {
+    entry: usize,
+    sent_ms: u64,
+}
+
+/// What a rank has.
+#[derive(Default)]
+struct Rank {
+    queue: VecDeque<Stream>,
+    /// When running streams end, and whose they are.
+    running: VecDeque<(u64, usize)>,
+}
+
+fn server(rank: usize) -> BackendServer {
+    BackendServer {
+        id: format!("r{rank}"),
+        born_ms: 1,
+        service: "model".to_owned(),
+        address: ([10, 0, 0, 1], rank as u16 + 1).into(),
+        failure_domain: "a".to_owned(),
+        slots: 12,
+        state: BackendState::Ready,
+        listed_at_revision: 1,
+    }
+}
+
+/// Times for which streams that are sent soon after the cut lie unrun at the rank that is back.
+fn unbegun_ms(case: &Case, seed: u64) -> Vec<u64> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let servers: Vec<BackendServer> = (0..case.ranks).map(server).collect();
+    let mut table = BackendTable::new("a");
+    servers.iter().for_each(|server| {
+        table.put(server.clone());
+    });
+    let mut tables = vec![table; case.entries];
+    let mut ranks: Vec<Rank> = servers.iter().map(|_| Rank::default()).collect();
+    let mut unbegun_ms = Vec::new();
+    for now_ms in (0..BACK_AT_MS + 2 * COUNTED_MS).step_by(TICK_MS as usize) {
+        let now = BootMs(now_ms);
+        if now_ms == CUT_AT_MS {
+            // Its streams go on elsewhere; nothing is sent there.
+            let cut = std::mem::take(&mut ranks[0]);
+            for table in &mut tables {
+                table.note_hearing(servers[0].address, false, now);
+            }
+            for entry in cut.running.iter().map(|(_, entry)| *entry) {
+                tables[entry].note_ended(&servers[0]);
+            }
+            for stream in cut.queue {
+                tables[stream.entry].note_begun(&servers[0]);
+                tables[stream.entry].note_ended(&servers[0]);
+            }
+        }
+        if now_ms == BACK_AT_MS {
+            tables.iter_mut().for_each(|table| table.note_hearing(servers[0].address, true, now));
+        }
+        for (rank, server) in ranks.iter_mut().zip(&servers) {
+            while let Some((_, entry)) =
+                rank.running.pop_front_if(|(ends_ms, _)| *ends_ms <= now_ms)
+            {
+                tables[entry].note_ended(server);
+            }
+            if now_ms % PASS_MS != 0 {
+                continue;
+            }
+            for stream in rank.queue.drain(..rank.queue.len().min(BEGUN_IN_A_PASS)) {
+                tables[stream.entry].note_begun(server);
+                rank.running.push_back((now_ms + STREAM_MS, stream.entry));
+                let is_counted = (BACK_AT_MS..BACK_AT_MS + COUNTED_MS).contains(&stream.sent_ms);
+                if server.id == "r0" && is_counted {
+                    unbegun_ms.push(now_ms - stream.sent_ms);
+                }
+            }
+        }
+        let come = COME_PER_RANK_S * case.ranks as f64 * TICK_MS as f64 / 1_000.0;
+        let come = come as usize + usize::from(random.random_bool(come.fract()));
+        for _ in 0..come {
+            let entry = random.random_range(0..case.entries);
+            let choice = tables[entry].choose("model", &[], now, random.random::<f64>());
+            let Some(server) = choice.map(|choice| choice.server) else { continue };
+            tables[entry].note_sent(&server);
+            tables[entry].note_unbegun(&server);
+            let rank = servers.iter().position(|it| it.id == server.id).unwrap_or(0);
+            ranks[rank].queue.push_back(Stream { entry, sent_ms: now_ms });
+        }
+    }
+    unbegun_ms
+}
+
+// Guards against requests that lie unrun at a rank just back from a cut, because every entry sends it all that comes.
+#[gtest]
+fn a_rank_back_from_a_cut_gets_no_more_than_it_begins() {
+    for case in CASES {
+        for seed in 0..20 {
+            let unbegun_ms = unbegun_ms(&case, seed);
+            let longest_ms = unbegun_ms.iter().max().copied();
+            expect_that!(longest_ms, some(le(MOST_UNBEGUN_MS)), "{} seed {seed}", case.name);
+        }
+    }
+}
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -40,10 +40,13 @@
     connection: Option<Connection>,
     keep_idle_ms: Option<u64>,
     is_last_on_connection: bool,
+    /// Whether it is a stream that has not given an event.
+    is_unbegun: bool,
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
+        self.note_begun();
         self.state.backends.borrow_mut().note_ended(&self.server);
         self.state.room.notify_one();
     }
@@ -69,6 +72,13 @@
 }
 
 impl Attempt {
+    /// Notes an event of a stream.
+    pub(crate) fn note_begun(&mut self) {
+        if std::mem::replace(&mut self.is_unbegun, false) {
+            self.state.backends.borrow_mut().note_begun(&self.server);
+        }
+    }
+
     /// Notes what an answer's head says of the connection.
     fn note_connection_fields(&mut self, headers: &HeaderMap) {
         let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
@@ -119,13 +129,20 @@
 ) -> Brought {
     let server = patience.server;
     state.note_sent_to_group(&server.service, body.len());
-    state.backends.borrow_mut().note_sent(server);
+    let is_unbegun = request.route.kind.is_stream();
+    let mut backends = state.backends.borrow_mut();
+    backends.note_sent(server);
+    if is_unbegun {
+        backends.note_unbegun(server);
+    }
+    drop(backends);
     let mut attempt = Attempt {
         state: Rc::clone(state),
         server: server.clone(),
         connection: None,
         keep_idle_ms: None,
         is_last_on_connection: true,
+        is_unbegun,
     };
     // A kept connection may close as the request crosses it, or hold a stranger's late answer. What
     // may run only once gets a connection of its own.
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -152,6 +152,9 @@
             let took_ms = now.since(self.last_event_at);
             metrics::histogram!("hickorycross_first_event_seconds").record(took_ms as f64 / 1000.0);
         }
+        if let Some(attempt) = &mut self.attempt {
+            attempt.note_begun();
+        }
         self.last_event_at = now;
         self.life.is_begun = true;
         self.events += 1;
