fix(entry): a rank none of whose streams goes on is left, and other entries are told

Callers whose requests lay at a rank on a frozen machine left 2 s after their last event, and the rank worked on for them (GONE). Where more than a tenth of the machines freeze at once no leader tells entries of them: it cannot tell that from a broken link of its own.

Cause: by itself an entry knows a silent rank after 0.8 s, and one whose answer has not begun after 1.5 s, of 2 s. But all ranks make each pass together, and each pass gives every stream that runs an event: two streams at a rank without one while others made three passes, for a quarter of a second, say that nothing comes from its machine.

Change: such a rank gets no new work and is left as one is that the leader does not hear, for 2 s or until an event comes from it; the first who finds it out tells the other entries by the words that they share. An entry that got an event since then knows better.

--- a/crates/core/src/direct/backend_table.rs
+++ b/crates/core/src/direct/backend_table.rs
@@ -1,6 +1,7 @@
 //! The backend servers that this entry reaches, and what it has seen of them.
 
 use super::BootMs;
+use super::quiet::Streams;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -96,8 +97,8 @@
     pub(super) server: BackendServer,
     listing: Listing,
     pub(super) outstanding: u32,
-    /// Streams among them that have not given an event.
-    pub(super) unbegun: u32,
+    /// The streams among them.
+    pub(super) streams: Streams,
     failures_in_row: u32,
     pub(super) failure_share: f64,
     pub(super) paused_until: BootMs,
@@ -109,10 +110,12 @@
 /// All backend servers, by incarnation.
 #[derive(Clone, Debug, Default)]
 pub struct BackendTable {
-    rows: IndexMap<String, Row>,
+    pub(super) rows: IndexMap<String, Row>,
     /// Names of those whose address another one has got since.
     replaced: IndexSet<String>,
     pub(super) own_failure_domain: String,
+    /// Passes of the group of a service that were seen to end.
+    pub(super) passes: IndexMap<String, u64>,
 }
 
 impl BackendTable {
@@ -236,7 +239,7 @@
         self.rows.get(&server.id)
     }
 
-    fn row_of(&mut self, server: &BackendServer) -> Option<&mut Row> {
+    pub(super) fn row_of(&mut self, server: &BackendServer) -> Option<&mut Row> {
         self.rows.get_mut(&server.id).filter(|row| !server.is_before(&row.server))
     }
 
@@ -303,20 +306,6 @@
         }
     }
 
-    /// Counts a stream among the requests sent to a backend server, until its first event or its end.
-    pub fn note_unbegun(&mut self, server: &BackendServer) {
-        if let Some(row) = self.row_of(server) {
-            row.unbegun += 1;
-        }
-    }
-
-    /// Counts the first event of a stream, or the end of one that has given none.
-    pub fn note_begun(&mut self, server: &BackendServer) {
-        if let Some(row) = self.row_of(server) {
-            row.unbegun = row.unbegun.saturating_sub(1);
-        }
-    }
-
     /// Counts the end of a request at a backend server.
     pub fn note_ended(&mut self, server: &BackendServer) {
         if let Some(row) = self.row_of(server) {
@@ -394,7 +383,7 @@
             server,
             listing: Listing::Listed,
             outstanding: 0,
-            unbegun: 0,
+            streams: Streams::default(),
             failures_in_row: 0,
             failure_share: 0.0,
             paused_until: BootMs(0),
--- a/crates/core/src/direct/choice.rs
+++ b/crates/core/src/direct/choice.rs
@@ -62,7 +62,9 @@
         let open: Vec<&Row> =
             self.open(service).filter(|row| !tried.contains(&row.server.id)).collect();
         let leaves = self.leaves_few(service, now);
-        let is_awake = |row: &&Row| row.paused_until <= now && !(leaves && row.is_avoided(now));
+        let is_awake = |row: &&Row| {
+            row.paused_until <= now && !(leaves && row.is_avoided(now)) && !self.is_quiet(row, now)
+        };
         let awake: Vec<&Row> = open.iter().copied().filter(is_awake).collect();
         let rows = if awake.is_empty() { open } else { awake };
         let others = rows.len().saturating_sub(1);
@@ -110,11 +112,12 @@
     }
 
     /// Whether a backend server that says nothing should be given up soon, because nothing is heard of its
-    /// machine either.
+    /// machine either, or none of its streams goes on.
     #[must_use]
     pub fn is_unheard(&self, server: &BackendServer, now: BootMs) -> bool {
-        let row = self.row(server);
-        row.is_some_and(|row| row.is_unheard(now)) && self.leaves_few(&server.service, now)
+        let Some(row) = self.row(server) else { return false };
+        let is_told = row.is_unheard(now) && self.leaves_few(&server.service, now);
+        is_told || self.is_quiet(row, now)
     }
 
     /// Whether ranks of a service that are slow or not heard are left: when they are few enough for the
@@ -128,7 +131,7 @@
         let is_near = row.server.failure_domain == self.own_failure_domain;
         let distance = if is_near { 0.0 } else { OTHER_DOMAIN_PENALTY_REQUESTS };
         let requests = f64::from(row.outstanding)
-            + f64::from(row.unbegun) * UNBEGUN_PENALTY_REQUESTS
+            + f64::from(row.streams.unbegun) * UNBEGUN_PENALTY_REQUESTS
             + distance
             + row.failure_share * FAILURE_PENALTY_REQUESTS;
         let pace_permille = row.pace_permille(now);
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -34,6 +34,7 @@
 mod outlook;
 mod passes;
 mod peer_table;
+mod quiet;
 mod request_digest;
 mod retry_allowance;
 mod waiting;
@@ -55,6 +56,7 @@
 pub use outlook::{GroupOutlook, Outage, Passage};
 pub use passes::Passes;
 pub use peer_table::{Peer, PeerTable};
+pub use quiet::QuietWord;
 pub use request_digest::{RequestDigest, RequestIdentity};
 pub use retry_allowance::{AllowanceSettings, RetryAllowance};
 pub use waiting::{
--- a/crates/core/tests/returning_rank.rs
+++ b/crates/core/tests/returning_rank.rs
@@ -1,7 +1,7 @@
-//! Plays entries that send streams to the ranks of a group, one of which is back from a cut.
+//! Plays entries that send streams to the ranks of a group, one of which is back from a cut or frozen.
 
 use googletest::prelude::*;
-use hickorycross_core::direct::{BackendServer, BackendState, BackendTable, BootMs};
+use hickorycross_core::direct::{BackendServer, BackendState, BackendTable, BootMs, QuietWord};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
@@ -83,10 +83,11 @@
                 table.note_hearing(servers[0].address, false, now);
             }
             for entry in cut.running.iter().map(|(_, entry)| *entry) {
+                tables[entry].note_stream_ended(&servers[0], true);
                 tables[entry].note_ended(&servers[0]);
             }
             for stream in cut.queue {
-                tables[stream.entry].note_begun(&servers[0]);
+                tables[stream.entry].note_stream_ended(&servers[0], false);
                 tables[stream.entry].note_ended(&servers[0]);
             }
         }
@@ -97,6 +98,7 @@
             while let Some((_, entry)) =
                 rank.running.pop_front_if(|(ends_ms, _)| *ends_ms <= now_ms)
             {
+                tables[entry].note_stream_ended(server, true);
                 tables[entry].note_ended(server);
             }
             if now_ms % PASS_MS != 0 {
@@ -137,3 +139,102 @@
         }
     }
 }
+
+struct Quiet {
+    name: &'static str,
+    /// Streams that run at the first rank, and passes that others make without it.
+    begun: u32,
+    passes: u64,
+    /// Time from its last event on.
+    silent_ms: u64,
+    is_left: bool,
+}
+
+// Guards against new work for a rank on a frozen machine, and work left there, where too many machines are frozen for
+// those that lead to tell them from a broken link of their own.
+#[gtest]
+fn a_rank_none_of_whose_streams_goes_on_is_left() {
+    let cases = [
+        Quiet { name: "frozen", begun: 2, passes: 3, silent_ms: 300, is_left: true },
+        Quiet {
+            name: "one stream, preempted",
+            begun: 1,
+            passes: 9,
+            silent_ms: 900,
+            is_left: false,
+        },
+        Quiet { name: "a pass is late", begun: 5, passes: 2, silent_ms: 300, is_left: false },
+        Quiet { name: "short passes", begun: 5, passes: 9, silent_ms: 200, is_left: false },
+        Quiet { name: "the group stalls", begun: 5, passes: 0, silent_ms: 900, is_left: false },
+    ];
+    for case in cases {
+        let [frozen, other] = [server(0), server(1)];
+        let mut table = BackendTable::new("a");
+        table.put(frozen.clone());
+        table.put(other.clone());
+        let start = BootMs(10_000);
+        for _ in 0..case.begun {
+            table.note_sent(&frozen);
+            table.note_unbegun(&frozen);
+            table.note_begun(&frozen);
+        }
+        // Busier than the frozen one.
+        (0..9).for_each(|_| table.note_sent(&other));
+        table.note_event(&frozen, 40, start);
+        let now = start.after(case.silent_ms);
+        table.note_event(&other, 40 + case.passes, now);
+        let chosen = |table: &BackendTable, now| {
+            table.choose("model", &[], now, 0.0).map(|choice| choice.server.id)
+        };
+        let is_left = chosen(&table, now).as_deref() == Some("r1");
+        expect_that!(is_left, eq(case.is_left), "{}: new work", case.name);
+        expect_that!(table.is_unheard(&frozen, now), eq(case.is_left), "{}", case.name);
+        // Its streams leave it one after the other; it stays left until it is heard again.
+        for stream in 0..case.begun {
+            let told = table.note_silent(&frozen, now);
+            let is_first = case.is_left && stream == 0;
+            expect_that!(told.is_some(), eq(is_first), "{}: told once", case.name);
+            table.note_stream_ended(&frozen, true);
+            table.note_ended(&frozen);
+        }
+        let later = now.after(500);
+        expect_that!(table.is_unheard(&frozen, later), eq(case.is_left), "{}: kept", case.name);
+        table.note_event(&frozen, 41 + case.passes, later);
+        expect_false!(table.is_unheard(&frozen, later), "{}: heard again", case.name);
+    }
+}
+
+/// Moments of an entry that is told that a rank is quiet.
+struct Told {
+    name: &'static str,
+    /// When the entry itself last got an event from there, before the word was formed.
+    event_before_ms: Option<u64>,
+    age_ms: u64,
+    is_news: bool,
+}
+
+// Guards against requests of an entry with few streams at a frozen rank, which lie there until their callers leave.
+#[gtest]
+fn an_entry_leaves_a_rank_that_another_one_found_quiet() {
+    let cases = [
+        Told { name: "nothing open there", event_before_ms: None, age_ms: 5, is_news: true },
+        Told { name: "an older event", event_before_ms: Some(40), age_ms: 5, is_news: true },
+        Told { name: "an event since then", event_before_ms: Some(0), age_ms: 5, is_news: false },
+        Told { name: "an old word", event_before_ms: None, age_ms: 2_000, is_news: false },
+    ];
+    for case in cases {
+        let rank = server(0);
+        let mut table = BackendTable::new("a");
+        table.put(rank.clone());
+        table.put(server(1));
+        let now = BootMs(20_000);
+        if let Some(before_ms) = case.event_before_ms {
+            table.note_event(&rank, 7, now.before(case.age_ms + before_ms));
+        }
+        let word = QuietWord { address: rank.address, age_ms: case.age_ms };
+        expect_that!(table.note_told_quiet(word, now), eq(case.is_news), "{}", case.name);
+        expect_that!(table.is_unheard(&rank, now), eq(case.is_news), "{}", case.name);
+        expect_false!(table.note_told_quiet(word, now), "{}: told again", case.name);
+        expect_false!(table.is_unheard(&rank, now.after(2_100)), "{}: later", case.name);
+    }
+}
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -40,14 +40,18 @@
     connection: Option<Connection>,
     keep_idle_ms: Option<u64>,
     is_last_on_connection: bool,
-    /// Whether it is a stream that has not given an event.
-    is_unbegun: bool,
+    /// For a stream, whether it has given an event.
+    is_begun: Option<bool>,
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        self.note_begun();
-        self.state.backends.borrow_mut().note_ended(&self.server);
+        let mut backends = self.state.backends.borrow_mut();
+        backends.note_ended(&self.server);
+        if let Some(is_begun) = self.is_begun {
+            backends.note_stream_ended(&self.server, is_begun);
+        }
+        drop(backends);
         self.state.room.notify_one();
     }
 }
@@ -72,11 +76,14 @@
 }
 
 impl Attempt {
-    /// Notes an event of a stream.
-    pub(crate) fn note_begun(&mut self) {
-        if std::mem::replace(&mut self.is_unbegun, false) {
-            self.state.backends.borrow_mut().note_begun(&self.server);
+    /// Notes an event of a stream, when `passes` of its group were seen to end.
+    pub(crate) fn note_event(&mut self, passes: u64) {
+        let mut backends = self.state.backends.borrow_mut();
+        if self.is_begun == Some(false) {
+            self.is_begun = Some(true);
+            backends.note_begun(&self.server);
         }
+        backends.note_event(&self.server, passes, boot_now());
     }
 
     /// Notes what an answer's head says of the connection.
@@ -129,10 +136,10 @@
 ) -> Brought {
     let server = patience.server;
     state.note_sent_to_group(&server.service, body.len());
-    let is_unbegun = request.route.kind.is_stream();
+    let is_begun = request.route.kind.is_stream().then_some(false);
     let mut backends = state.backends.borrow_mut();
     backends.note_sent(server);
-    if is_unbegun {
+    if is_begun.is_some() {
         backends.note_unbegun(server);
     }
     drop(backends);
@@ -142,7 +149,7 @@
         connection: None,
         keep_idle_ms: None,
         is_last_on_connection: true,
-        is_unbegun,
+        is_begun,
     };
     // A kept connection may close as the request crosses it, or hold a stranger's late answer. What
     // may run only once gets a connection of its own.
--- a/crates/direct/src/forward/life.rs
+++ b/crates/direct/src/forward/life.rs
@@ -6,6 +6,7 @@
 use super::stream;
 use crate::callers::{AnswerBody, CallerRequest, Refusal, whole};
 use crate::clock::boot_now;
+use crate::spread::tell_quiet;
 use crate::state::EntryState;
 use bytes::Bytes;
 use hickorycross_core::Verdict;
@@ -291,14 +292,22 @@
         }
         let mut backends = self.state.backends.borrow_mut();
         let mut paused_until = None;
+        let mut quiet = None;
         if judgement.blames_backend {
             paused_until = backends.note_failure(server, boot_now());
         }
-        if end == AttemptEnd::OtherIncarnation {
-            backends.note_leaving(server);
+        match end {
+            AttemptEnd::OtherIncarnation => {
+                backends.note_leaving(server);
+            }
+            AttemptEnd::Silent => quiet = backends.note_silent(server, boot_now()),
+            _ => {}
         }
         drop(backends);
         self.note_attempt_end(&server.id, end, paused_until.is_some());
+        if let Some(word) = quiet {
+            tell_quiet(&self.state, word, "quiet-here");
+        }
         match end {
             AttemptEnd::Silent => self.note_unbegun(),
             AttemptEnd::Broken => self.note_broken(server),
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -143,9 +143,11 @@
         }
         let target_gap_ms = self.life.request.route.target_gap_ms;
         let mut passes = state.passes.borrow_mut();
-        if passes.entry(service.clone()).or_default().note_event(now, target_gap_ms) {
+        let passes_of_group = passes.entry(service.clone()).or_default();
+        if passes_of_group.note_event(now, target_gap_ms) {
             state.pass_ended.notify_waiters();
         }
+        let pass = passes_of_group.ended();
         drop(passes);
         state.outlooks.borrow_mut().entry(service.clone()).or_default().note_event(now);
         if self.events == 0 {
@@ -153,7 +155,7 @@
             metrics::histogram!("hickorycross_first_event_seconds").record(took_ms as f64 / 1000.0);
         }
         if let Some(attempt) = &mut self.attempt {
-            attempt.note_begun();
+            attempt.note_event(pass);
         }
         self.last_event_at = now;
         self.life.is_begun = true;
@@ -180,10 +182,11 @@
     /// Goes on at another backend server after the last event that the caller has got. Gives a step
     /// when there is no other way than to end the answer.
     async fn continue_after(&mut self, end: AttemptEnd) -> Option<Step> {
-        drop(self.attempt.take());
         let server = self.server.clone();
         let may_resume = self.life.request.route.kind == RequestKind::ResumableStream;
-        if self.life.note_end(&server, end).is_err() || !may_resume {
+        let is_over = self.life.note_end(&server, end).is_err();
+        drop(self.attempt.take());
+        if is_over || !may_resume {
             return Some(self.break_off("broke-off"));
         }
         self.life.heard_at = self.last_event_at;
--- a/crates/direct/src/spread.rs
+++ b/crates/direct/src/spread.rs
@@ -8,7 +8,7 @@
 use crate::decision_log::DecisionLog;
 use crate::exchange;
 use crate::state::EntryState;
-use hickorycross_core::direct::{BootMs, LimitWord, RequestWord, Seen, WordOutcome};
+use hickorycross_core::direct::{BootMs, LimitWord, QuietWord, RequestWord, Seen, WordOutcome};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -40,6 +40,8 @@
     Request(RequestWord),
     /// What a backend server in need takes.
     Limit(LimitWord),
+    /// A rank from which nothing comes.
+    Quiet(QuietWord),
 }
 
 impl SharedWord {
@@ -52,6 +54,9 @@
             Self::Limit(word) => {
                 Self::Limit(LimitWord { age_ms: word.age_ms.saturating_add(span_ms), ..word })
             }
+            Self::Quiet(word) => {
+                Self::Quiet(QuietWord { age_ms: word.age_ms.saturating_add(span_ms), ..word })
+            }
         }
     }
 }
@@ -120,6 +125,7 @@
         match word {
             SharedWord::Request(word) => hear_of_request(state, *word, passes_on),
             SharedWord::Limit(word) => hear_of_limit(state, *word, passes_on),
+            SharedWord::Quiet(word) => hear_of_quiet(state, *word),
         }
     }
 }
@@ -153,6 +159,19 @@
     }
 }
 
+fn hear_of_quiet(state: &EntryState, word: QuietWord) {
+    if state.backends.borrow_mut().note_told_quiet(word, boot_now()) {
+        tell_quiet(state, word, "quiet");
+    }
+}
+
+/// Passes a word on for a rank that was found quiet, and says so.
+pub(crate) fn tell_quiet(state: &EntryState, word: QuietWord, outcome: &'static str) {
+    let line = DecisionLog::fields("backend-server").with("address", word.address);
+    state.log.note(line.with("age_ms", word.age_ms).with("outcome", outcome));
+    state.outbox.add(SharedWord::Quiet(word), boot_now());
+}
+
 /// Says what a backend server takes; `id` names the one that said so to this entry itself.
 pub(crate) fn note_limit_word(state: &EntryState, word: LimitWord, id: Option<&str>) {
     let line = DecisionLog::fields("backend-server").with_some("incarnation", id);
