--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -76,14 +76,16 @@
 }
 
 impl Attempt {
-    /// Notes an event of a stream, when `passes` of its group were seen to end.
-    pub(crate) fn note_event(&mut self, passes: u64) {
+    /// Notes an event of a stream; `passes` of its group were seen to end, if it has one.
+    pub(crate) fn note_event(&mut self, passes: Option<u64>) {
         let mut backends = self.state.backends.borrow_mut();
         if self.is_begun == Some(false) {
             self.is_begun = Some(true);
             backends.note_begun(&self.server);
         }
-        backends.note_event(&self.server, passes, boot_now());
+        if let Some(passes) = passes {
+            backends.note_event(&self.server, passes, boot_now());
+        }
     }
 
     /// Notes what an answer's head says of the connection.
--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -162,7 +162,8 @@
         Outage { stall_ms, forming_ms: service.map_or(0, |service| service.forming_ms) }
     }
 
-    fn is_for_group(&self) -> bool {
+    /// Whether its backend servers are ranks of a group, which make each pass together.
+    pub(super) fn is_for_group(&self) -> bool {
         let services = &self.request.catalog.services;
         services.get(&self.service).is_some_and(|service| service.group.is_some())
     }
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -147,7 +147,7 @@
         if passes_of_group.note_event(now, target_gap_ms) {
             state.pass_ended.notify_waiters();
         }
-        let pass = passes_of_group.ended();
+        let pass = self.life.is_for_group().then_some(passes_of_group.ended());
         drop(passes);
         state.outlooks.borrow_mut().entry(service.clone()).or_default().note_event(now);
         if self.events == 0 {
