--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -138,20 +138,15 @@
 ) -> Brought {
     let server = patience.server;
     state.note_sent_to_group(&server.service, body.len());
-    let is_begun = request.route.kind.is_stream().then_some(false);
-    let mut backends = state.backends.borrow_mut();
-    backends.note_sent(server);
-    if is_begun.is_some() {
-        backends.note_unbegun(server);
-    }
-    drop(backends);
+    let is_stream = request.route.kind.is_stream();
+    note_sent(state, server, is_stream);
     let mut attempt = Attempt {
         state: Rc::clone(state),
         server: server.clone(),
         connection: None,
         keep_idle_ms: None,
         is_last_on_connection: true,
-        is_begun,
+        is_begun: is_stream.then_some(false),
     };
     // A kept connection may close as the request crosses it, or hold a stranger's late answer. What
     // may run only once gets a connection of its own.
@@ -176,6 +171,14 @@
     }
 }
 
+fn note_sent(state: &EntryState, server: &BackendServer, is_stream: bool) {
+    let mut backends = state.backends.borrow_mut();
+    backends.note_sent(server);
+    if is_stream {
+        backends.note_unbegun(server);
+    }
+}
+
 fn outgoing(
     state: &EntryState,
     request: &CallerRequest,
