--- a/crates/core/tests/returning_rank.rs
+++ b/crates/core/tests/returning_rank.rs
@@ -63,69 +63,109 @@
     }
 }
 
-/// Times for which streams that are sent soon after the cut lie unrun at the rank that is back.
-fn unbegun_ms(case: &Case, seed: u64) -> Vec<u64> {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let servers: Vec<BackendServer> = (0..case.ranks).map(server).collect();
-    let mut table = BackendTable::new("a");
-    servers.iter().for_each(|server| {
-        table.put(server.clone());
-    });
-    let mut tables = vec![table; case.entries];
-    let mut ranks: Vec<Rank> = servers.iter().map(|_| Rank::default()).collect();
-    let mut unbegun_ms = Vec::new();
-    for now_ms in (0..BACK_AT_MS + 2 * COUNTED_MS).step_by(TICK_MS as usize) {
-        let now = BootMs(now_ms);
-        if now_ms == CUT_AT_MS {
-            // Its streams go on elsewhere; nothing is sent there.
-            let cut = std::mem::take(&mut ranks[0]);
-            for table in &mut tables {
-                table.note_hearing(servers[0].address, false, now);
-            }
-            for entry in cut.running.iter().map(|(_, entry)| *entry) {
-                tables[entry].note_stream_ended(&servers[0], true);
-                tables[entry].note_ended(&servers[0]);
-            }
-            for stream in cut.queue {
-                tables[stream.entry].note_stream_ended(&servers[0], false);
-                tables[stream.entry].note_ended(&servers[0]);
-            }
+/// A group and the entries before it.
+struct Play {
+    random: ChaCha8Rng,
+    servers: Vec<BackendServer>,
+    ranks: Vec<Rank>,
+    /// What each entry knows.
+    tables: Vec<BackendTable>,
+    /// Times for which streams that were sent soon after the cut have lain unrun at the rank that is back.
+    unbegun_ms: Vec<u64>,
+}
+
+impl Play {
+    fn new(case: &Case, seed: u64) -> Self {
+        let servers: Vec<BackendServer> = (0..case.ranks).map(server).collect();
+        let mut table = BackendTable::new("a");
+        for server in &servers {
+            table.put(server.clone());
         }
-        if now_ms == BACK_AT_MS {
-            tables.iter_mut().for_each(|table| table.note_hearing(servers[0].address, true, now));
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            ranks: servers.iter().map(|_| Rank::default()).collect(),
+            servers,
+            tables: vec![table; case.entries],
+            unbegun_ms: Vec::new(),
         }
-        for (rank, server) in ranks.iter_mut().zip(&servers) {
-            while let Some((_, entry)) =
-                rank.running.pop_front_if(|(ends_ms, _)| *ends_ms <= now_ms)
-            {
-                tables[entry].note_stream_ended(server, true);
-                tables[entry].note_ended(server);
-            }
-            if now_ms % PASS_MS != 0 {
-                continue;
+    }
+
+    /// Plays a cut of the first rank and what follows.
+    fn run(mut self) -> Vec<u64> {
+        for now_ms in (0..BACK_AT_MS + 2 * COUNTED_MS).step_by(TICK_MS as usize) {
+            match now_ms {
+                CUT_AT_MS => self.cut(BootMs(now_ms)),
+                BACK_AT_MS => self.say_hearing(true, BootMs(now_ms)),
+                _ => {}
             }
-            for stream in rank.queue.drain(..rank.queue.len().min(BEGUN_IN_A_PASS)) {
-                tables[stream.entry].note_begun(server);
-                rank.running.push_back((now_ms + STREAM_MS, stream.entry));
-                let is_counted = (BACK_AT_MS..BACK_AT_MS + COUNTED_MS).contains(&stream.sent_ms);
-                if server.id == "r0" && is_counted {
-                    unbegun_ms.push(now_ms - stream.sent_ms);
+            for rank in 0..self.ranks.len() {
+                self.end_streams(rank, now_ms);
+                if now_ms.is_multiple_of(PASS_MS) {
+                    self.begin_streams(rank, now_ms);
                 }
             }
+            self.send(now_ms);
+        }
+        self.unbegun_ms
+    }
+
+    /// The first rank is cut off: its streams go on elsewhere, and nothing is sent there.
+    fn cut(&mut self, now: BootMs) {
+        let cut = std::mem::take(&mut self.ranks[0]);
+        for (_, entry) in cut.running {
+            self.tables[entry].note_stream_ended(&self.servers[0], true);
+            self.tables[entry].note_ended(&self.servers[0]);
+        }
+        for stream in cut.queue {
+            self.tables[stream.entry].note_stream_ended(&self.servers[0], false);
+            self.tables[stream.entry].note_ended(&self.servers[0]);
         }
-        let come = COME_PER_RANK_S * case.ranks as f64 * TICK_MS as f64 / 1_000.0;
-        let come = come as usize + usize::from(random.random_bool(come.fract()));
+        self.say_hearing(false, now);
+    }
+
+    fn say_hearing(&mut self, is_heard: bool, now: BootMs) {
+        for table in &mut self.tables {
+            table.note_hearing(self.servers[0].address, is_heard, now);
+        }
+    }
+
+    fn end_streams(&mut self, rank: usize, now_ms: u64) {
+        let running = &mut self.ranks[rank].running;
+        while let Some((_, entry)) = running.pop_front_if(|(ends_ms, _)| *ends_ms <= now_ms) {
+            self.tables[entry].note_stream_ended(&self.servers[rank], true);
+            self.tables[entry].note_ended(&self.servers[rank]);
+        }
+    }
+
+    fn begin_streams(&mut self, rank: usize, now_ms: u64) {
+        let Rank { queue, running } = &mut self.ranks[rank];
+        for stream in queue.drain(..queue.len().min(BEGUN_IN_A_PASS)) {
+            self.tables[stream.entry].note_begun(&self.servers[rank]);
+            running.push_back((now_ms + STREAM_MS, stream.entry));
+            let is_counted = (BACK_AT_MS..BACK_AT_MS + COUNTED_MS).contains(&stream.sent_ms);
+            if rank == 0 && is_counted {
+                self.unbegun_ms.push(now_ms - stream.sent_ms);
+            }
+        }
+    }
+
+    /// Entries send what comes in a tick.
+    fn send(&mut self, now_ms: u64) {
+        let come = COME_PER_RANK_S * self.ranks.len() as f64 * TICK_MS as f64 / 1_000.0;
+        let come = come as usize + usize::from(self.random.random_bool(come.fract()));
         for _ in 0..come {
-            let entry = random.random_range(0..case.entries);
-            let choice = tables[entry].choose("model", &[], now, random.random::<f64>());
-            let Some(server) = choice.map(|choice| choice.server) else { continue };
-            tables[entry].note_sent(&server);
-            tables[entry].note_unbegun(&server);
-            let rank = servers.iter().position(|it| it.id == server.id).unwrap_or(0);
-            ranks[rank].queue.push_back(Stream { entry, sent_ms: now_ms });
+            let entry = self.random.random_range(0..self.tables.len());
+            let draw = self.random.random::<f64>();
+            let table = &mut self.tables[entry];
+            let choice = table.choose("model", &[], BootMs(now_ms), draw);
+            let server = choice.expect("a rank is open").server;
+            table.note_sent(&server);
+            table.note_unbegun(&server);
+            let rank = self.servers.iter().position(|it| it.id == server.id);
+            let rank = rank.expect("a rank of the group");
+            self.ranks[rank].queue.push_back(Stream { entry, sent_ms: now_ms });
         }
     }
-    unbegun_ms
 }
 
 // Guards against requests that lie unrun at a rank just back from a cut, because every entry sends it all that comes.
@@ -133,7 +173,7 @@
 fn a_rank_back_from_a_cut_gets_no_more_than_it_begins() {
     for case in CASES {
         for seed in 0..20 {
-            let unbegun_ms = unbegun_ms(&case, seed);
+            let unbegun_ms = Play::new(&case, seed).run();
             let longest_ms = unbegun_ms.iter().max().copied();
             expect_that!(longest_ms, some(le(MOST_UNBEGUN_MS)), "{} seed {seed}", case.name);
         }
