fix(entry): only a rank at which nothing has run lately gets a part of what comes

Cause: with eleven entries before 63 ranks each has about one request at a rank, so that many ranks had far less than the middle one at any moment, and requests were kept from ranks that were merely idle.

Change: the part is for ranks that have given this entry no event for a second, as one that is back or new. The test of a rank that is back holds as it did.

--- a/crates/core/src/direct/choice.rs
+++ b/crates/core/src/direct/choice.rs
@@ -83,8 +83,9 @@
     ///
     /// Entries do not see each other's requests. A rank that is back from a cut has nothing open at any of them, and
     /// if it were the least loaded one for all it would get every request of all entries until each has sent it as
-    /// much as it has elsewhere. So those with far less than the others get some multiple of an even part of each
-    /// entry's requests, which is that of all entries' together, however many there are.
+    /// much as it has elsewhere. So those with far less than the others, at which nothing has run lately, get some
+    /// multiple of an even part of each entry's requests, which is that of all entries' together, however many there
+    /// are. Where something runs the least loaded one is chosen as ever: evenness is worth most under high load.
     fn offered<'a>(
         &self,
         rows: Vec<&'a Row>,
@@ -95,11 +96,13 @@
         let mut loads: Vec<f64> = rows.iter().map(|row| self.load(row, now)).collect();
         loads.sort_by(f64::total_cmp);
         let middle = *loads.get(loads.len() / 2)?;
-        let has_far_less = |row: &&Row| self.load(row, now) + FAR_LESS_REQUESTS < middle;
-        let (few, rest): (Vec<&Row>, Vec<&Row>) = rows.into_iter().partition(has_far_less);
-        let part = (few.len() as f64 * CATCH_UP_PARTS / all).min(1.0);
+        let is_back = |row: &&Row| {
+            self.load(row, now) + FAR_LESS_REQUESTS < middle && !row.has_run_lately(now)
+        };
+        let (back, rest): (Vec<&Row>, Vec<&Row>) = rows.into_iter().partition(is_back);
+        let part = (back.len() as f64 * CATCH_UP_PARTS / all).min(1.0);
         if draw < part {
-            return Some((few, draw / part));
+            return Some((back, draw / part));
         }
         Some((rest, (draw - part) / (1.0 - part)))
     }
--- a/crates/core/src/direct/quiet.rs
+++ b/crates/core/src/direct/quiet.rs
@@ -22,6 +22,9 @@
 /// Time for which a rank that streams have left for it stays quiet: about as long as machines freeze.
 const QUIET_KEPT_MS: u64 = 2_000;
 
+/// Time since the last event of a stream up to which something has run at a rank lately: several slow passes.
+const LATELY_MS: u64 = 1_000;
+
 /// A rank that an entry has found quiet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuietWord {
@@ -45,6 +48,13 @@
     quiet_until: BootMs,
 }
 
+impl Row {
+    /// Whether a stream of this entry has gone on there a short time ago.
+    pub(super) fn has_run_lately(&self, now: BootMs) -> bool {
+        now.since(self.streams.event_at) <= LATELY_MS
+    }
+}
+
 impl BackendTable {
     /// Counts a stream among the requests sent to a backend server.
     pub fn note_unbegun(&mut self, server: &BackendServer) {
--- a/crates/core/tests/returning_rank.rs
+++ b/crates/core/tests/returning_rank.rs
@@ -102,6 +102,7 @@
                 self.end_streams(rank, now_ms);
                 if now_ms.is_multiple_of(PASS_MS) {
                     self.begin_streams(rank, now_ms);
+                    self.note_events(rank, now_ms);
                 }
             }
             self.send(now_ms);
@@ -149,6 +150,13 @@
         }
     }
 
+    fn note_events(&mut self, rank: usize, now_ms: u64) {
+        for (_, entry) in &self.ranks[rank].running {
+            let pass = now_ms / PASS_MS;
+            self.tables[*entry].note_event(&self.servers[rank], pass, BootMs(now_ms));
+        }
+    }
+
     /// Entries send what comes in a tick.
     fn send(&mut self, now_ms: u64) {
         let come = COME_PER_RANK_S * self.ranks.len() as f64 * TICK_MS as f64 / 1_000.0;
