refactor(entry): a stream that is sent is noted under a name of its own

note_unbegun was the name of two things: that a stream was sent, in the table of backend servers, and that one ended before its first event, in a request's life.

--- a/crates/core/src/direct/quiet.rs
+++ b/crates/core/src/direct/quiet.rs
@@ -57,7 +57,7 @@
 
 impl BackendTable {
     /// Counts a stream among the requests sent to a backend server.
-    pub fn note_unbegun(&mut self, server: &BackendServer) {
+    pub fn note_stream_sent(&mut self, server: &BackendServer) {
         if let Some(row) = self.row_of(server) {
             row.streams.unbegun += 1;
         }
--- a/crates/core/tests/returning_rank.rs
+++ b/crates/core/tests/returning_rank.rs
@@ -168,7 +168,7 @@
             let choice = table.choose("model", &[], BootMs(now_ms), draw);
             let server = choice.expect("a rank is open").server;
             table.note_sent(&server);
-            table.note_unbegun(&server);
+            table.note_stream_sent(&server);
             let rank = self.servers.iter().position(|it| it.id == server.id);
             let rank = rank.expect("a rank of the group");
             self.ranks[rank].queue.push_back(Stream { entry, sent_ms: now_ms });
@@ -223,7 +223,7 @@
         let start = BootMs(10_000);
         for _ in 0..case.begun {
             table.note_sent(&frozen);
-            table.note_unbegun(&frozen);
+            table.note_stream_sent(&frozen);
             table.note_begun(&frozen);
         }
         // Busier than the frozen one.
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -175,7 +175,7 @@
     let mut backends = state.backends.borrow_mut();
     backends.note_sent(server);
     if is_stream {
-        backends.note_unbegun(server);
+        backends.note_stream_sent(server);
     }
 }
 
