--- a/crates/core/src/direct/quiet_ranks.rs
+++ b/crates/core/src/direct/quiet_ranks.rs
@@ -85,6 +85,14 @@
         }
     }
 
+    /// Returns the number of this entry's streams at all backend servers of a service that have not
+    /// got an event.
+    #[must_use]
+    pub fn not_begun(&self, service: &str) -> u32 {
+        let of_service = self.rows.values().filter(|row| row.server.service == service);
+        of_service.map(|row| row.streams.not_begun).sum()
+    }
+
     /// Records an event of a stream, when `passes` passes of its group were seen to end.
     pub fn note_event(&mut self, server: &BackendServer, passes: u64, now: BootMs) {
         if let Some(newest) = self.passes.get_mut(&server.service) {
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -157,8 +157,7 @@
         drop(passes);
         state.group_availability.borrow_mut().entry(service.clone()).or_default().note_event(now);
         if self.events == 0 {
-            let took_ms = now.since(self.last_event_at);
-            metrics::histogram!("hickorycross_first_event_seconds").record(took_ms as f64 / 1000.0);
+            self.active.log_first_event(&self.server, span_ms);
         }
         if let Some(attempt) = &mut self.attempt {
             attempt.note_event(pass);
--- a/crates/direct/src/forward/telemetry.rs
+++ b/crates/direct/src/forward/telemetry.rs
@@ -3,7 +3,7 @@
 use super::active_request::ActiveRequest;
 use crate::clock::boot_now;
 use crate::decision_log::{DecisionLog, Fields};
-use hickorycross_core::direct::{AttemptEnd, Choice};
+use hickorycross_core::direct::{AttemptEnd, BackendServer, Choice};
 use http::StatusCode;
 
 impl ActiveRequest {
@@ -27,11 +27,32 @@
         let line = line.with("configuration", self.request.catalog.version);
         let line = line.with_some("configuration_age_ms", catalog_state.age_ms(now));
         let spent = self.state.retry_budget.borrow().retry_count(&self.service);
+        let line = self.with_load(line);
         let line = line.with("backends_as_of", self.state.backends_as_of.get());
         let line = line.with("second_sends_spent", spent);
         self.state.log.note_routine(line.with_some("resume_after", resume_after));
     }
 
+    /// Adds the load of the service: open requests, how many of them are streams without an event,
+    /// and the bound on open requests.
+    fn with_load(&self, line: Fields) -> Fields {
+        let backends = self.state.backends.borrow();
+        let bound = self.state.admission.borrow().limit_requests(&self.service);
+        let line = line.with("open_at_service", backends.outstanding(&self.service));
+        let line = line.with("unbegun_at_service", backends.not_begun(&self.service));
+        line.with_some("bound", bound.map(|bound| bound as u64))
+    }
+
+    /// Logs and counts the first event of a stream, `unbegun_ms` after it was sent to `server`.
+    pub(super) fn log_first_event(&self, server: &BackendServer, unbegun_ms: u64) {
+        let waited_ms = boot_now().since(self.request.arrived_at);
+        metrics::histogram!("hickorycross_first_event_seconds").record(waited_ms as f64 / 1000.0);
+        metrics::histogram!("hickorycross_unbegun_seconds").record(unbegun_ms as f64 / 1000.0);
+        let line = self.line("first-event").with("backend", &server.id);
+        let line = line.with("unbegun_ms", unbegun_ms).with("waited_ms", waited_ms);
+        self.state.log.note_routine(line.with("sends", self.sends));
+    }
+
     /// Logs that the request waits for an unavailable group, expected back in `back_in_ms`.
     pub(super) fn log_wait(&self, back_in_ms: u64) {
         let line = self.line("wait").with("back_in_ms", back_in_ms);
@@ -46,6 +67,7 @@
         let line = self.line("attempt-end").with("backend", id).with("end", end.as_str());
         let line = line.with("verdict", self.verdict).with("paused", is_paused);
         let line = line.with("digest", self.digest).with("has_head", self.has_head);
+        let line = line.with("since_sent_ms", boot_now().since(self.sent_at));
         self.state.log.note(line.with("sends", self.sends));
     }
 
@@ -82,14 +104,11 @@
         let line = self.line("final").with("outcome", outcome);
         let line = line.with_some("status", status.map(|status| status.as_u16()));
         let line = line.with("verdict", self.verdict).with("sends", self.sends);
-        let line = line.with("took_ms", took_ms);
+        let line = line.with("took_ms", took_ms).with("has_event", self.has_event);
         if status.is_none_or(|status| status.is_success()) {
             self.state.log.note_routine(line);
         } else {
-            let open = self.state.backends.borrow().outstanding(&self.service);
-            let bound = self.state.admission.borrow().limit_requests(&self.service);
-            let line = line.with("open_at_service", open);
-            self.state.log.note(line.with_some("bound", bound.map(|bound| bound as u64)));
+            self.state.log.note(self.with_load(line));
         }
     }
 }
