--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -70,6 +70,6 @@
 pub use selection::Choice;
 pub(crate) use selection::max_avoided_ranks;
 pub use waiting::{
-    InitialTimeouts, escalated_urgency, event_wait_deadline, pass_wait_deadline, patience_used,
-    retry_after_ms, urgency,
+    InitialTimeouts, escalated_urgency, event_wait_deadline, moved_urgency, pass_wait_deadline,
+    patience_used, retry_after_ms, urgency,
 };
--- a/crates/core/src/direct/waiting.rs
+++ b/crates/core/src/direct/waiting.rs
@@ -170,3 +170,15 @@
     let is_last_chance = sent || patience_used >= ESCALATION_SHARE;
     if is_split && is_last_chance { urgency - urgency % 2 } else { urgency }
 }
+
+/// Returns the urgency of a request that was moved before it began, so that it begins before new
+/// requests of the same priority.
+///
+/// Its caller has used up much of its patience at another backend server. Behind new requests it
+/// would wait as long again, and a caller that gives up leaves its work at the first backend server,
+/// which may be out of reach.
+#[must_use]
+pub fn moved_urgency(priority: u8, lowest_priority: u8) -> u8 {
+    let is_split = lowest_priority <= MAX_SPLIT_PRIORITY;
+    if is_split { (priority * 2).saturating_sub(1) } else { priority.min(LEAST_URGENT) }
+}
--- a/crates/core/tests/moved_requests.rs
+++ b/crates/core/tests/moved_requests.rs
@@ -3,7 +3,8 @@
 
 use googletest::prelude::*;
 use hickorycross_core::direct::{
-    BootMs, RequestKind, Route, escalated_urgency, pass_wait_deadline, patience_used, urgency,
+    BootMs, RequestKind, Route, escalated_urgency, moved_urgency, pass_wait_deadline,
+    patience_used, urgency,
 };
 
 /// Duration of a pass of a group whose demand has just shifted.
@@ -129,3 +130,33 @@
         "with many priorities each has one urgency"
     );
 }
+
+struct MovedCase {
+    name: &'static str,
+    priority: u8,
+    lowest_priority: u8,
+    /// Whether the moved request goes before new ones of its priority.
+    goes_first: bool,
+}
+
+/// Guards against moved requests that wait behind new ones at their second backend server until
+/// their callers give up.
+#[gtest]
+fn a_moved_request_goes_before_new_ones_of_its_priority() {
+    let cases = [
+        MovedCase { name: "middle priority", priority: 1, lowest_priority: 2, goes_first: true },
+        MovedCase { name: "lowest priority", priority: 4, lowest_priority: 4, goes_first: true },
+        MovedCase { name: "highest priority", priority: 0, lowest_priority: 2, goes_first: false },
+        MovedCase { name: "many priorities", priority: 7, lowest_priority: 9, goes_first: false },
+    ];
+    for case in cases {
+        let MovedCase { name, priority, lowest_priority, goes_first } = case;
+        let of_new = |priority| urgency(priority, lowest_priority, 0, &route(), false);
+        let moved = moved_urgency(priority, lowest_priority);
+        expect_that!(moved, le(of_new(priority)), "{name}");
+        expect_that!(moved < of_new(priority), eq(goes_first), "{name}");
+        if let Some(higher) = priority.checked_sub(1) {
+            expect_that!(moved, gt(of_new(higher)), "{name}: a higher priority goes first");
+        }
+    }
+}
--- a/crates/direct/src/forward/active_request.rs
+++ b/crates/direct/src/forward/active_request.rs
@@ -159,7 +159,9 @@
             let is_probe = self.wait_for_admission().await?;
             let choice = self.choose()?;
             self.spend_retry()?;
-            self.log_attempt(&choice, resume_after);
+            let options =
+                SendOptions { urgency: self.urgency(resume_after.is_some()), resume_after };
+            self.log_attempt(&choice, options);
             let _probe_guard = is_probe.then(|| self.watch_probe());
             let server = choice.server;
             self.tried.push(server.id.clone());
@@ -167,8 +169,6 @@
             self.sent_at = boot_now();
             self.has_head = false;
             let wait = self.response_wait(&server, Awaited::Head);
-            let options =
-                SendOptions { urgency: self.urgency(resume_after.is_some()), resume_after };
             let sending = attempt::send(&self.state, &self.request, &self.body, &wait, options);
             match sending.await {
                 SendOutcome::Answer(reply) => {
--- a/crates/direct/src/forward/admission.rs
+++ b/crates/direct/src/forward/admission.rs
@@ -7,9 +7,10 @@
 use crate::callers::Refusal;
 use crate::clock::boot_now;
 use crate::state::MAX_ENTRY_SHARE;
+use hickorycross_core::Verdict;
 use hickorycross_core::direct::{
     BootMs, GroupAvailability, OutageDurations, SendPermission, escalated_urgency,
-    event_wait_deadline, pass_wait_deadline, patience_used, retry_after_ms, urgency,
+    event_wait_deadline, moved_urgency, pass_wait_deadline, patience_used, retry_after_ms, urgency,
 };
 use rand::RngExt;
 use std::cell::Cell;
@@ -91,8 +92,8 @@
         }
     }
 
-    /// Returns the urgency of the request at a backend server; 0 is the most urgent. `is_resumed`
-    /// tells whether it continues a stream.
+    /// Returns the urgency of the request at a backend server for its next send; 0 is the most
+    /// urgent. `is_resumed` tells whether it continues a stream.
     pub(super) fn urgency(&self, is_resumed: bool) -> u8 {
         let ActiveRequest { request, .. } = self;
         let now = boot_now();
@@ -102,8 +103,13 @@
         if !request.route.kind.is_stream() {
             return urgency;
         }
+        let was_sent = self.sends > 0;
+        let was_rejected = self.verdict == Verdict::NotRun;
+        if was_sent && !was_rejected && !is_resumed {
+            return moved_urgency(request.priority, lowest);
+        }
         let patience_used = patience_used(&request.route, self.waiting_since, now);
-        escalated_urgency(urgency, lowest, patience_used, self.sends > 0)
+        escalated_urgency(urgency, lowest, patience_used, was_sent)
     }
 
     /// Waits until a pass of the group ends, or the request has waited for passes long enough.
--- a/crates/direct/src/forward/telemetry.rs
+++ b/crates/direct/src/forward/telemetry.rs
@@ -1,6 +1,7 @@
 //! Log lines and metrics about one request.
 
 use super::active_request::ActiveRequest;
+use super::attempt::SendOptions;
 use crate::clock::boot_now;
 use crate::decision_log::{DecisionLog, Fields};
 use hickorycross_core::direct::{AttemptEnd, BackendServer, Choice};
@@ -14,13 +15,13 @@
     }
 
     /// Logs that the request is about to be sent to the chosen backend server.
-    pub(super) fn log_attempt(&self, choice: &Choice, resume_after: Option<u64>) {
+    pub(super) fn log_attempt(&self, choice: &Choice, options: SendOptions) {
         metrics::counter!("hickorycross_attempts_total").increment(1);
         let catalog_state = self.state.catalog.borrow();
         let line = self.line("attempt").with("backend", &choice.server.id);
         let line = line.with("load", format_args!("{:.1}", choice.load_requests));
         let line = line.with("others", choice.others).with("sends", self.sends + 1);
-        let line = line.with("digest", self.digest);
+        let line = line.with("digest", self.digest).with("urgency", options.urgency);
         let now = boot_now();
         let line = line.with("waited_ms", now.since(self.waiting_since));
         let line = line.with("left_ms", self.request.deadline_at.since(now));
@@ -30,7 +31,7 @@
         let line = self.with_load(line);
         let line = line.with("backends_as_of", self.state.backends_as_of.get());
         let line = line.with("second_sends_spent", spent);
-        self.state.log.note_routine(line.with_some("resume_after", resume_after));
+        self.state.log.note_routine(line.with_some("resume_after", options.resume_after));
     }
 
     /// Adds the load of the service: open requests, how many of them are streams without an event,
