--- a/crates/core/src/direct/quiet_ranks.rs
+++ b/crates/core/src/direct/quiet_ranks.rs
@@ -25,6 +25,9 @@
 /// freeze.
 const QUIET_KEPT_MS: u64 = 2_000;
 
+/// Time since its last event up to which a rank counts as responding: several slow passes.
+const SIGN_MS: u64 = 500;
+
 /// Time since its last event up to which a rank has recently run a stream: several slow passes.
 const RECENT_MS: u64 = 1_000;
 
@@ -139,6 +142,12 @@
         is_news
     }
 
+    /// Returns whether a stream of this entry got an event from a backend server lately.
+    #[must_use]
+    pub fn has_sent_event_lately(&self, server: &BackendServer, now: BootMs) -> bool {
+        self.row(server).is_some_and(|row| now.since(row.streams.event_at) <= SIGN_MS)
+    }
+
     /// Returns whether a rank is quiet: its running streams get no events while those of other
     /// ranks do.
     pub(super) fn is_quiet(&self, row: &Row, now: BootMs) -> bool {
--- a/crates/direct/src/forward/response_wait.rs
+++ b/crates/direct/src/forward/response_wait.rs
@@ -22,6 +22,13 @@
 /// rest of the 2 s is enough for another attempt.
 const HEAD_TIMEOUT_MS: u64 = 1_500;
 
+/// Time after which a request that has not begun counts as lost if its backend server has sent no
+/// event of any stream lately.
+///
+/// About twice the time for which requests should wait there, and less than half of the 2 s after
+/// which callers give up.
+const UNBEGUN_TIMEOUT_MS: u64 = 700;
+
 /// Passes that other streams must have made during that time. When the whole group is slow or
 /// stalls, another of its ranks would not answer sooner, and the prompt would be processed twice.
 const MISSED_PASSES: u64 = 4;
@@ -119,11 +126,25 @@
                     Awaited::Body => EVENT_TIMEOUT_MS,
                 };
                 (silent_ms > most_ms && missed >= MISSED_PASSES)
+                    || self.is_unbegun_without_sign(silent_ms, missed)
                     || self.is_frozen(silent_ms, missed)
             }
         }
     }
 
+    /// Returns whether the request has not begun for so long, and its backend server has sent no
+    /// event lately, that the server may be unreachable.
+    ///
+    /// An entry with few streams has none at most ranks that could show whether a rank responds.
+    /// Enough of the caller's patience is left for one more backend server.
+    fn is_unbegun_without_sign(&self, silent_ms: u64, missed: u64) -> bool {
+        self.can_retry
+            && self.awaited == Awaited::Head
+            && silent_ms > UNBEGUN_TIMEOUT_MS
+            && missed >= MISSED_PASSES
+            && !self.state.backends.borrow().has_sent_event_lately(self.server, boot_now())
+    }
+
     /// Returns whether the backend server's instance seems frozen, because neither the backend
     /// server nor its agent responds.
     ///
