--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -41,6 +41,7 @@
 mod limit_shares;
 mod pass_tracker;
 mod peer_table;
+mod queue_limit;
 mod quiet_ranks;
 mod request_digest;
 mod retry_budget;
@@ -64,6 +65,7 @@
 pub use limit_shares::{LimitGrant, LimitGrants, LimitPermits, granting_entry};
 pub use pass_tracker::PassTracker;
 pub use peer_table::{Peer, PeerTable};
+pub use queue_limit::{QueueLimit, QueueTarget};
 pub use quiet_ranks::QuietReport;
 pub use request_digest::{RequestDigest, RequestIdentity};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -70,11 +70,7 @@
         let available: Vec<&Row> =
             self.available(service).filter(|row| !tried.contains(&row.server.id)).collect();
         let avoids_ranks = self.avoids_ranks(service, now);
-        let is_usable = |row: &&Row| {
-            row.paused_until <= now
-                && !(avoids_ranks && row.is_avoided(now))
-                && !self.is_quiet(row, now)
-        };
+        let is_usable = |row: &&Row| self.is_usable(row, avoids_ranks, now);
         let usable: Vec<&Row> = available.iter().copied().filter(is_usable).collect();
         let rows = if usable.is_empty() { available } else { usable };
         let others = rows.len().saturating_sub(1);
@@ -121,6 +117,21 @@
         Some((rest, (draw - share) / (1.0 - share)))
     }
 
+    /// Returns the total slots of the backend servers of a service that get new work.
+    #[must_use]
+    pub fn usable_slots(&self, service: &str, now: BootMs) -> u32 {
+        let avoids_ranks = self.avoids_ranks(service, now);
+        let rows = self.available(service).filter(|row| self.is_usable(row, avoids_ranks, now));
+        rows.map(|row| row.server.slots).sum()
+    }
+
+    /// Returns whether a backend server that accepts work gets any while others do.
+    fn is_usable(&self, row: &Row, avoids_ranks: bool, now: BootMs) -> bool {
+        row.paused_until <= now
+            && !(avoids_ranks && row.is_avoided(now))
+            && !self.is_quiet(row, now)
+    }
+
     /// Returns whether streams at a backend server should continue elsewhere because it slows its
     /// group.
     #[must_use]
--- a/crates/direct/src/forward/admission.rs
+++ b/crates/direct/src/forward/admission.rs
@@ -4,9 +4,9 @@
 //! Until then the request waits at this entry, or is refused with a time after which to retry.
 
 use super::active_request::ActiveRequest;
+use super::room::Room;
 use crate::callers::Refusal;
 use crate::clock::boot_now;
-use crate::state::MAX_ENTRY_SHARE;
 use hickorycross_core::Verdict;
 use hickorycross_core::direct::{
     BootMs, GroupAvailability, OutageDurations, SendPermission, escalated_urgency,
@@ -17,10 +17,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time for which a new request waits for capacity, as a divisor of its target latency.
-///
-/// A caller that is refused soon can retry and still be served on time, unlike after a long wait.
-const CAPACITY_WAIT_DIVISOR: u64 = 10;
+/// Interval at which a request that waits for room checks again.
+const QUEUE_CHECK_MS: u64 = 20;
 
 /// Time within which an unavailable group rejects a request: several network round trips.
 const REJECTION_LATENCY_MS: u64 = 25;
@@ -37,24 +35,32 @@
         }
         let entered_at = boot_now();
         let _count_guard = self.state.unsent.count(self.sends == 0);
+        // Stays the same while the request waits: one that gets late must not wait for itself.
+        let urgency = self.urgency(false);
+        let mut hold_guard = None;
         loop {
             let now = boot_now();
-            let capacity_wait_until = self.capacity_wait_until(entered_at);
             let wait_until = match self.send_permission(now) {
-                SendPermission::Allowed
-                    if self.has_capacity() && self.may_send_in_pass(entered_at) =>
-                {
-                    return Ok(false);
-                }
-                SendPermission::Allowed if self.has_capacity() => {
-                    self.wait_for_pass(entered_at).await?;
-                    continue;
-                }
+                SendPermission::Allowed => match self.room(urgency, entered_at) {
+                    Room::Now => return Ok(false),
+                    Room::InLaterPass => {
+                        hold_guard = None;
+                        self.wait_for_pass(entered_at).await?;
+                        continue;
+                    }
+                    Room::AfterOthers => {
+                        let until = self.check_capacity_wait(entered_at, now)?;
+                        if hold_guard.is_none() {
+                            hold_guard = Some(self.hold(urgency, until, now)?);
+                        }
+                        until.min(now.after(QUEUE_CHECK_MS))
+                    }
+                    Room::None => {
+                        hold_guard = None;
+                        self.check_capacity_wait(entered_at, now)?
+                    }
+                },
                 SendPermission::Probe if self.may_probe() => return Ok(true),
-                SendPermission::Allowed if now >= capacity_wait_until => {
-                    return Err(self.capacity_refusal());
-                }
-                SendPermission::Allowed => capacity_wait_until,
                 SendPermission::Probe => now.after(REJECTION_LATENCY_MS),
                 SendPermission::Unavailable { expected_back_at, retry_at } => {
                     self.check_outage_wait(expected_back_at, now)?;
@@ -71,7 +77,7 @@
 
     /// Returns whether the request may be sent without making a pass too long, or has waited for
     /// that as long as it can.
-    fn may_send_in_pass(&self, entered_at: BootMs) -> bool {
+    pub(super) fn may_send_in_pass(&self, entered_at: BootMs) -> bool {
         let now = boot_now();
         let passes = self.state.passes.borrow();
         now >= self.pass_wait_until(entered_at)
@@ -172,7 +178,7 @@
         self.availability(|availability| availability.send_permission(now, open, outage))
     }
 
-    fn availability<T>(&self, operation: impl FnOnce(&mut GroupAvailability) -> T) -> T {
+    pub(super) fn availability<T>(&self, operation: impl FnOnce(&mut GroupAvailability) -> T) -> T {
         let mut group_availability = self.state.group_availability.borrow_mut();
         operation(group_availability.entry(self.service.clone()).or_default())
     }
@@ -218,44 +224,13 @@
     }
 
     /// Returns when the caller is expected to give up waiting for its next event.
-    fn caller_patience_until(&self) -> BootMs {
+    pub(super) fn caller_patience_until(&self) -> BootMs {
         event_wait_deadline(&self.request.route, self.waiting_since)
     }
 
-    /// Returns until when the request waits for capacity.
-    ///
-    /// Right after an outage capacity becomes free soon, so the request waits as long as its
-    /// caller. At other times a group without capacity stays slow: a request that is sent when its
-    /// caller is about to give up only takes capacity from others. A request whose caller has
-    /// retried before, and cannot do so again, waits for its target latency.
-    fn capacity_wait_until(&self, entered_at: BootMs) -> BootMs {
-        let target_ms = self.request.route.target_latency_ms;
-        let is_recovering =
-            self.availability(|availability| availability.is_recovering(boot_now()));
-        if self.request.route.kind.is_stream() && (self.has_waited_for_group || is_recovering) {
-            return self.caller_patience_until();
-        }
-        let has_retried = self.request.used_ms > 0;
-        entered_at.after(if has_retried { target_ms } else { target_ms / CAPACITY_WAIT_DIVISOR })
-    }
-
-    /// Returns whether the bound on open requests to the service allows one more.
-    ///
-    /// After an outage, requests that are late already may take only a part of the capacity.
-    pub(super) fn has_capacity(&self) -> bool {
-        let backends = self.state.backends.borrow();
-        let share = f64::from(backends.slots(&self.service)) / self.state.live_entry_count() as f64;
-        let open = backends.outstanding(&self.service);
-        let now = boot_now();
-        let used = patience_used(&self.request.route, self.waiting_since, now);
-        let late_share = self.availability(|availability| availability.late_share(now, used));
-        let part = if self.is_late() && late_share < 1.0 { late_share } else { MAX_ENTRY_SHARE };
-        self.state.admission.borrow_mut().admits(&self.service, open, share, part)
-    }
-
     /// Returns whether the target latency of a stream has passed, so that it can no longer be
     /// answered on time.
-    fn is_late(&self) -> bool {
+    pub(super) fn is_late(&self) -> bool {
         let ActiveRequest { request, .. } = self;
         let used_ms = request.used_ms + boot_now().since(request.arrived_at);
         request.route.kind.is_stream() && used_ms >= request.route.target_latency_ms
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -7,7 +7,7 @@
 use crate::clock::boot_now;
 use crate::state::EntryState;
 use bytes::Bytes;
-use hickorycross_core::direct::{AttemptEnd, BackendServer};
+use hickorycross_core::direct::{AttemptEnd, BackendServer, BootMs};
 use http::header::{
     AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderName, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -40,6 +40,7 @@
     connection: Option<Connection>,
     idle_timeout_ms: Option<u64>,
     is_last_on_connection: bool,
+    sent_at: BootMs,
     /// For a stream, whether an event was received; `None` for other requests.
     is_begun: Option<bool>,
 }
@@ -50,6 +51,11 @@
         backends.note_ended(&self.server);
         if let Some(is_begun) = self.is_begun {
             backends.note_stream_ended(&self.server, is_begun);
+            if !is_begun {
+                let now = boot_now();
+                let mut queue_limit = self.state.queue_limit.borrow_mut();
+                queue_limit.note_not_begun(&self.server.service, now.since(self.sent_at), now);
+            }
         }
         drop(backends);
         self.state.capacity_changed.notify_one();
@@ -83,6 +89,10 @@
         if self.is_begun == Some(false) {
             self.is_begun = Some(true);
             backends.note_stream_begun(&self.server);
+            let now = boot_now();
+            let mut queue_limit = self.state.queue_limit.borrow_mut();
+            queue_limit.note_begun(&self.server.service, now.since(self.sent_at), now);
+            self.state.capacity_changed.notify_one();
         }
         if let Some(passes) = passes {
             backends.note_event(&self.server, passes, boot_now());
@@ -147,6 +157,7 @@
         connection: None,
         idle_timeout_ms: None,
         is_last_on_connection: true,
+        sent_at: boot_now(),
         is_begun: is_stream.then_some(false),
     };
     // A reused connection may close while the request is sent, or hold a late answer to an earlier
@@ -177,6 +188,7 @@
     backends.note_sent(server);
     if is_stream {
         backends.note_stream_sent(server);
+        state.queue_limit.borrow_mut().note_sent(&server.service, boot_now());
     }
 }
 
--- a/crates/direct/src/forward/mod.rs
+++ b/crates/direct/src/forward/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `active_request` chooses a backend server for each attempt and decides about retries.
 //! - `admission` delays or refuses a request while its group is unavailable or has no capacity.
+//! - `room` decides whether there is room for the request at the backend servers of its service.
 //! - `attempt` sends the request once and classifies the head of the response.
 //! - `response_wait` waits for a response and tells a lost connection from a stalled group.
 //! - `stream` forwards events and resumes a broken stream at another backend server.
@@ -19,6 +20,7 @@
 mod migration;
 mod pool;
 mod response_wait;
+mod room;
 mod stream;
 mod telemetry;
 
--- /dev/null
+++ b/crates/direct/src/forward/room.rs
@@ -0,0 +1,142 @@
+//! Decides whether there is room for a request at the backend servers of its service.
+
+use super::active_request::ActiveRequest;
+use crate::callers::Refusal;
+use crate::clock::boot_now;
+use crate::state::{EntryState, MAX_ENTRY_SHARE};
+use hickorycross_core::direct::{BootMs, QueueTarget, patience_used};
+use std::rc::Rc;
+
+/// Time for which a new request waits for capacity, as a divisor of its target latency.
+///
+/// A caller that is refused soon can retry and still be served on time, unlike after a long wait.
+const CAPACITY_WAIT_DIVISOR: u64 = 10;
+
+/// Whether there is room for a request at the backend servers of its service.
+pub(super) enum Room {
+    /// It may be sent.
+    Now,
+    /// The next pass is full.
+    InLaterPass,
+    /// The queues of the backend servers are as long as they may be, or a more urgent request waits
+    /// for them at this entry.
+    AfterOthers,
+    /// The bound on open requests is reached.
+    None,
+}
+
+/// Counts a request as held back until dropped.
+pub(super) struct HoldGuard {
+    state: Rc<EntryState>,
+    service: String,
+    urgency: u8,
+}
+
+impl Drop for HoldGuard {
+    fn drop(&mut self) {
+        self.state.queue_limit.borrow_mut().release(&self.service, self.urgency);
+    }
+}
+
+impl ActiveRequest {
+    /// Returns whether there is room for a request of this urgency now, and if not, what it has to
+    /// wait for.
+    pub(super) fn room(&self, urgency: u8, entered_at: BootMs) -> Room {
+        if !self.has_capacity() {
+            return Room::None;
+        }
+        if !self.would_begin_soon(urgency) {
+            return Room::AfterOthers;
+        }
+        if self.may_send_in_pass(entered_at) { Room::Now } else { Room::InLaterPass }
+    }
+
+    /// Returns until when the request waits for capacity, or the refusal if that time is over.
+    pub(super) fn check_capacity_wait(
+        &self,
+        entered_at: BootMs,
+        now: BootMs,
+    ) -> Result<BootMs, Refusal> {
+        let until = self.capacity_wait_until(entered_at);
+        if now < until { Ok(until) } else { Err(self.capacity_refusal()) }
+    }
+
+    /// Records that the request is held back until there is room for it, at most until `until`.
+    ///
+    /// Fails with the refusal if too many others go before it.
+    pub(super) fn hold(
+        &self,
+        urgency: u8,
+        until: BootMs,
+        now: BootMs,
+    ) -> Result<HoldGuard, Refusal> {
+        let mut queue_limit = self.state.queue_limit.borrow_mut();
+        let refuses = queue_limit.is_out_of_reach(&self.service, urgency, until, now);
+        if !refuses {
+            queue_limit.hold(&self.service, urgency);
+        }
+        drop(queue_limit);
+        self.log_hold(urgency, until.since(now), refuses);
+        if refuses {
+            return Err(self.capacity_refusal());
+        }
+        let (state, service) = (Rc::clone(&self.state), self.service.clone());
+        Ok(HoldGuard { state, service, urgency })
+    }
+
+    /// Returns until when the request waits for capacity.
+    ///
+    /// Right after an outage capacity becomes free soon, so the request waits as long as its
+    /// caller. At other times a group without capacity stays slow: a request that is sent when its
+    /// caller is about to give up only takes capacity from others. A request whose caller has
+    /// retried before, and cannot do so again, waits for its target latency.
+    fn capacity_wait_until(&self, entered_at: BootMs) -> BootMs {
+        let target_ms = self.request.route.target_latency_ms;
+        let is_recovering =
+            self.availability(|availability| availability.is_recovering(boot_now()));
+        if self.request.route.kind.is_stream() && (self.has_waited_for_group || is_recovering) {
+            return self.caller_patience_until();
+        }
+        let has_retried = self.request.used_ms > 0;
+        entered_at.after(if has_retried { target_ms } else { target_ms / CAPACITY_WAIT_DIVISOR })
+    }
+
+    /// Returns whether the queues of the backend servers are short enough for the request, and no
+    /// more urgent one is held back.
+    ///
+    /// A request that was sent before does not wait at the entry again.
+    fn would_begin_soon(&self, urgency: u8) -> bool {
+        if self.sends > 0 || !self.request.route.kind.is_stream() {
+            return true;
+        }
+        let mut queue_limit = self.state.queue_limit.borrow_mut();
+        if !queue_limit.is_most_urgent(&self.service, urgency) {
+            return false;
+        }
+        let (backends, now) = (self.state.backends.borrow(), boot_now());
+        let begun =
+            backends.outstanding(&self.service).saturating_sub(backends.not_begun(&self.service));
+        let target = QueueTarget::new(
+            self.request.route.target_latency_ms,
+            backends.ready_count(&self.service),
+            backends.usable_slots(&self.service, now),
+            self.state.live_entry_count(),
+            begun,
+        );
+        queue_limit.admits(&self.service, target, now)
+    }
+
+    /// Returns whether the bound on open requests to the service allows one more.
+    ///
+    /// After an outage, requests that are late already may take only a part of the capacity.
+    pub(super) fn has_capacity(&self) -> bool {
+        let backends = self.state.backends.borrow();
+        let share = f64::from(backends.slots(&self.service)) / self.state.live_entry_count() as f64;
+        let open = backends.outstanding(&self.service);
+        let now = boot_now();
+        let used = patience_used(&self.request.route, self.waiting_since, now);
+        let late_share = self.availability(|availability| availability.late_share(now, used));
+        let part = if self.is_late() && late_share < 1.0 { late_share } else { MAX_ENTRY_SHARE };
+        self.state.admission.borrow_mut().admits(&self.service, open, share, part)
+    }
+}
--- a/crates/direct/src/forward/telemetry.rs
+++ b/crates/direct/src/forward/telemetry.rs
@@ -41,6 +41,9 @@
         let bound = self.state.admission.borrow().limit_requests(&self.service);
         let line = line.with("open_at_service", backends.outstanding(&self.service));
         let line = line.with("unbegun_at_service", backends.not_begun(&self.service));
+        let queue_limit = self.state.queue_limit.borrow();
+        let mean = queue_limit.mean_streams(&self.service);
+        let line = line.with_some("unbegun_mean", mean.map(|mean| format!("{mean:.1}")));
         line.with_some("bound", bound.map(|bound| bound as u64))
     }
 
@@ -61,6 +64,15 @@
         self.state.log.note_routine(line);
     }
 
+    /// Logs that the request is held back for at most `wait_ms` until the queues of the backend
+    /// servers are shorter, or is refused at once because too many others go before it.
+    pub(super) fn log_hold(&self, urgency: u8, wait_ms: u64, is_refused: bool) {
+        let outcome = if is_refused { "out-of-reach" } else { "held" };
+        metrics::counter!("hickorycross_held_requests_total", "outcome" => outcome).increment(1);
+        let line = self.with_load(self.line("hold-back")).with("urgency", urgency);
+        self.state.log.note_routine(line.with("wait_ms", wait_ms).with("outcome", outcome));
+    }
+
     /// Logs that an attempt ended without an answer; `is_paused` tells whether that paused the
     /// backend server.
     pub(super) fn log_attempt_end(&self, id: &str, end: AttemptEnd, is_paused: bool) {
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -12,7 +12,7 @@
 use hickorycross_core::direct::{
     Admission, AdmissionSettings, BackendLimits, BackendTable, BootMs, CatalogState, CrashTable,
     GroupAvailability, InitialTimeouts, LimitGrants, LimitPermits, PassTracker, PeerTable,
-    RetryBudget, RetryBudgetSettings, max_catalog_age_for_keys_ms,
+    QueueLimit, RetryBudget, RetryBudgetSettings, max_catalog_age_for_keys_ms,
 };
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -93,6 +93,8 @@
     pub(crate) unreadable_backends: RefCell<IndexMap<String, String>>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) admission: RefCell<Admission>,
+    /// The streams that wait at the backend servers of each service.
+    pub(crate) queue_limit: RefCell<QueueLimit>,
     pub(crate) peers: RefCell<PeerTable>,
     /// Whether a peer has answered, or the time for first answers after the start has passed.
     pub(crate) has_asked_peers: Cell<bool>,
@@ -150,6 +152,7 @@
             unreadable_backends: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
             admission: RefCell::new(Admission::new(ADMISSION)),
+            queue_limit: RefCell::default(),
             peers: RefCell::new(peers),
             has_asked_peers: Cell::new(false),
             crashes: RefCell::default(),
