--- a/crates/core/src/direct/queue_limit.rs
+++ b/crates/core/src/direct/queue_limit.rs
@@ -127,9 +127,7 @@
 }
 
 impl QueueLimit {
-    /// Returns whether a stream of this urgency may be sent to the backend servers of a service.
-    ///
-    /// It may not while a more urgent one is held back; 0 is the most urgent.
+    /// Returns whether one more stream may be sent to the backend servers of a service.
     pub fn admits(&mut self, service: &str, target: QueueTarget, now: BootMs) -> bool {
         let queue = self.queue(service);
         queue.advance(now);
@@ -154,9 +152,14 @@
 
     /// Returns whether a stream of this urgency cannot be sent before `until`, because too many
     /// others are held back that go before it.
+    ///
+    /// While few streams have begun, as after an outage, nothing is known of the rate.
     #[must_use]
     pub fn is_out_of_reach(&self, service: &str, urgency: u8, until: BootMs, now: BootMs) -> bool {
         let Some(queue) = self.services.get(service) else { return false };
+        if queue.begun_at.len() < MIN_RATE_SAMPLES {
+            return false;
+        }
         let ahead: u32 = queue.held.range(..=urgency).map(|(_, count)| count).sum();
         f64::from(ahead) > queue.rate_per_ms(now) * until.since(now) as f64 + MAX_BURST_STREAMS
     }
--- a/crates/core/tests/queue_limit.rs
+++ b/crates/core/tests/queue_limit.rs
@@ -586,3 +586,59 @@
 fn known_fault_entries_with_equal_demand_begin_unequal_parts() {
     expect_that!(faults(Check::Parts, true), is_empty());
 }
+
+struct ReachCase {
+    name: &'static str,
+    /// Streams that began in the last second.
+    begun: u32,
+    /// Streams that are held back, by urgency.
+    held: &'static [(u8, u32)],
+    urgency: u8,
+    wait_ms: u64,
+    is_out_of_reach: bool,
+}
+
+/// Guards against requests that are held back although those before them take longer than they can
+/// wait, and against refusals while nothing is known of the rate.
+#[gtest]
+fn a_request_is_refused_at_once_if_others_before_it_take_too_long() {
+    let case = ReachCase {
+        name: "few before it",
+        begun: 20,
+        held: &[(2, 3)],
+        urgency: 2,
+        wait_ms: 500,
+        is_out_of_reach: false,
+    };
+    let cases = [
+        ReachCase { name: "many before it", held: &[(2, 30)], is_out_of_reach: true, ..case },
+        ReachCase { name: "many after it", held: &[(3, 30)], ..case },
+        ReachCase { name: "after an outage", begun: 0, held: &[(2, 30)], ..case },
+        case,
+    ];
+    for case in cases {
+        let (mut limit, now) = (QueueLimit::default(), BootMs(START_MS));
+        for _ in 0..case.begun {
+            limit.note_sent(SERVICE, now);
+            limit.note_begun(SERVICE, PASS_MS, now);
+        }
+        for (urgency, count) in case.held {
+            (0..*count).for_each(|_| limit.hold(SERVICE, *urgency));
+        }
+        let until = now.after(case.wait_ms);
+        let is_out_of_reach = limit.is_out_of_reach(SERVICE, case.urgency, until, now);
+        expect_that!(is_out_of_reach, eq(case.is_out_of_reach), "{}", case.name);
+    }
+}
+
+/// Guards against a less urgent request that is sent while a more urgent one is held back.
+#[gtest]
+fn the_most_urgent_request_goes_first() {
+    let mut limit = QueueLimit::default();
+    limit.hold(SERVICE, 2);
+    expect_that!(limit.is_most_urgent(SERVICE, 1), eq(true));
+    expect_that!(limit.is_most_urgent(SERVICE, 2), eq(true));
+    expect_that!(limit.is_most_urgent(SERVICE, 3), eq(false));
+    limit.release(SERVICE, 2);
+    expect_that!(limit.is_most_urgent(SERVICE, 3), eq(true));
+}
--- a/crates/direct/src/forward/admission.rs
+++ b/crates/direct/src/forward/admission.rs
@@ -55,7 +55,7 @@
                         }
                         until.min(now.after(QUEUE_CHECK_MS))
                     }
-                    Room::None => {
+                    Room::Full => {
                         hold_guard = None;
                         self.check_capacity_wait(entered_at, now)?
                     }
--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -22,7 +22,7 @@
     /// for them at this entry.
     AfterOthers,
     /// The bound on open requests is reached.
-    None,
+    Full,
 }
 
 /// Counts a request as held back until dropped.
@@ -43,7 +43,7 @@
     /// wait for.
     pub(super) fn room(&self, urgency: u8, entered_at: BootMs) -> Room {
         if !self.has_capacity() {
-            return Room::None;
+            return Room::Full;
         }
         if !self.would_begin_soon(urgency) {
             return Room::AfterOthers;
