--- a/crates/core/src/direct/queue_limit.rs
+++ b/crates/core/src/direct/queue_limit.rs
@@ -43,7 +43,7 @@
 
 /// Share by which the target is reduced, as a multiple of the share of long waits. It is in
 /// proportion, so that all entries, which see the same queues, reduce it alike.
-const REDUCTION_PER_LONG_WAIT: f64 = 5.0;
+const REDUCTION_PER_LONG_WAIT: f64 = 10.0;
 
 /// Largest reduction. Waits that are long for another reason, such as a group that stalls, must not
 /// leave slots unused for long.
