feat(entry): log and count what backend servers announce about themselves

The logs could not tell whether the Retry-After of a rejection was read, kept or passed by: they showed no field of it. Each backoff and each announcement that a server leaves is now a line event=backend-server (outcome=backoff, announced-leaving, or not-readable with the value), each attempt names what is left of the backoff of the chosen server (backoff_left_ms), and hickorycross_attempts_in_backoff_total counts sends that pass it by. Nothing is decided by these yet.

--- a/crates/core/src/direct/backend_table.rs
+++ b/crates/core/src/direct/backend_table.rs
@@ -2,6 +2,7 @@
 //! observed.
 
 use super::BootMs;
+use super::announcements::Announcements;
 use super::quiet_ranks::Streams;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -117,6 +118,8 @@
     /// Names of servers whose address another server was registered with later.
     replaced: IndexSet<String>,
     pub(super) own_failure_domain: String,
+    /// What backend servers announced about themselves, whether they are listed or not.
+    pub(super) announcements: Announcements,
     /// Number of passes that were seen to end, by service.
     pub(super) passes: IndexMap<String, u64>,
 }
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,8 @@
 //!   bounds the age up to which API keys are checked against it.
 //! - [`BackendTable`] holds the backend servers; [`BackendTable::choose`] selects one for a
 //!   request.
+//! - [`parse_backoff_ms`] reads the backoff that a backend server asks for; the table keeps what
+//!   each incarnation announced about itself.
 //! - [`RetryBudget`] bounds retries; [`judge_attempt`] classifies how an attempt ended.
 //! - [`GroupAvailability`] detects whether a model group makes progress; [`event_wait_deadline`],
 //!   [`retry_after_ms`] and [`urgency`] set what happens to requests while it does not, and in
@@ -29,6 +31,7 @@
 //! instance was suspended.
 
 mod admission;
+mod announcements;
 mod attempt_end;
 mod backend_limits;
 mod backend_table;
@@ -49,6 +52,7 @@
 mod waiting;
 
 pub use admission::{Admission, AdmissionSettings};
+pub use announcements::{UnreadableBackoff, parse_backoff_ms};
 pub use attempt_end::{AttemptEnd, Judgement, judge_attempt};
 pub use backend_limits::{BackendLimits, LimitReport};
 pub use backend_table::{BackendServer, BackendState, BackendTable, Listing};
--- /dev/null
+++ b/crates/direct/src/forward/announcement.rs
@@ -0,0 +1,75 @@
+//! Reads what backend servers announce about themselves in the heads of their answers: that they
+//! are leaving, and how long they want no requests from this entry.
+
+use crate::clock::boot_now;
+use crate::decision_log::{DecisionLog, Fields};
+use crate::state::EntryState;
+use hickorycross_core::direct::{BackendServer, UnreadableBackoff, parse_backoff_ms};
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, StatusCode, response};
+
+/// Most characters of an unreadable value that are logged.
+const MAX_LOGGED_CHARS: usize = 32;
+
+/// The value of the leaving field of a backend server that is leaving.
+const IS_LEAVING: &str = "1";
+
+/// Records the announcements in a response head.
+///
+/// The response must come from the incarnation to which the request was sent, which a 421 does not.
+pub(super) fn note_announcements(
+    state: &EntryState,
+    server: &BackendServer,
+    parts: &response::Parts,
+) {
+    note_leaving(state, server, &parts.headers);
+    if parts.status == StatusCode::SERVICE_UNAVAILABLE {
+        note_backoff(state, server, &parts.headers);
+    }
+}
+
+fn note_leaving(state: &EntryState, server: &BackendServer, headers: &HeaderMap) {
+    let mut values = headers.get_all(&state.names.server_leaving).iter().peekable();
+    if values.peek().is_none() {
+        return;
+    }
+    if !values.any(|value| value.to_str().is_ok_and(|text| text.trim() == IS_LEAVING)) {
+        state.log.note(line(server).with("outcome", "leaving-not-readable"));
+        return;
+    }
+    if state.backends.borrow_mut().note_announced_leaving(server, boot_now()) {
+        metrics::counter!("hickorycross_backend_announcements_total", "kind" => "leaving")
+            .increment(1);
+        state.log.note(line(server).with("outcome", "announced-leaving"));
+    }
+}
+
+fn note_backoff(state: &EntryState, server: &BackendServer, headers: &HeaderMap) {
+    for value in headers.get_all(RETRY_AFTER) {
+        let text = value.to_str().unwrap_or_default();
+        match parse_backoff_ms(text) {
+            Ok(backoff_ms) => start_backoff(state, server, backoff_ms),
+            Err(error @ UnreadableBackoff) => {
+                let logged: String = text.chars().take(MAX_LOGGED_CHARS).collect();
+                let line = line(server).with("error", error).with("value", logged);
+                state.log.note(line.with("outcome", "backoff-not-readable"));
+            }
+        }
+    }
+}
+
+/// Records a backoff that begins now. The backend server counts from a moment before.
+fn start_backoff(state: &EntryState, server: &BackendServer, backoff_ms: u64) {
+    let now = boot_now();
+    if state.backends.borrow_mut().note_backoff(server, now.after(backoff_ms), now) {
+        metrics::counter!("hickorycross_backend_announcements_total", "kind" => "backoff")
+            .increment(1);
+        let line = line(server).with("backoff_ms", backoff_ms);
+        state.log.note(line.with("outcome", "backoff"));
+    }
+}
+
+fn line(server: &BackendServer) -> Fields {
+    let line = DecisionLog::fields("backend-server").with("incarnation", &server.id);
+    line.with("born_ms", server.born_ms)
+}
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: sends a request to one backend server and classifies the head of the response.
 
+use super::announcement::note_announcements;
 use super::limit::note_limit;
 use super::pool::Connection;
 use super::response_wait::{ResponseWait, WaitError};
@@ -257,6 +258,7 @@
     attempt.note_connection_fields(&parts.headers);
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
         note_limit(state, &attempt.server, &parts.headers);
+        note_announcements(state, &attempt.server, &parts);
     }
     let is_rejection = parts.headers.contains_key(&state.names.not_run);
     if is_rejection || parts.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/direct/src/forward/mod.rs
+++ b/crates/direct/src/forward/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `active_request` chooses a backend server for each attempt and decides about retries.
 //! - `admission` delays or refuses a request while its group is unavailable or has no capacity.
+//! - `announcement` reads what a backend server announces about itself in its answers.
 //! - `room` decides whether there is room for the request at the backend servers of its service.
 //! - `attempt` sends the request once and classifies the head of the response.
 //! - `response_wait` waits for a response and tells a lost connection from a stalled group.
@@ -14,6 +15,7 @@
 
 mod active_request;
 mod admission;
+mod announcement;
 mod attempt;
 mod crash;
 mod limit;
--- a/crates/direct/src/forward/telemetry.rs
+++ b/crates/direct/src/forward/telemetry.rs
@@ -23,6 +23,11 @@
         let line = line.with("others", choice.others).with("sends", self.sends + 1);
         let line = line.with("digest", self.digest).with("urgency", options.urgency);
         let now = boot_now();
+        let backoff_left_ms = self.state.backends.borrow().backoff_left_ms(&choice.server, now);
+        if backoff_left_ms > 0 {
+            metrics::counter!("hickorycross_attempts_in_backoff_total").increment(1);
+        }
+        let line = line.with("backoff_left_ms", backoff_left_ms);
         let line = line.with("waited_ms", now.since(self.waiting_since));
         let line = line.with("left_ms", self.request.deadline_at.since(now));
         let line = line.with("configuration", self.request.catalog.version);
--- a/crates/direct/src/wire_names.rs
+++ b/crates/direct/src/wire_names.rs
@@ -22,6 +22,9 @@
     /// Field of an answer with the limit that a backend server announces, in requests per second
     /// from all entries together.
     pub server_limit: HeaderName,
+    /// Field of an answer with which a backend server announces that it is leaving, by the value
+    /// `1`.
+    pub server_leaving: HeaderName,
     /// Scheme of the API key in the `Authorization` field.
     pub key_scheme: &'static str,
     /// Path of the readiness check of the external load balancer.
