--- a/crates/core/src/direct/announcements.rs
+++ b/crates/core/src/direct/announcements.rs
@@ -49,9 +49,13 @@
 }
 
 impl Announced {
-    /// Returns whether a backend server with the same name is the incarnation that announced this.
-    const fn is_of(&self, server: &BackendServer) -> bool {
-        self.born_ms == 0 || server.born_ms == 0 || self.born_ms == server.born_ms
+    /// Returns whether a backend server with the same name started after the incarnation that
+    /// announced this.
+    ///
+    /// An earlier one, as a stale replica may list it, is bound too: the request would reach the
+    /// incarnation that made the announcement.
+    const fn is_before(&self, server: &BackendServer) -> bool {
+        self.born_ms != 0 && self.born_ms < server.born_ms
     }
 
     const fn binds(&self, now: BootMs) -> bool {
@@ -67,9 +71,9 @@
 }
 
 impl Announcements {
-    /// Returns what an incarnation has announced; nothing if that was an earlier incarnation.
+    /// Returns the announcements that bind an incarnation; those of earlier ones do not.
     pub(super) fn of(&self, server: &BackendServer) -> Announced {
-        let announced = self.by_id.get(&server.id).filter(|announced| announced.is_of(server));
+        let announced = self.by_id.get(&server.id).filter(|announced| !announced.is_before(server));
         announced.copied().unwrap_or_default()
     }
 
@@ -99,10 +103,10 @@
             self.make_room(now);
         }
         let announced = self.by_id.entry(server.id.clone()).or_default();
-        if !announced.is_of(server) {
-            if announced.born_ms > server.born_ms {
-                return None;
-            }
+        if server.born_ms != 0 && server.born_ms < announced.born_ms {
+            return None;
+        }
+        if announced.is_before(server) {
             *announced = Announced::default();
         }
         announced.born_ms = announced.born_ms.max(server.born_ms);
