fix(entry): backend servers that announce in an answer that they leave get no more requests

The first such head, of a whole answer, stream, refusal, error, an answer that breaks off or is invalid, makes the incarnation leaving in the table for good: a store that lists it as ready, drops it and lists it again, changes nothing; a later incarnation starts anew.

--- a/crates/core/src/direct/announcements.rs
+++ b/crates/core/src/direct/announcements.rs
@@ -142,6 +142,7 @@
 impl BackendTable {
     /// Records that a backend server announced that it is leaving. Returns whether that is new.
     pub fn note_announced_leaving(&mut self, server: &BackendServer, now: BootMs) -> bool {
+        self.note_leaving(server);
         self.announcements.note_leaving(server, now)
     }
 
--- a/crates/core/src/direct/backend_table.rs
+++ b/crates/core/src/direct/backend_table.rs
@@ -398,8 +398,11 @@
     }
 
     /// Creates a row without history, but for what the incarnation has announced.
-    fn new(server: BackendServer, announcements: &Announcements) -> Self {
+    fn new(mut server: BackendServer, announcements: &Announcements) -> Self {
         let announced = announcements.of(&server);
+        if announced.is_leaving {
+            server.state = BackendState::Leaving;
+        }
         Self {
             server,
             backoff: Backoff::new(announced.backoff_until),
--- a/crates/core/src/direct/backoff.rs
+++ b/crates/core/src/direct/backoff.rs
@@ -80,7 +80,8 @@
     /// wants no more requests from this entry.
     #[must_use]
     pub fn declines(&self, server: &BackendServer, now: BootMs) -> bool {
-        self.announcements.of(server).backoff_until > now
+        let announced = self.announcements.of(server);
+        announced.is_leaving || announced.backoff_until > now
     }
 
     /// Records that a request is sent to a backend server, which is a probe if it is the first one
