fix(entry): a stream that broke off waits for a backoff of the backend servers that are left

Whether all are in backoff was asked of the tried ones too: a stream that broke off at the only free server was given up at once, though the others' backoff ended within its caller's patience.

--- a/crates/core/src/direct/backoff.rs
+++ b/crates/core/src/direct/backoff.rs
@@ -57,11 +57,11 @@
     }
 
     /// Returns when the first backoff ends, if all backend servers of a service that accept work
-    /// are in backoff.
+    /// and are not in `tried` are in backoff.
     #[must_use]
-    pub fn backoff_over_at(&self, service: &str, now: BootMs) -> Option<BootMs> {
+    pub fn backoff_over_at(&self, service: &str, tried: &[String], now: BootMs) -> Option<BootMs> {
         let mut over_at = None;
-        for row in self.available(service) {
+        for row in self.available(service).filter(|row| !tried.contains(&row.server.id)) {
             if row.backoff.is_over(now) {
                 return None;
             }
--- a/crates/core/tests/announcements.rs
+++ b/crates/core/tests/announcements.rs
@@ -2,7 +2,8 @@
 
 use googletest::prelude::*;
 use hickorycross_core::direct::{
-    BackendServer, BackendState, BackendTable, BootMs, UnreadableBackoff, parse_backoff_ms,
+    BackendServer, BackendState, BackendTable, BootMs, UnreadableBackoff, backoff_retry_after_ms,
+    parse_backoff_ms,
 };
 
 const SERVICE: &str = "svc";
@@ -273,3 +274,151 @@
     expect_that!(chosen(&[]), some(eq("second")));
     expect_that!(chosen(&["second".to_owned()]), none());
 }
+
+/// How the first request after a backoff ends.
+#[derive(Clone, Copy)]
+enum ProbeEnd {
+    Answered,
+    Backoff,
+    Unanswered,
+}
+
+struct ProbeCase {
+    name: &'static str,
+    end: ProbeEnd,
+    /// Whether the backend server gets further requests right after that, and a second later.
+    is_chosen: [bool; 2],
+}
+
+/// Guards against all requests of an entry at a backend server whose backoff has just ended, and
+/// against one that gets none for good because its probe was lost.
+#[gtest]
+fn one_request_at_a_time_probes_a_backend_server_after_its_backoff() {
+    let cases = [
+        ProbeCase { name: "answered", end: ProbeEnd::Answered, is_chosen: [true, true] },
+        ProbeCase { name: "asks again", end: ProbeEnd::Backoff, is_chosen: [false, false] },
+        ProbeCase { name: "lost", end: ProbeEnd::Unanswered, is_chosen: [false, true] },
+    ];
+    for case in cases {
+        let mut table = BackendTable::new("a");
+        let (one, other) = (server("one", 5), server("second", 5));
+        table.put(one.clone());
+        table.put(other.clone());
+        // The other one is busy, so that `one` is the least loaded.
+        (0..9).for_each(|_| table.note_sent(&other));
+        table.note_backoff(&one, BootMs(3_000), BootMs(0));
+        let is_chosen = |table: &BackendTable, at: u64| {
+            let choice = table.choose(SERVICE, &[], BootMs(at), 0.5);
+            choice.map(|choice| choice.server.id == "one")
+        };
+        expect_that!(table.note_answered_after_backoff(&one, BootMs(100)), eq(false), "too early");
+        expect_that!(is_chosen(&table, 3_000), some(eq(true)), "{}: the probe", case.name);
+        table.note_sent(&one);
+        table.note_probe(&one, BootMs(3_000));
+        expect_that!(is_chosen(&table, 3_010), some(eq(false)), "{}: while it runs", case.name);
+        match case.end {
+            ProbeEnd::Answered => {
+                expect_true!(table.note_answered_after_backoff(&one, BootMs(3_020)));
+            }
+            ProbeEnd::Backoff => {
+                table.note_backoff(&one, BootMs(6_020), BootMs(3_020));
+            }
+            ProbeEnd::Unanswered => {}
+        }
+        let chosen = [is_chosen(&table, 3_030), is_chosen(&table, 4_030)];
+        expect_that!(chosen, eq(case.is_chosen.map(Some)), "{}", case.name);
+    }
+}
+
+struct RetryCase {
+    over_in_ms: u64,
+    /// Shortest time over which retries are spread.
+    spread_ms: u64,
+}
+
+/// Guards against callers that are told to retry before the end of the backoff, or all at its end.
+#[gtest]
+fn callers_retry_after_the_end_of_a_backoff_and_not_all_at_once() {
+    let cases = [
+        RetryCase { over_in_ms: 0, spread_ms: 250 },
+        RetryCase { over_in_ms: 500, spread_ms: 400 },
+        RetryCase { over_in_ms: 3_000, spread_ms: 1_000 },
+        RetryCase { over_in_ms: 86_400_000, spread_ms: 1_000 },
+    ];
+    for RetryCase { over_in_ms, spread_ms } in cases {
+        let retries = [0.0, 0.25, 0.5, 0.999].map(|draw| backoff_retry_after_ms(over_in_ms, draw));
+        expect_true!(retries.iter().all(|at| *at > over_in_ms), "{over_in_ms}");
+        expect_that!(retries[3] - retries[0], ge(spread_ms), "{over_in_ms}");
+        expect_that!(retries[1], gt(retries[0]), "{over_in_ms}");
+        expect_that!(retries[2], gt(retries[1]), "{over_in_ms}");
+    }
+}
+
+struct WaitCase {
+    name: &'static str,
+    in_backoff: &'static [&'static str],
+    leaving: &'static [&'static str],
+    tried: &'static [&'static str],
+    over_at: Option<u64>,
+}
+
+/// Guards against callers that are refused although a backend server takes requests, and against
+/// streams that break off although one will soon.
+#[gtest]
+fn a_service_is_in_backoff_if_all_that_accept_work_are() {
+    let cases = [
+        WaitCase { name: "none", in_backoff: &[], leaving: &[], tried: &[], over_at: None },
+        WaitCase { name: "one", in_backoff: &["one"], leaving: &[], tried: &[], over_at: None },
+        WaitCase {
+            name: "all",
+            in_backoff: &["one", "second"],
+            leaving: &[],
+            tried: &[],
+            over_at: Some(1_001),
+        },
+        WaitCase {
+            name: "the other one is leaving",
+            in_backoff: &["second"],
+            leaving: &["one"],
+            tried: &[],
+            over_at: Some(1_002),
+        },
+        WaitCase {
+            name: "the other one was tried",
+            in_backoff: &["second"],
+            leaving: &[],
+            tried: &["one"],
+            over_at: Some(1_002),
+        },
+        WaitCase {
+            name: "all were tried",
+            in_backoff: &["second"],
+            leaving: &[],
+            tried: &["one", "second"],
+            over_at: None,
+        },
+        WaitCase {
+            name: "all are leaving",
+            in_backoff: &[],
+            leaving: &["one", "second"],
+            tried: &[],
+            over_at: None,
+        },
+    ];
+    for case in cases {
+        let mut table = BackendTable::new("a");
+        let servers = ["one", "second"].map(|id| server(id, 5));
+        for (until, server) in (1_001..).zip(&servers) {
+            table.put(server.clone());
+            if case.in_backoff.contains(&&*server.id) {
+                table.note_backoff(server, BootMs(until), BootMs(0));
+            }
+            if case.leaving.contains(&&*server.id) {
+                table.note_announced_leaving(server, BootMs(0));
+            }
+        }
+        let tried: Vec<String> = case.tried.iter().map(|id| (*id).to_owned()).collect();
+        let over_at = table.backoff_over_at(SERVICE, &tried, BootMs(500)).map(|at| at.0);
+        expect_that!(over_at, eq(case.over_at), "{}", case.name);
+    }
+}
--- a/crates/direct/src/forward/active_request.rs
+++ b/crates/direct/src/forward/active_request.rs
@@ -219,7 +219,7 @@
             return Ok(choice);
         }
         let is_limited = excluded_servers.len() > self.tried.len();
-        let has_backend = is_limited || self.sends > 0 || self.backoff_over_at().is_some();
+        let has_backend = is_limited || self.sends > 0 || self.backoff_over_at(&[]).is_some();
         let is_first = self.verdict == Verdict::NotRun && !has_backend;
         Err(if is_first { Refusal::NoBackend } else { self.final_refusal() })
     }
@@ -239,7 +239,7 @@
         if self.verdict != Verdict::NotRun {
             return Refusal::Failed(self.verdict);
         }
-        if let Some(over_at) = self.backoff_over_at() {
+        if let Some(over_at) = self.backoff_over_at(&[]) {
             return self.backoff_refusal(over_at);
         }
         match self.expected_back_at() {
--- a/crates/direct/src/forward/backoff.rs
+++ b/crates/direct/src/forward/backoff.rs
@@ -15,7 +15,7 @@
     /// the refusal if the request must not wait for that.
     pub(super) async fn wait_for_backoff(&self) -> Result<(), Refusal> {
         let mut resume_at = BootMs(0);
-        while let Some(over_at) = self.backoff_over_at() {
+        while let Some(over_at) = self.backoff_over_at(&self.tried) {
             if resume_at < over_at {
                 resume_at = self.resume_at(over_at)?;
                 self.log_wait(resume_at.since(boot_now()), "backoff");
@@ -30,9 +30,9 @@
     }
 
     /// Returns when the first backoff ends, if all backend servers of the service that accept work
-    /// asked for one.
-    pub(super) fn backoff_over_at(&self) -> Option<BootMs> {
-        self.state.backends.borrow().backoff_over_at(&self.service, boot_now())
+    /// and are not in `tried` asked for one.
+    pub(super) fn backoff_over_at(&self, tried: &[String]) -> Option<BootMs> {
+        self.state.backends.borrow().backoff_over_at(&self.service, tried, boot_now())
     }
 
     /// Returns the refusal of a request that no backend server takes before `over_at`.
