fix(entry): a rank that rejects requests on its own account does not make its group unavailable

An entry whose streams had no event for 0.5 s took any rejection for one of the whole group, refused callers for seconds and probed the least loaded rank, which was the rejecting one: 84 of 280 streams served beside two free ranks. A rejection names in At-Server the server at fault, which nobody read. So one that names another rank speaks for the group; another one only if all ranks have rejected a request lately.

--- a/crates/core/src/direct/attempt_end.rs
+++ b/crates/core/src/direct/attempt_end.rs
@@ -9,6 +9,9 @@
     NothingSent,
     /// The backend server stated that it did not run the request.
     Rejected,
+    /// The backend server stated that it did not run the request, and that another rank of its group
+    /// is at fault.
+    GroupRejected,
     /// The backend server stated that it did not run the request, and asked for a backoff.
     Backoff,
     /// The entry did not send the request after all, as the backend server announced meanwhile that
@@ -34,6 +37,7 @@
         match self {
             Self::NothingSent => "nothing-sent",
             Self::Rejected => "rejected",
+            Self::GroupRejected => "group-rejected",
             Self::Backoff => "backoff",
             Self::Declined => "declined",
             Self::OtherIncarnation => "other-incarnation",
@@ -64,6 +68,7 @@
     match end {
         AttemptEnd::NothingSent => Judgement { verdict: Verdict::NotRun, blames_backend: true },
         AttemptEnd::Rejected
+        | AttemptEnd::GroupRejected
         | AttemptEnd::Backoff
         | AttemptEnd::Declined
         | AttemptEnd::OtherIncarnation => {
--- a/crates/core/src/direct/backoff.rs
+++ b/crates/core/src/direct/backoff.rs
@@ -113,6 +113,13 @@
         row.backoff.avoid_until = now.after(avoid_ms.min(LONGEST_AVOID_MS));
     }
 
+    /// Returns whether all backend servers of a service that take requests have rejected one lately.
+    #[must_use]
+    pub fn all_reject(&self, service: &str, now: BootMs) -> bool {
+        let mut taking = self.taking_requests(service, now);
+        taking.all(|row| row.backoff.rejections_in_row > 0 && row.backoff.is_avoided(now))
+    }
+
     /// Records an answer of a backend server that is no rejection. An answer to an earlier request,
     /// which arrives during a backoff, does not end it. Returns whether the backend server takes
     /// requests again after a backoff.
--- a/crates/direct/src/forward/active_request.rs
+++ b/crates/direct/src/forward/active_request.rs
@@ -344,7 +344,7 @@
             AttemptEnd::Broken => self.note_broken(server),
             _ => {}
         }
-        if end == AttemptEnd::Rejected && self.note_rejected() {
+        if self.shows_group_unavailable(end) && self.note_rejected() {
             return self.requeue_after_rejection();
         }
         let may_repeat = self.verdict.permits_retry(self.request.route.kind.is_idempotent());
@@ -353,6 +353,19 @@
         if may_repeat && has_tries { Ok(()) } else { Err(self.final_refusal()) }
     }
 
+    /// Returns whether an attempt ended in a way that may show that the whole group is unavailable:
+    /// the rank names another one as the cause, or all ranks reject requests. A rank that rejects on
+    /// its own account says nothing of the others.
+    fn shows_group_unavailable(&self, end: AttemptEnd) -> bool {
+        match end {
+            AttemptEnd::GroupRejected => true,
+            AttemptEnd::Rejected => {
+                self.state.backends.borrow().all_reject(&self.service, boot_now())
+            }
+            _ => false,
+        }
+    }
+
     /// Lets a request that an unavailable group rejected wait for the group, if its caller has
     /// retried before or already got events of the stream.
     ///
--- a/crates/direct/src/forward/announcement.rs
+++ b/crates/direct/src/forward/announcement.rs
@@ -4,7 +4,7 @@
 use crate::clock::boot_now;
 use crate::decision_log::{DecisionLog, Fields};
 use crate::state::EntryState;
-use hickorycross_core::direct::{BackendServer, UnreadableBackoff, parse_backoff_ms};
+use hickorycross_core::direct::{AttemptEnd, BackendServer, UnreadableBackoff, parse_backoff_ms};
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, StatusCode, response};
 
@@ -34,6 +34,25 @@
     }
 }
 
+/// Logs a rejection and returns what it says: that the backend server wants a backoff, that another
+/// rank of its group is at fault, or neither.
+pub(super) fn judge_rejection(
+    state: &EntryState,
+    server: &BackendServer,
+    parts: &response::Parts,
+    asks_for_backoff: bool,
+) -> AttemptEnd {
+    let at_fault = parts.headers.get(&state.names.server_at_fault);
+    let at_fault = at_fault.and_then(|value| value.to_str().ok());
+    let line = line(server).with("status", parts.status.as_u16());
+    state.log.note(line.with_some("at_fault", at_fault).with("outcome", "rejected"));
+    match at_fault {
+        _ if asks_for_backoff => AttemptEnd::Backoff,
+        Some(at_fault) if at_fault != server.id => AttemptEnd::GroupRejected,
+        _ => AttemptEnd::Rejected,
+    }
+}
+
 fn note_leaving(state: &EntryState, server: &BackendServer, headers: &HeaderMap) {
     let mut values = headers.get_all(&state.names.server_leaving).iter().peekable();
     if values.peek().is_none() {
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: sends a request to one backend server and classifies the head of the response.
 
-use super::announcement::{note_announcements, note_answered};
+use super::announcement::{judge_rejection, note_announcements, note_answered};
 use super::limit::note_limit;
 use super::pool::Connection;
 use super::response_wait::{ResponseWait, WaitError};
@@ -268,8 +268,8 @@
     note_limit(state, &attempt.server, &parts.headers);
     let asks_for_backoff = note_announcements(state, &attempt.server, &parts);
     if parts.headers.contains_key(&state.names.not_run) {
+        let end = judge_rejection(state, &attempt.server, &parts, asks_for_backoff);
         attempt.finish_rejected(body).await;
-        let end = if asks_for_backoff { AttemptEnd::Backoff } else { AttemptEnd::Rejected };
         return SendOutcome::End(end);
     }
     if !asks_for_backoff {
--- a/crates/direct/src/wire_names.rs
+++ b/crates/direct/src/wire_names.rs
@@ -25,6 +25,9 @@
     /// Field of an answer with which a backend server announces that it is leaving, by the value
     /// `1`.
     pub server_leaving: HeaderName,
+    /// Field of a rejection with the id of the backend server that is at fault, which may be another
+    /// rank of the same group.
+    pub server_at_fault: HeaderName,
     /// Scheme of the API key in the `Authorization` field.
     pub key_scheme: &'static str,
     /// Path of the readiness check of the external load balancer.
