fix(runtime): reads of the platform wait for the time that its refusals name

Kin of the backend servers' backoff: the platform answers a read over its rate with 429 and Retry-After: 1 (docs/PLATFORM.md), and no reader looked at the field, so that 1,300 processes came back after 0.2 to 0.4 s and kept it overloaded. The pause is now what the refusal asks for, at most 30 s, plus the random one as before, so that they do not return together.

Test, red before: first retry after 0.39 s, second after 1.14 s; now not before 1 and 2 s.

--- a/crates/runtime/src/platform.rs
+++ b/crates/runtime/src/platform.rs
@@ -4,7 +4,9 @@
 
 use hickorycross_core::Instance;
 use hickorycross_core::adoption::Published;
+use hickorycross_core::direct::parse_backoff_ms;
 use rand::RngExt;
+use reqwest::header::RETRY_AFTER;
 use serde::Deserialize;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
@@ -20,6 +22,9 @@
 const FIRST_PAUSE_MS: u64 = 200;
 /// Longest pause after a failed read.
 const MAX_PAUSE_MS: u64 = 5_000;
+/// Longest time for which a process stops reading because the platform asks for it. With a longer
+/// one, a wrong value would leave it with an old document.
+const MAX_BACKOFF_MS: u64 = 30_000;
 /// Longest pause between two polls of a process that does not watch.
 ///
 /// A process without a link to one that already holds a new document, such as an agent whose
@@ -77,8 +82,25 @@
 enum ReadError {
     #[error("{0}")]
     Transport(#[from] reqwest::Error),
-    #[error("status {0}")]
-    Status(u16),
+    #[error("status {status}, asks for a backoff of {backoff_ms} ms")]
+    Status { status: u16, backoff_ms: u64 },
+}
+
+impl ReadError {
+    /// Returns the error for a response, with the backoff that it asks for.
+    fn of_response(response: &reqwest::Response) -> Self {
+        let retry_after = response.headers().get(RETRY_AFTER).and_then(|it| it.to_str().ok());
+        let backoff_ms = retry_after.and_then(|text| parse_backoff_ms(text).ok()).unwrap_or(0);
+        Self::Status { status: response.status().as_u16(), backoff_ms }
+    }
+
+    /// Returns the time for which the platform wants no reads.
+    fn backoff_ms(&self) -> u64 {
+        match self {
+            Self::Transport(_) => 0,
+            Self::Status { backoff_ms, .. } => (*backoff_ms).min(MAX_BACKOFF_MS),
+        }
+    }
 }
 
 /// Reads the platform and sends events until their receiver is dropped.
@@ -136,7 +158,7 @@
         match response.status().as_u16() {
             200 => Ok(Some(response.json().await?)),
             204 | 404 => Ok(None),
-            status => Err(ReadError::Status(status)),
+            _ => Err(ReadError::of_response(&response)),
         }
     }
 
@@ -150,6 +172,8 @@
         self.client = new_client();
         self.failures = self.failures.saturating_add(1);
         let detail = format!("{}: {error}", self.resource);
+        // Processes that were refused at the same moment come back at different ones.
+        tokio::time::sleep(Duration::from_millis(error.backoff_ms())).await;
         let doubled = FIRST_PAUSE_MS.saturating_mul(1 << self.failures.min(6));
         pause(doubled.min(MAX_PAUSE_MS)).await;
         self.events.send(PlatformEvent::Unreachable { detail }).is_ok()
--- a/crates/runtime/tests/platform_reads.rs
+++ b/crates/runtime/tests/platform_reads.rs
@@ -4,6 +4,7 @@
 use hickorycross_core::{Instance, InstanceId, InstanceState, Role};
 use hickorycross_runtime::platform::{FollowMode, PlatformEvent, follow};
 use hickorycross_standins::PlatformStandIn;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::watch;
 
@@ -86,3 +87,27 @@
     expect_that!(counts.instances + counts.instances_watch, eq(2));
     Ok(())
 }
+
+/// Time for which the platform asks its readers to wait when there are too many reads.
+const BACKOFF: Duration = Duration::from_secs(1);
+
+/// Guards against reads that keep the platform overloaded because they come before the time that
+/// its refusals name.
+#[gtest]
+#[tokio::test]
+async fn no_read_comes_before_the_time_that_a_refusal_names() -> googletest::Result<()> {
+    let platform = PlatformStandIn::start().await.or_fail()?;
+    platform.set_reads_per_s(0);
+    let (sender, mut events) = unbounded_channel();
+    let (_mode, receiver) = watch::channel(FollowMode::Poll);
+    let started_at = Instant::now();
+    follow(&format!("http://{}", platform.address()), receiver, sender);
+    for failures in 1..=2 {
+        for _resource in ["config", "instances"] {
+            let event = events.recv().await;
+            verify_that!(event, some(matches_pattern!(PlatformEvent::Unreachable { .. })))?;
+        }
+        expect_that!(started_at.elapsed(), ge(BACKOFF * failures));
+    }
+    Ok(())
+}
