--- a/crates/core/tests/announcements.rs
+++ b/crates/core/tests/announcements.rs
@@ -253,6 +253,9 @@
             "{}",
             case.name
         );
+        let current = table.server("one").expect("it is listed");
+        let keeps_free = table.declines(&current, BootMs(case.kept_free_until.unwrap_or(0)));
+        expect_that!(keeps_free, eq(case.kept_free_until.is_some()), "{}: declines", case.name);
         let expects_return = case.kept_free_until.is_none_or(|until| until < MUCH_LATER);
         let next = case.kept_free_until.map_or(0, |until| until + 1);
         expect_that!(is_chosen(next), eq(expects_return), "{}: afterwards", case.name);
