refactor(entry): split retries and complete answers from active_request

A module each for when a request is sent again and for answers that are read whole; recording the end of an attempt is apart from deciding about the next. capacity_refusal stood for final_refusal. No change of behaviour.

--- a/crates/core/src/direct/backoff.rs
+++ b/crates/core/src/direct/backoff.rs
@@ -123,7 +123,7 @@
     /// Records an answer of a backend server that is no rejection. An answer to an earlier request,
     /// which arrives during a backoff, does not end it. Returns whether the backend server takes
     /// requests again after a backoff.
-    pub fn note_answered(&mut self, server: &BackendServer, now: BootMs) -> bool {
+    pub fn note_accepted(&mut self, server: &BackendServer, now: BootMs) -> bool {
         let Some(row) = self.current_row_mut(server) else { return false };
         if !row.backoff.is_over(now) {
             return false;
--- a/crates/core/tests/announcements.rs
+++ b/crates/core/tests/announcements.rs
@@ -314,14 +314,14 @@
             let choice = table.choose(SERVICE, &[], BootMs(at), 0.5);
             choice.map(|choice| choice.server.id == "one")
         };
-        expect_that!(table.note_answered(&one, BootMs(100)), eq(false), "too early");
+        expect_that!(table.note_accepted(&one, BootMs(100)), eq(false), "too early");
         expect_that!(is_chosen(&table, 3_000), some(eq(true)), "{}: the probe", case.name);
         table.note_sent(&one);
         table.note_probe(&one, BootMs(3_000));
         expect_that!(is_chosen(&table, 3_010), some(eq(false)), "{}: while it runs", case.name);
         match case.end {
             ProbeEnd::Answered => {
-                expect_true!(table.note_answered(&one, BootMs(3_020)));
+                expect_true!(table.note_accepted(&one, BootMs(3_020)));
             }
             ProbeEnd::Backoff => {
                 table.note_backoff(&one, BootMs(6_020), BootMs(3_020));
--- a/crates/direct/src/forward/announcement.rs
+++ b/crates/direct/src/forward/announcement.rs
@@ -26,9 +26,9 @@
     parts.status == StatusCode::SERVICE_UNAVAILABLE && note_backoff(state, server, &parts.headers)
 }
 
-/// Records an answer that is no rejection.
-pub(super) fn note_answered(state: &EntryState, server: &BackendServer) {
-    if state.backends.borrow_mut().note_answered(server, boot_now()) {
+/// Records an answer that is no rejection, which may be the first one after a backoff.
+pub(super) fn note_accepted(state: &EntryState, server: &BackendServer) {
+    if state.backends.borrow_mut().note_accepted(server, boot_now()) {
         state.log.note(line(server).with("outcome", "answers-after-backoff"));
         state.capacity_changed.notify_waiters();
     }
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: sends a request to one backend server and classifies the head of the response.
 
-use super::announcement::{judge_rejection, note_announcements, note_answered};
+use super::announcement::{judge_rejection, note_accepted, note_announcements};
 use super::limit::note_limit;
 use super::pool::Connection;
 use super::response_wait::{ResponseWait, WaitError};
@@ -273,7 +273,7 @@
         return SendOutcome::End(end);
     }
     if !asks_for_backoff {
-        note_answered(state, &attempt.server);
+        note_accepted(state, &attempt.server);
     }
     if !is_valid_answer(state, request, &parts) {
         return SendOutcome::End(AttemptEnd::InvalidAnswer);
--- a/crates/direct/src/forward/mod.rs
+++ b/crates/direct/src/forward/mod.rs
@@ -1,6 +1,8 @@
 //! Forwards an accepted caller request to backend servers until it has a final answer.
 //!
-//! - `active_request` chooses a backend server for each attempt and decides about retries.
+//! - `active_request` chooses a backend server for each attempt and sends the request there.
+//! - `retry` decides whether a request is sent again, and with which refusal it ends otherwise.
+//! - `answer` reads a complete answer and forwards it.
 //! - `admission` delays or refuses a request while its group is unavailable or has no capacity.
 //! - `announcement` reads what a backend server announces about itself in its answers.
 //! - `backoff` keeps requests from backend servers that all asked for a backoff.
@@ -17,6 +19,7 @@
 mod active_request;
 mod admission;
 mod announcement;
+mod answer;
 mod attempt;
 mod backoff;
 mod crash;
@@ -24,6 +27,7 @@
 mod migration;
 mod pool;
 mod response_wait;
+mod retry;
 mod room;
 mod stream;
 mod telemetry;
--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -58,7 +58,7 @@
         now: BootMs,
     ) -> Result<BootMs, Refusal> {
         let until = self.capacity_wait_until(entered_at);
-        if now < until { Ok(until) } else { Err(self.capacity_refusal()) }
+        if now < until { Ok(until) } else { Err(self.final_refusal()) }
     }
 
     /// Records that the request is held back until there is room for it, at most until `until`.
@@ -78,7 +78,7 @@
         drop(queue_limit);
         self.log_hold(urgency, until.since(now), refuses);
         if refuses {
-            return Err(self.capacity_refusal());
+            return Err(self.final_refusal());
         }
         let (state, service) = (Rc::clone(&self.state), self.service.clone());
         Ok(HoldGuard { state, service, urgency })
