--- a/crates/core/src/map_change/abandoned_change.rs
+++ b/crates/core/src/map_change/abandoned_change.rs
@@ -5,7 +5,8 @@
 //! how the change ends. Successive leaders that each complete only a part of the work therefore all
 //! move in the same direction.
 
-use super::leader::{Leader, LeaderAction};
+use super::leader::Leader;
+use super::leader_action::LeaderAction;
 use super::order::OrderKind;
 use super::phase::{Orders, Phase, UndoStage, Undoing};
 use super::status::{ArmKnowledge, RankStatus, Witness};
--- a/crates/core/src/map_change/change.rs
+++ b/crates/core/src/map_change/change.rs
@@ -1,6 +1,7 @@
 //! Advances a change through its phases.
 
-use super::leader::{Leader, LeaderAction};
+use super::leader::Leader;
+use super::leader_action::LeaderAction;
 use super::order::{OrderKind, OrderOutcome};
 use super::phase::{Arming, Holding, Orders, Phase, Preparing};
 use crate::direct::BootMs;
--- a/crates/core/src/map_change/decide.rs
+++ b/crates/core/src/map_change/decide.rs
@@ -1,6 +1,7 @@
 //! Decides whether a group gets another map.
 
-use super::leader::{Leader, LeaderAction};
+use super::leader::Leader;
+use super::leader_action::LeaderAction;
 use super::status::RankStatus;
 use crate::direct::{BootMs, GroupDimensions};
 use crate::placement::{
--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -2,6 +2,8 @@
 
 use super::change::VERSION_STEP;
 use super::demand::DemandEstimator;
+use super::leader_action::{LeaderAction, LeaderNote};
+use super::leader_ranks::RankEntry;
 use super::order::{OrderKind, OrderOutcome, OrderResult, RankOrder};
 use super::order_sends::OrderSends;
 use super::pass_clock::PassClock;
@@ -14,9 +16,6 @@
 use std::iter;
 use std::sync::Arc;
 
-/// Age above which a status is not used for decisions.
-const MAX_STATUS_AGE_MS: u64 = 1_000;
-
 /// Interval after which an unanswered order is sent again. The group may be stalled meanwhile. An
 /// agent whose answer alone was lost repeats it at once.
 const RESEND_MS: u64 = 40;
@@ -26,12 +25,6 @@
 /// quarter of a second in a group of 63 ranks.
 const RESEND_MAP_MS: u64 = 300;
 
-/// Interval between two statuses of a rank during a change in a small group.
-const POLL_ROUND_MS: u64 = 60;
-
-/// Time for the answer to a poll on a busy instance.
-const POLL_ANSWER_MS: u64 = 40;
-
 /// Time after which a leader that took over has learned of every rank whether it holds a pass.
 /// Statuses that are read over the network are some hundred milliseconds old.
 const FIND_HOLD_MS: u64 = 1_000;
@@ -39,55 +32,6 @@
 /// Number of agents that watch the leader in addition to the agent of the holder.
 const EXTRA_WATCHERS: usize = 2;
 
-/// An action that the leader requests from its caller.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LeaderAction {
-    /// Send an order to a rank.
-    Send {
-        /// The rank that carries out the order.
-        rank: u16,
-        /// The rank whose agent delivers the order to the engine, usually the same rank.
-        delivered_by: u16,
-        /// The rank whose agent relays the order. The same tick contains an order of the same kind
-        /// for that rank.
-        relayed_by: Option<u16>,
-        /// Number of the order, which the agent repeats in its answer.
-        number: u64,
-        /// The order.
-        order: RankOrder,
-    },
-    /// Log a decision.
-    Note(LeaderNote),
-}
-
-/// Log record of a decision of the leader.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeaderNote {
-    /// Name of the phase that begins.
-    pub phase: &'static str,
-    /// Reason for the decision.
-    pub cause: &'static str,
-    /// Version of the map concerned.
-    pub version: u64,
-    /// Epoch of the group.
-    pub epoch: u64,
-    /// Fencing number in use.
-    pub fence: u64,
-    /// Number of the newest known pass.
-    pub step: u64,
-    /// Bottleneck load before and after the change, in thousandths of a balanced load.
-    pub bottleneck_permille: Option<(u64, u64)>,
-}
-
-/// The most recent status of a rank.
-#[derive(Clone, Debug)]
-pub(super) struct RankEntry {
-    pub(super) status: RankStatus,
-    heard_at: BootMs,
-    /// Interval between its last two statuses.
-    status_interval_ms: u64,
-}
-
 /// State of the agent that leads a group.
 #[derive(Clone, Debug)]
 pub struct Leader {
@@ -348,90 +292,6 @@
         }
     }
 
-    /// Returns the epoch that the own rank reports.
-    ///
-    /// In a new epoch no map is prepared, no rank is armed and no pass is held, so a change of the
-    /// previous epoch is over.
-    fn epoch(&mut self) -> Option<u64> {
-        let epoch = self.rank_entries.get(&self.own_rank)?.status.epoch;
-        self.rank_entries.retain(|_, entry| entry.status.epoch >= epoch);
-        let is_over = matches!(self.phase.orders(), Some(orders) if !orders.is_for_epoch(epoch));
-        if is_over {
-            self.phase = Phase::Steady;
-        }
-        Some(epoch)
-    }
-
-    /// Returns whether all ranks of the group have a recent status of this epoch.
-    fn all_statuses_current(&self, epoch: u64, now: BootMs) -> bool {
-        let ranks = self.rank_entries.get(&self.own_rank).map_or(0, |own| own.status.ranks);
-        ranks > 0 && (0..ranks).all(|rank| self.has_current_status(rank, epoch, now))
-    }
-
-    /// Returns whether a rank has a recent status of `epoch`.
-    pub(super) fn has_current_status(&self, rank: u16, epoch: u64, now: BootMs) -> bool {
-        self.rank_entries.get(&rank).is_some_and(|entry| {
-            entry.status.epoch == epoch && now.since(entry.heard_at) <= MAX_STATUS_AGE_MS
-        })
-    }
-
-    /// Returns the age of a rank's last status.
-    pub(super) fn age_ms(&self, rank: u16, now: BootMs) -> Option<u64> {
-        self.rank_entries.get(&rank).map(|entry| now.since(entry.heard_at))
-    }
-
-    /// Returns whether the agent of a rank currently answers polls.
-    pub(super) fn is_responsive(&self, rank: u16, now: BootMs) -> bool {
-        let entry = self.rank_entries.get(&rank).filter(|entry| !entry.status.is_read_remotely);
-        entry.is_some_and(|entry| now.since(entry.heard_at) <= self.max_silence_ms())
-    }
-
-    /// Returns whether the agents of all ranks of the group have answered since `polled_since`.
-    pub(super) fn all_answered(&self, polled_since: BootMs) -> bool {
-        let ranks = self.status_of(self.own_rank).map_or(0, |own| own.ranks);
-        let has_answered =
-            |entry: &RankEntry| !entry.status.is_read_remotely && entry.heard_at >= polled_since;
-        (0..ranks).all(|rank| self.rank_entries.get(&rank).is_some_and(has_answered))
-    }
-
-    /// Returns the longest silence of an agent that is explained by the poll interval: two rounds
-    /// of polls and the time for an answer.
-    #[must_use]
-    pub fn max_silence_ms(&self) -> u64 {
-        let round_ms =
-            self.rank_entries.get(&self.own_rank).map_or(0, |own| own.status_interval_ms);
-        2 * round_ms.max(POLL_ROUND_MS) + POLL_ANSWER_MS
-    }
-
-    /// Returns the other ranks whose agents respond, starting with the next one after the own rank.
-    pub(super) fn other_responsive_ranks(&self) -> impl Iterator<Item = u16> {
-        let ranks = self.rank_entries.len().max(1);
-        let after = move |distance: usize| ((usize::from(self.own_rank) + distance) % ranks) as u16;
-        let is_heard = |rank: &u16| {
-            self.rank_entries.get(rank).is_some_and(|entry| !entry.status.is_read_remotely)
-        };
-        (1..ranks).map(after).filter(is_heard)
-    }
-
-    pub(super) fn status_of(&self, rank: u16) -> Option<&RankStatus> {
-        self.rank_entries.get(&rank).map(|entry| &entry.status)
-    }
-
-    /// Clears the held pass of a rank that has released it, before its next status shows it.
-    pub(super) fn clear_held_step(&mut self, rank: u16) {
-        if let Some(entry) = self.rank_entries.get_mut(&rank) {
-            entry.status.held_step = None;
-        }
-    }
-
-    pub(super) fn statuses(&self) -> impl Iterator<Item = &RankStatus> {
-        self.rank_entries.values().map(|entry| &entry.status)
-    }
-
-    fn newest_step(&self) -> u64 {
-        self.statuses().map(|status| status.step).max().unwrap_or(0)
-    }
-
     /// Creates orders to all ranks except some.
     pub(super) fn orders_except(&mut self, except: &[u16], epoch: u64, kind: &OrderKind) -> Orders {
         let ranks = self.status_of(self.own_rank).map_or(0, |own| own.ranks);
--- a/crates/core/src/map_change/phase.rs
+++ b/crates/core/src/map_change/phase.rs
@@ -1,6 +1,6 @@
 //! Phases of a map change and the orders of each phase.
 
-use super::leader::LeaderAction;
+use super::leader_action::LeaderAction;
 use super::order::{OrderKind, OrderOutcome, RankOrder};
 use crate::direct::BootMs;
 use indexmap::IndexMap;
--- a/crates/core/src/map_change/undo.rs
+++ b/crates/core/src/map_change/undo.rs
@@ -1,7 +1,8 @@
 //! Undoes a failed or abandoned change and releases its pass.
 
 use super::change::FENCE_STEP;
-use super::leader::{Leader, LeaderAction};
+use super::leader::Leader;
+use super::leader_action::LeaderAction;
 use super::order::{OrderKind, OrderOutcome};
 use super::phase::{Orders, Phase, UndoStage, Undoing};
 
