--- a/crates/core/src/direct/announcements.rs
+++ b/crates/core/src/direct/announcements.rs
@@ -58,8 +58,9 @@
         self.born_ms != 0 && self.born_ms < server.born_ms
     }
 
-    const fn binds(&self, now: BootMs) -> bool {
-        self.is_leaving || self.backoff_until.0 > now.0
+    /// Returns whether the incarnation gets no requests because of this.
+    pub(super) fn binds(&self, now: BootMs) -> bool {
+        self.is_leaving || self.backoff_until > now
     }
 }
 
--- a/crates/core/src/direct/backoff.rs
+++ b/crates/core/src/direct/backoff.rs
@@ -21,14 +21,15 @@
 /// Longest such time.
 const LONGEST_AVOID_MS: u64 = 2_000;
 
-/// The backoff of a backend server, and whether it has taken requests since.
+/// What keeps requests from one backend server: its backoff, the probe after it, and rejections
+/// without a backoff.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Backoff {
     /// Until when it wants no requests from this entry.
     until: BootMs,
-    /// Whether it has not answered a request since the backoff.
+    /// Whether it has accepted no request since the backoff.
     is_unproven: bool,
-    /// Rejections since the last answer to a request that ran.
+    /// Rejections since it last accepted a request.
     rejections_in_row: u32,
     /// Until when requests go elsewhere while they can.
     avoid_until: BootMs,
@@ -47,8 +48,8 @@
         *self = Self::new(self.until.max(until));
     }
 
-    const fn is_over(&self, now: BootMs) -> bool {
-        self.until.0 <= now.0
+    fn is_over(&self, now: BootMs) -> bool {
+        self.until <= now
     }
 
     /// Returns whether requests go elsewhere while they can, because the backend server rejected
@@ -89,8 +90,7 @@
     /// wants no more requests from this entry.
     #[must_use]
     pub fn declines(&self, server: &BackendServer, now: BootMs) -> bool {
-        let announced = self.announcements.of(server);
-        announced.is_leaving || announced.backoff_until > now
+        self.announcements.of(server).binds(now)
     }
 
     /// Records that a request is sent to a backend server, which is a probe if it is the first one
--- a/crates/direct/src/forward/announcement.rs
+++ b/crates/direct/src/forward/announcement.rs
@@ -29,7 +29,7 @@
 /// Records an answer that is no rejection, which may be the first one after a backoff.
 pub(super) fn note_accepted(state: &EntryState, server: &BackendServer) {
     if state.backends.borrow_mut().note_accepted(server, boot_now()) {
-        state.log.note(line(server).with("outcome", "answers-after-backoff"));
+        state.log.note(server_line(server).with("outcome", "answers-after-backoff"));
         state.capacity_changed.notify_waiters();
     }
 }
@@ -44,7 +44,7 @@
 ) -> AttemptEnd {
     let at_fault = parts.headers.get(&state.names.server_at_fault);
     let at_fault = at_fault.and_then(|value| value.to_str().ok());
-    let line = line(server).with("status", parts.status.as_u16());
+    let line = server_line(server).with("status", parts.status.as_u16());
     state.log.note(line.with_some("at_fault", at_fault).with("outcome", "rejected"));
     match at_fault {
         _ if asks_for_backoff => AttemptEnd::Backoff,
@@ -59,13 +59,13 @@
         return;
     }
     if !values.any(|value| value.to_str().is_ok_and(|text| text.trim() == IS_LEAVING)) {
-        state.log.note(line(server).with("outcome", "leaving-not-readable"));
+        state.log.note(server_line(server).with("outcome", "leaving-not-readable"));
         return;
     }
     if state.backends.borrow_mut().note_announced_leaving(server, boot_now()) {
         metrics::counter!("hickorycross_backend_announcements_total", "kind" => "leaving")
             .increment(1);
-        state.log.note(line(server).with("outcome", "announced-leaving"));
+        state.log.note(server_line(server).with("outcome", "announced-leaving"));
         state.capacity_changed.notify_waiters();
     }
 }
@@ -79,7 +79,7 @@
             Ok(asked_ms) => backoff_ms = asked_ms.max(backoff_ms),
             Err(error @ UnreadableBackoff) => {
                 let logged: String = text.chars().take(MAX_LOGGED_CHARS).collect();
-                let line = line(server).with("error", error).with("value", logged);
+                let line = server_line(server).with("error", error).with("value", logged);
                 state.log.note(line.with("outcome", "backoff-not-readable"));
             }
         }
@@ -90,20 +90,21 @@
     backoff_ms > 0
 }
 
-/// Records a backoff that begins now. The backend server counts from a moment before.
+/// Records a backoff that begins now, which ends slightly later than the backend server counts.
 fn start_backoff(state: &EntryState, server: &BackendServer, backoff_ms: u64) {
     let now = boot_now();
     if state.backends.borrow_mut().note_backoff(server, now.after(backoff_ms), now) {
         metrics::counter!("hickorycross_backend_announcements_total", "kind" => "backoff")
             .increment(1);
-        let line = line(server).with("backoff_ms", backoff_ms);
+        let line = server_line(server).with("backoff_ms", backoff_ms);
         state.log.note(line.with("outcome", "backoff"));
         // Requests that wait for room may have to be refused now.
         state.capacity_changed.notify_waiters();
     }
 }
 
-fn line(server: &BackendServer) -> Fields {
+/// Starts a log line about an incarnation.
+fn server_line(server: &BackendServer) -> Fields {
     let line = DecisionLog::fields("backend-server").with("incarnation", &server.id);
     line.with("born_ms", server.born_ms)
 }
