--- a/crates/core/tests/keys_across_cuts.rs
+++ b/crates/core/tests/keys_across_cuts.rs
@@ -7,7 +7,7 @@
 use hickorycross_core::agent;
 use world::World;
 use world::adapter::Switches;
-use world::script::{Home, Order, agent as agent_of};
+use world::script::{Home, Order, Refusals, agent as agent_of};
 
 const ALL: &[&str] = &["s-0", "s-1", "s-2", "s-3"];
 const WITHOUT_1: &[&str] = &["s-0", "s-2", "s-3"];
@@ -270,3 +270,79 @@
         assert_eq!(World::held(seed, Switches::default()).run(), Ok(()), "seed {seed}");
     }
 }
+
+/// What callers go through, and whether waiting for former homes may refuse more there.
+struct Price {
+    name: &'static str,
+    orders: &'static [Order],
+    may_refuse_more: bool,
+}
+
+const FIVE_MINUTES: Order = Order::Wait { span_ms: 300_000 };
+
+const PRICES: &[Price] = &[
+    Price { name: "calm", orders: &[FIVE_MINUTES], may_refuse_more: false },
+    Price {
+        name: "the platform is away",
+        orders: &[Order::PlatformDown, FIVE_MINUTES],
+        may_refuse_more: false,
+    },
+    Price {
+        name: "a cut without a moved home",
+        orders: &[Order::Cut(&[1, agent_of(1)]), FIVE_MINUTES],
+        may_refuse_more: false,
+    },
+    Price {
+        name: "a restart",
+        orders: &[Order::Restart(agent_of(1)), FIVE_MINUTES],
+        may_refuse_more: false,
+    },
+    Price {
+        name: "a restart while the platform is away",
+        orders: &[Order::PlatformDown, Order::Restart(agent_of(1)), FIVE_MINUTES],
+        may_refuse_more: false,
+    },
+    Price {
+        name: "a moved home",
+        orders: &[Order::Publish(WITHOUT_1), FIVE_MINUTES],
+        may_refuse_more: false,
+    },
+    Price {
+        name: "two documents at once, the first with other homes",
+        orders: &[Order::Publish(WITHOUT_1), Order::Publish(ALL), FIVE_MINUTES],
+        may_refuse_more: false,
+    },
+    Price {
+        name: "a home moved during a cut",
+        orders: &[Order::Cut(&[1, agent_of(1)]), Order::Publish(WITHOUT_1), FIVE_MINUTES],
+        may_refuse_more: true,
+    },
+    Price {
+        name: "a restart during a cut",
+        orders: &[Order::Cut(&[1, agent_of(1)]), Order::Restart(agent_of(2)), FIVE_MINUTES],
+        may_refuse_more: true,
+    },
+];
+
+// Guards against an agent that refuses more keys than before where no former home can run them.
+#[test]
+fn waiting_for_former_homes_refuses_no_more_where_they_are_heard() {
+    let count = |orders, switches| World::scripted(switches).refusals(orders);
+    for price in PRICES {
+        let before = count(price.orders, without_awaiting());
+        let after = count(price.orders, Switches::default()).expect(price.name);
+        println!("{}: {before:?} without waiting, {after:?}", price.name);
+        if !price.may_refuse_more {
+            let allowed = allowed(before.expect(price.name), after);
+            assert!(after.may_have_run <= allowed, "{}: {allowed} allowed", price.name);
+        }
+    }
+}
+
+/// As many refusals for as many requests, and those of the time in which entries ask the agents.
+fn allowed(before: Refusals, after: Refusals) -> u64 {
+    const ASKING_MS: u64 = 2_000;
+    const COUNTED_MS: u64 = 300_000;
+    let while_asking = after.requests * ASKING_MS / COUNTED_MS;
+    before.may_have_run * after.requests / before.requests + while_asking
+}
--- a/crates/core/tests/whole_system/script.rs
+++ b/crates/core/tests/whole_system/script.rs
@@ -81,6 +81,22 @@
         Ok(())
     }
 
+    /// Carries out all orders while callers go on, and returns how many requests came and how many
+    /// of them were refused as ones that may have run.
+    pub(crate) fn refusals(&mut self, orders: &[Order]) -> Result<Refusals, String> {
+        self.advance(WARM_UP_MS)?;
+        let before = self.observer.tally;
+        for order in orders {
+            match *order {
+                Order::Wait { span_ms } => self.advance(span_ms)?,
+                _ => self.carry_out(*order),
+            }
+        }
+        let after = self.observer.tally;
+        let requests = after.requests - before.requests;
+        Ok(Refusals { requests, may_have_run: after.may_have_run - before.may_have_run })
+    }
+
     fn carry_out(&mut self, order: Order) {
         match order {
             Order::Cut(places) => {
@@ -135,6 +151,13 @@
     }
 }
 
+/// What callers were told while orders were carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Refusals {
+    pub(crate) requests: u64,
+    pub(crate) may_have_run: u64,
+}
+
 /// The place of a backend server's agent.
 pub(crate) const fn agent(index: usize) -> usize {
     ENTRIES + index
