--- a/crates/core/src/entry/core.rs
+++ b/crates/core/src/entry/core.rs
@@ -5,8 +5,9 @@
 use crate::entry::counters::EntryCounters;
 use crate::entry::event_context::EventContext;
 use crate::entry::guard::{OutcomeGuard, Violation};
-use crate::entry::holders::KnownHolders;
+
 use crate::entry::interface::{EntryAction, EntryEvent};
+use crate::entry::known_holders::KnownHolders;
 use crate::entry::mechanisms::Mechanisms;
 use crate::entry::peer::{Link, Peer};
 use crate::entry::request::Request;
--- a/crates/core/src/entry/holders.rs
+++ b/crates/core/src/entry/holders.rs
@@ -7,182 +7,15 @@
 
 use crate::entry::core::EntryCore;
 use crate::entry::event_context::EventContext;
-use crate::homes::have_same_homes;
+use crate::entry::known_holders::Answers;
+use crate::entry::peer::Link;
 use crate::ids::{InstanceId, LinkId};
-use crate::instance::{Instance, Role};
-use crate::message::{Adoption, EveryAgent, HeldStamp, Holder, HolderQuery, HolderReport, ToAgent};
-use crate::time::{Now, UnixMs};
-use hickorycross_config::{BackendKind, BackendServerId, Document, Stamp};
-use indexmap::IndexMap;
+use crate::message::{Holder, HolderQuery, HolderReport, ToAgent};
+use crate::time::Now;
 
 /// Agents that are asked for their stamp because of one query. More are asked because of the next.
 const MAX_ASKED: usize = 8;
 
-/// What the entry knows of the documents that agents hold.
-#[derive(Debug, Default)]
-pub(super) struct KnownHolders {
-    /// The agents on the latest instance list, with their backend servers; none before the first.
-    listed: Option<IndexMap<InstanceId, BackendServerId>>,
-    heard: IndexMap<InstanceId, HeardDocument>,
-    /// Queries for the documents of all agents, by the link of the asking agent.
-    surveys: IndexMap<LinkId, Survey>,
-    /// The earliest revision from which on all revisions up to the one in force give all keys the
-    /// same homes.
-    homes_since: u64,
-}
-
-/// The document that an agent holds, as heard in two ways that may overtake each other.
-#[derive(Clone, Copy, Debug, Default)]
-struct HeardDocument {
-    announced: Option<Adoption>,
-    acknowledged: Option<Acknowledgement>,
-}
-
-/// The stamp with which an agent acknowledged a heartbeat.
-#[derive(Clone, Copy, Debug)]
-struct Acknowledgement {
-    /// The stamp. The agent adopted it at the given time or before.
-    held: HeldStamp,
-    /// When the heartbeat was sent.
-    asked_at: UnixMs,
-}
-
-impl HeardDocument {
-    /// The latest document that the agent is known to have adopted.
-    fn latest(self) -> Option<HeldStamp> {
-        let acknowledged = self.acknowledged.map(|acknowledged| acknowledged.held);
-        // With equal revisions, the announcement is the exact one.
-        let announced = self.announced.map(|adoption| adoption.held);
-        acknowledged.into_iter().chain(announced).max_by_key(|held| held.stamp.revision)
-    }
-
-    /// The adoption of a document that the agent still held at some time since `since`.
-    fn adoption_of(self, stamp: Stamp, since: UnixMs) -> Option<Adoption> {
-        let held = self.acknowledged.filter(|row| row.asked_at >= since)?.held;
-        let announced = self.announced.filter(|announced| announced.held.stamp == stamp);
-        let unannounced = Adoption { held, replaced: None };
-        (held.stamp == stamp).then_some(announced.unwrap_or(unannounced))
-    }
-}
-
-/// A query for the documents of all agents. Answers to earlier heartbeats do not count for it: an
-/// agent that was heard before may hold another document by now.
-#[derive(Clone, Copy, Debug)]
-struct Survey {
-    stamp: Stamp,
-    since: UnixMs,
-}
-
-/// What the agents have answered to a survey.
-#[derive(Debug, Default)]
-struct Answers {
-    /// Agents that have not answered.
-    missing: Vec<InstanceId>,
-    /// What the others have answered.
-    known: EveryAgent,
-}
-
-impl KnownHolders {
-    /// Records a document that comes into force here.
-    pub(super) fn adopt(
-        &mut self,
-        before: Option<&Document>,
-        held: Stamp,
-        after: &Document,
-        stamp: Stamp,
-    ) {
-        let is_next = stamp.revision == held.revision + 1;
-        let is_unchanged = before.is_some_and(|before| have_same_homes(before, after));
-        if !(is_next && is_unchanged) {
-            self.homes_since = stamp.revision;
-        }
-    }
-
-    /// Records the agents on an instance list.
-    pub(super) fn update_list(&mut self, list: &[Instance]) {
-        let agents = list.iter().filter_map(|instance| match &instance.role {
-            Role::Agent { backend_server } => Some((instance.id.clone(), backend_server.clone())),
-            Role::Entry => None,
-        });
-        let listed: IndexMap<_, _> = agents.collect();
-        self.heard.retain(|instance, _| listed.contains_key(instance));
-        self.listed = Some(listed);
-    }
-
-    /// Whether the latest instance list names an agent, as live or as leaving.
-    pub(super) fn is_listed(&self, instance: &InstanceId) -> bool {
-        self.listed.as_ref().is_some_and(|listed| listed.contains_key(instance))
-    }
-
-    /// Records that an agent says when it adopted its document.
-    pub(super) fn record_adoption(&mut self, instance: &InstanceId, adoption: Adoption) {
-        self.heard.entry(instance.clone()).or_default().announced = Some(adoption);
-    }
-
-    /// Records the stamp with which an agent acknowledged a heartbeat that was sent at `asked_at`.
-    pub(super) fn record_heartbeat(
-        &mut self,
-        now: Now,
-        instance: &InstanceId,
-        stamp: Stamp,
-        asked_at: UnixMs,
-    ) {
-        let heard = self.heard.entry(instance.clone()).or_default();
-        let earlier = heard.acknowledged.map(|acknowledged| acknowledged.held);
-        let first_heard = HeldStamp { stamp, adopted_at: now.unix_ms };
-        let held = earlier.filter(|earlier| earlier.stamp == stamp).unwrap_or(first_heard);
-        heard.acknowledged = Some(Acknowledgement { held, asked_at });
-    }
-
-    /// The listed instances of a backend server; none before the first list.
-    fn instances_of(&self, backend_server: &BackendServerId) -> Option<Vec<&InstanceId>> {
-        let listed = self.listed.as_ref()?.iter();
-        let matching = listed.filter(|(_, hosted)| *hosted == backend_server);
-        Some(matching.map(|(instance, _)| instance).collect())
-    }
-
-    /// What is known of a backend server's agents; none unless all listed ones have been heard.
-    fn holder(&self, backend_server: &BackendServerId) -> Option<Holder> {
-        let instances = self.instances_of(backend_server)?;
-        let held = instances.into_iter().map(|instance| self.heard.get(instance)?.latest());
-        let held = held.collect::<Option<Vec<_>>>()?;
-        Some(Holder { backend_server: backend_server.clone(), held })
-    }
-
-    /// Begins a survey for the agent on a link, or continues the one for the same document.
-    fn survey(&mut self, now: Now, link: LinkId, stamp: Stamp) -> Survey {
-        let begun = Survey { stamp, since: now.unix_ms };
-        let survey = self.surveys.entry(link).or_insert(begun);
-        if survey.stamp != stamp {
-            *survey = begun;
-        }
-        *survey
-    }
-
-    /// How an agent adopted the document of a survey; none unless it has answered since.
-    fn answer(&self, survey: Survey, instance: &InstanceId) -> Option<Adoption> {
-        self.heard.get(instance)?.adoption_of(survey.stamp, survey.since)
-    }
-}
-
-impl Answers {
-    /// What is known of all agents; none while some have not answered.
-    fn complete(&self) -> Option<EveryAgent> {
-        self.missing.is_empty().then_some(self.known)
-    }
-
-    fn add(&mut self, adoption: Adoption, skipped_after: Option<u64>) {
-        let held = adoption.held;
-        let is_before_skipped = |replaced: &HeldStamp| {
-            skipped_after.is_some_and(|last| replaced.stamp.revision <= last)
-        };
-        let since = adoption.replaced.filter(is_before_skipped).unwrap_or(held).adopted_at;
-        let known = &mut self.known;
-        known.holds_since = known.holds_since.max(held.adopted_at);
-        known.holds_no_skipped_since = known.holds_no_skipped_since.max(since);
-    }
-}
-
 impl EntryCore {
     /// Answers an agent's query with what is known, and asks the agents of which too little is
     /// known, for the agent's next query.
@@ -194,32 +27,20 @@
     ) {
         let Some(asking) = self.links.get(&link).map(|row| row.instance.clone()) else { return };
         let links = &self.links;
-        self.holders.surveys.retain(|link, _| links.contains_key(link));
+        self.holders.retain_surveys(|link| links.contains_key(&link));
         let holders: Vec<Holder> =
             query.backend_servers.iter().filter_map(|one| self.holders.holder(one)).collect();
-        let mut to_ask = self.unheard(query);
+        let mut to_ask = self.holders.unheard(&query.backend_servers, self.stamp);
         let answers = self.survey_answers(ctx.now, link, &asking, query);
         let every_agent = answers.as_ref().and_then(Answers::complete);
         to_ask.extend(answers.into_iter().flat_map(|answers| answers.missing));
-        let homes_since = self.holders.homes_since;
+        let homes_since = self.holders.homes_since();
         let stamp = self.stamp;
         let report = HolderReport { stamp, homes_since, holders, every_agent };
         ctx.send(link, ToAgent::HolderReport(report));
         self.ask_for_stamps(ctx, &to_ask);
     }
 
-    /// Returns the agents of the queried backend servers that do not hold the document in force
-    /// here, as far as is known.
-    fn unheard(&self, query: &HolderQuery) -> Vec<InstanceId> {
-        let queried = query.backend_servers.iter();
-        let instances = queried.filter_map(|one| self.holders.instances_of(one)).flatten();
-        let is_unheard = |instance: &&InstanceId| {
-            let latest = self.holders.heard.get(*instance).and_then(|heard| heard.latest());
-            latest.is_none_or(|held| held.stamp != self.stamp)
-        };
-        instances.filter(is_unheard).cloned().collect()
-    }
-
     /// Returns the answers to the survey for the asking agent; none if it asks for none, or the
     /// entry cannot tell.
     fn survey_answers(
@@ -232,21 +53,9 @@
         if !query.every_agent || query.stamp != self.stamp {
             return None;
         }
-        let survey = self.holders.survey(now, link, query.stamp);
         let document = self.document.as_ref()?;
-        let listed = self.holders.listed.as_ref()?;
-        let kind = kind_of(document, listed.get(asking)?);
-        let mut answers = Answers::default();
-        for (instance, hosted) in listed {
-            if instance == asking || !may_share_routes(kind, kind_of(document, hosted)) {
-                continue;
-            }
-            match self.holders.answer(survey, instance) {
-                Some(adoption) => answers.add(adoption, query.skipped_after),
-                None => answers.missing.push(instance.clone()),
-            }
-        }
-        Some(answers)
+        let survey = self.holders.survey(now, link, query.stamp);
+        self.holders.answers(survey, document, asking, query.skipped_after)
     }
 
     /// Asks agents for the stamps of their documents, by a heartbeat or on a new link.
@@ -261,17 +70,7 @@
     }
 
     fn has_pending_heartbeat(&self, link: LinkId) -> bool {
-        let connected = self.links.get(&link).and_then(|row| row.connected());
+        let connected = self.links.get(&link).and_then(Link::connected);
         connected.is_some_and(|connected| connected.pending.is_some())
     }
 }
-
-fn kind_of(document: &Document, backend_server: &BackendServerId) -> Option<BackendKind> {
-    document.backend(backend_server.as_str()).map(|server| server.kind)
-}
-
-/// Whether two backend servers may serve one route, now or under another document. One that the
-/// document does not name may be of any kind.
-fn may_share_routes(one: Option<BackendKind>, other: Option<BackendKind>) -> bool {
-    one.is_none() || other.is_none() || one == other
-}
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -16,7 +16,7 @@
 //! - `settle` ends attempts and requests, and decides on retries;
 //! - `links` opens, replaces and closes links to agents; `timers` runs whatever is due by time;
 //! - `fleet` applies documents and instance lists, and tracks the health of backend servers;
-//! - `holders` tells agents which documents other agents hold;
+//! - `holders` tells agents which documents other agents hold, from `known_holders`;
 //! - `guard` checks the invariants of a request's outcome independently of the tables above.
 
 mod admit;
@@ -31,6 +31,7 @@
 mod guard;
 mod holders;
 mod interface;
+mod known_holders;
 mod links;
 mod mechanisms;
 mod messages;
