--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -164,8 +164,8 @@
         let held = HeldStamp { stamp, adopted_at: now.unix_ms };
         self.adoption = Some(Adoption { held, replaced });
         self.announce_adoption(actions);
-        self.audit_former_homes(now, actions);
         self.document = Some(document);
+        self.audit_former_homes(now, actions);
         if self.backend().is_none() {
             self.refuse_all_queued(now, RefusalReason::UnknownRoute, actions);
         }
--- a/crates/core/tests/agent_lifecycle.rs
+++ b/crates/core/tests/agent_lifecycle.rs
@@ -3,11 +3,12 @@
 mod agent_harness;
 
 use agent_harness::*;
-use hickorycross_config::{RouteId, TeamId};
+use hickorycross_config::{BackendServerId, RouteId, TeamId};
 use hickorycross_core::agent::{
     ADOPTION_SPREAD_MS, AgentAction, AgentEvent, CLOCK_SKEW_BOUND_MS, DEMAND_TTL_MS, Mechanisms,
     ORPHAN_TIMEOUT_MS, RESPONSE_RETENTION_MS,
 };
+use hickorycross_core::audit::Change;
 use hickorycross_core::message::{
     AgentState, KeyDigest, RefusalReason, ResponseHead, RevokeOutcome, Submit, TeamDemand, ToAgent,
     ToEntry,
@@ -477,3 +478,35 @@
     assert_ne!(of("hog", "k"), of("mouse", "k"));
     assert_ne!(of("ab", "c"), of("a", "bc"));
 }
+
+// Guards against an agent that refuses keys without a record of whom it awaits.
+#[test]
+fn former_homes_that_are_awaited_and_released_are_audited() {
+    let mut before = document();
+    before.routes[1] = route("create", false, &["b1", "b2"]);
+    let mut harness = Harness::with_document(Mechanisms::default(), before);
+    harness.unreachable = &["b2"];
+    let moved = harness.adopt(document());
+    let silent = harness.tick();
+    harness.unreachable = &[];
+    harness.advance(1_000);
+    let heard = harness.tick();
+    let awaited = vec![BackendServerId::new("b1"), BackendServerId::new("b2")];
+    assert_eq!(audited_former_homes(&moved), [Some(awaited)]);
+    assert_eq!(audited_former_homes(&silent), []);
+    assert_eq!(audited_former_homes(&heard), [None]);
+}
+
+/// Returns the former homes of each record that they are awaited, and none for their release.
+fn audited_former_homes(actions: &[AgentAction]) -> Vec<Option<Vec<BackendServerId>>> {
+    let changes = actions.iter().filter_map(|action| match action {
+        AgentAction::Audit(record) => Some(&record.change),
+        _ => None,
+    });
+    let former_homes = changes.filter_map(|change| match change {
+        Change::FormerHomesAwaited { backend_servers, .. } => Some(Some(backend_servers.clone())),
+        Change::FormerHomesReleased { .. } => Some(None),
+        _ => None,
+    });
+    former_homes.collect()
+}
