--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -2,8 +2,10 @@
 
 use googletest::prelude::*;
 use hickorycross_config::{BackendServerId, Digest, Stamp};
-use hickorycross_core::message::{ToAgent, ToEntry};
-use hickorycross_core::{AttemptId, Incarnation, InstanceId, RequestId};
+use hickorycross_core::message::{
+    Adoption, HeldStamp, HolderQuery, HolderReport, ToAgent, ToEntry,
+};
+use hickorycross_core::{AttemptId, Incarnation, InstanceId, RequestId, UnixMs};
 use hickorycross_protocol::{
     CodecError, Frame, Hello, LENGTH_BYTES, MAX_FRAME_BYTES, PeerRole, SUPPORTED_VERSIONS, Version,
     VersionRange, body_length, decode, encode, negotiate,
@@ -86,6 +88,31 @@
     Ok(())
 }
 
+// Guards against a message that a process of an earlier release cannot decode, for which it would close the link.
+#[gtest]
+fn messages_of_a_later_version_say_so() {
+    let held = HeldStamp { stamp: STAMP, adopted_at: UnixMs(1) };
+    let query = HolderQuery {
+        stamp: STAMP,
+        backend_servers: Vec::new(),
+        every_agent: true,
+        skipped_after: None,
+    };
+    let report =
+        HolderReport { stamp: STAMP, homes_since: 1, holders: Vec::new(), every_agent: None };
+    let adoption = Adoption { held, replaced: None };
+    let cases = [
+        (Frame::Announce(STAMP), 1),
+        (Frame::ToEntry(ToEntry::Leaving), 1),
+        (Frame::ToEntry(ToEntry::HolderQuery(query)), 2),
+        (Frame::ToEntry(ToEntry::Adopted(adoption)), 2),
+        (Frame::ToAgent(ToAgent::HolderReport(report)), 2),
+    ];
+    for (frame, version) in cases {
+        expect_that!(frame.first_version(), eq(Version(version)), "{frame:?}");
+    }
+}
+
 struct Negotiation {
     ours: (u16, u16),
     theirs: (u16, u16),
