feat(entry): log which parts of their prompts requests share

`attempt` and `attempt-end` now name the first eight parts of the prompt but its last one, which belongs to the request alone.

Parts that cannot be parsed are left out one by one, at most 64 distinct ones are kept, and the service is part of a part's identity.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -22,6 +22,7 @@
 //!   service.
 //! - [`EventSplitter`] splits an event stream into whole events, so that it can be resumed.
 //! - [`RequestDigest`] identifies requests with the same content, such as a caller's retry.
+//! - [`PromptPart`] names a part of a prompt that requests with different contents share.
 //! - [`CrashTable`] finds requests that crash the backend servers that run them.
 //! - [`BackendLimits`] holds the request rates that overloaded backend servers announce;
 //!   [`LimitGrants`] and [`LimitPermits`] share each rate among all entries.
@@ -46,6 +47,7 @@
 mod limit_shares;
 mod pass_tracker;
 mod peer_table;
+mod prompt_parts;
 mod queue_limit;
 mod quiet_ranks;
 mod request_digest;
@@ -72,6 +74,7 @@
 pub use limit_shares::{LimitGrant, LimitGrants, LimitPermits, granting_entry};
 pub use pass_tracker::PassTracker;
 pub use peer_table::{Peer, PeerTable};
+pub use prompt_parts::PromptPart;
 pub use queue_limit::{QueueLimit, QueueTarget};
 pub use quiet_ranks::QuietReport;
 pub use request_digest::{RequestDigest, RequestIdentity};
--- a/crates/direct/src/callers/head.rs
+++ b/crates/direct/src/callers/head.rs
@@ -3,7 +3,9 @@
 use super::Refusal;
 use crate::clock::boot_now;
 use crate::state::EntryState;
-use hickorycross_core::direct::{BootMs, Catalog, RequestDigest, RequestIdentity, Route};
+use hickorycross_core::direct::{
+    BootMs, Catalog, PromptPart, RequestDigest, RequestIdentity, Route,
+};
 use http::header::{AUTHORIZATION, HOST};
 use http::request::Parts;
 use http::uri::PathAndQuery;
@@ -58,6 +60,13 @@
         })
     }
 
+    /// Returns the parts of the request's prompt that other requests at `service` may share.
+    pub(crate) fn prompt_parts(&self, state: &EntryState, service: &str) -> Vec<PromptPart> {
+        let fields = self.headers.get_all(&state.names.prompt_parts).iter();
+        let lists: Vec<&str> = fields.filter_map(|value| value.to_str().ok()).collect();
+        PromptPart::parse_shared(service, &lists.join(","))
+    }
+
     /// Checks the head of a request that was sent from `address`.
     ///
     /// # Errors
--- a/crates/direct/src/forward/active_request.rs
+++ b/crates/direct/src/forward/active_request.rs
@@ -10,7 +10,7 @@
 use crate::state::EntryState;
 use bytes::Bytes;
 use hickorycross_core::Verdict;
-use hickorycross_core::direct::{BackendServer, BootMs, Choice, RequestDigest, Route};
+use hickorycross_core::direct::{BackendServer, BootMs, Choice, PromptPart, RequestDigest, Route};
 use http::{Response, response};
 use rand::RngExt;
 use std::cell::Cell;
@@ -23,6 +23,8 @@
     pub(crate) service: String,
     body: Bytes,
     pub(super) digest: RequestDigest,
+    /// Parts of the prompt that other requests may share.
+    pub(super) prompt_parts: Vec<PromptPart>,
     /// Ids of the backend servers that are not chosen again.
     pub(super) tried: Vec<String>,
     /// Sends that may have reached a backend server.
@@ -62,6 +64,7 @@
 ) -> Response<AnswerBody> {
     let service = choose_service(&state, &request.route);
     let digest = request.digest(&body);
+    let prompt_parts = request.prompt_parts(&state, &service);
     state.retry_budget.borrow_mut().note_first_send(boot_now(), &service);
     let mut active = ActiveRequest {
         waiting_since: request.arrived_at,
@@ -74,6 +77,7 @@
         service,
         body,
         digest,
+        prompt_parts,
         tried: Vec::new(),
         sends: 0,
         connect_failures: 0,
--- a/crates/direct/src/forward/telemetry.rs
+++ b/crates/direct/src/forward/telemetry.rs
@@ -8,6 +8,9 @@
 use hickorycross_core::direct::{AttemptEnd, BackendServer, Choice};
 use http::StatusCode;
 
+/// Most prompt parts in one log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 impl ActiveRequest {
     /// Starts a log line with the fields that every line about this request has.
     fn line(&self, event: &str) -> Fields {
@@ -15,6 +18,13 @@
         line.with("route", &self.request.route.name).with("service", &self.service)
     }
 
+    /// Adds the first parts of the prompt that other requests may share.
+    fn with_prompt_parts(&self, line: Fields) -> Fields {
+        let shown = self.prompt_parts.iter().take(MAX_LOGGED_PARTS);
+        let ids: Vec<String> = shown.map(ToString::to_string).collect();
+        line.with_some("parts", (!ids.is_empty()).then(|| ids.join(",")))
+    }
+
     /// Logs that the request is about to be sent to the chosen backend server.
     pub(super) fn log_attempt(&self, choice: &Choice, options: SendOptions) {
         metrics::counter!("hickorycross_attempts_total").increment(1);
@@ -23,6 +33,7 @@
         let line = line.with("load", format_args!("{:.1}", choice.load_requests));
         let line = line.with("others", choice.others).with("sends", self.sends + 1);
         let line = line.with("digest", self.digest).with("urgency", options.urgency);
+        let line = self.with_prompt_parts(line);
         let now = boot_now();
         let backoff_left_ms = self.state.backends.borrow().backoff_left_ms(&choice.server, now);
         if backoff_left_ms > 0 {
@@ -87,6 +98,7 @@
         let line = self.line("attempt-end").with("backend", id).with("end", end.as_str());
         let line = line.with("verdict", self.verdict).with("paused", is_paused);
         let line = line.with("digest", self.digest).with("has_head", self.has_head);
+        let line = self.with_prompt_parts(line);
         let line = line.with("since_sent_ms", boot_now().since(self.sent_at));
         self.state.log.note(line.with("sends", self.sends));
     }
--- a/crates/direct/src/wire_names.rs
+++ b/crates/direct/src/wire_names.rs
@@ -19,6 +19,8 @@
     pub not_run: HeaderName,
     /// Field with the urgency of a request; 0 is the most urgent.
     pub urgency: HeaderName,
+    /// Field with the parts of a request's prompt, as `ID:TOKENS` entries.
+    pub prompt_parts: HeaderName,
     /// Field of an answer with the limit that a backend server announces, in requests per second
     /// from all entries together.
     pub server_limit: HeaderName,
