fix(entry): refuse prompts with a part that crashes backend servers

Cause: what was counted is the whole content of a request. Requests that share a part of their prompt on which each server crashes have other contents, so each end counted once and nothing was ever refused. Ruled out: reports that are lost (each was heard everywhere within 10 ms) and answers that void them (none in the log).

Now each entry counts the ends of servers for the parts of the prompts that were there, tells its peers, and contradicts what it has seen answered. For each end the part under which most servers have ended one after the other is the likely cause; a request with all likely causes of an end is refused, one with some of them is a trial, one at a time, told to all. Trials of a blamed part go on with growing pauses, so that a mended model gets its callers back. An end counts against other callers' requests only once two callers have met it.

An answer without length ends like the crash of its server, so it counts as an answer only once the server is seen alive.

Messages between entries got fields at their end; a message of an earlier release reads as if they were empty.

--- a/crates/core/src/direct/crash_table.rs
+++ b/crates/core/src/direct/crash_table.rs
@@ -9,24 +9,25 @@
 //! it. A harmless request that is sent often is present at many crashes, but it is also answered
 //! often.
 
+use super::recent_map::RecentMap;
 use super::{BackendServer, BootMs, RequestDigest};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use std::{fmt, mem};
+use std::fmt;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 /// Backend servers that must have ended while they ran a request until it is refused.
 const ENDED_TO_REFUSE: u32 = 3;
 
 /// Weight of the end of a backend server that had begun to answer the request.
-const BEGUN_WEIGHT: u32 = 2;
+pub(super) const BEGUN_WEIGHT: u32 = 2;
 
 /// Weight of the end of a backend server that had not sent a response head. The request may only
 /// have been queued there, but an engine may also crash before the head is sent.
-const NOT_BEGUN_WEIGHT: u32 = 1;
+pub(super) const NOT_BEGUN_WEIGHT: u32 = 1;
 
 /// Time for which a request is remembered after it was last reported or refused.
-const KEPT_MS: u64 = 600_000;
+pub(super) const KEPT_MS: u64 = 600_000;
 
 /// Most requests that are remembered; their reports to an entry that has just started take about 10
 /// KB.
@@ -35,7 +36,7 @@
 /// Shortest time for which an answer is remembered; the longest is twice as much.
 const ANSWERS_KEPT_MS: u64 = 30_000;
 
-/// Most answered requests in one generation of [`RecentAnswers`]: enough for one entry's share of a
+/// Most answered requests in one generation: enough for one entry's share of a
 /// large fleet's load (42 requests per second) over more than [`ANSWERS_KEPT_MS`].
 const MAX_ANSWERS: usize = 4_096;
 
@@ -98,10 +99,10 @@
 }
 
 /// Requests that backend servers were running when they ended.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CrashTable {
     records: IndexMap<RequestDigest, Record>,
-    answers: RecentAnswers,
+    answers: RecentMap<RequestDigest, ()>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -121,6 +122,13 @@
     is_certain: bool,
 }
 
+impl Default for CrashTable {
+    fn default() -> Self {
+        let answers = RecentMap::new(ANSWERS_KEPT_MS, MAX_ANSWERS);
+        Self { records: IndexMap::new(), answers }
+    }
+}
+
 impl CrashTable {
     /// Records an observation of this entry, or one that another entry reported.
     pub fn note(&mut self, report: RequestReport, now: BootMs) -> ReportOutcome {
@@ -131,7 +139,7 @@
         let at = now.before(age_ms);
         match seen {
             RequestObservation::Answered => self.note_answer(digest, at),
-            RequestObservation::BackendEnded { .. } if self.answers.contains(digest) => {
+            RequestObservation::BackendEnded { .. } if self.answers.contains(&digest) => {
                 ReportOutcome::Contradicted
             }
             RequestObservation::BackendEnded { incarnation, had_begun } => {
@@ -174,7 +182,7 @@
         now: BootMs,
     ) -> bool {
         let end = End { at: now, had_begun, is_certain: false };
-        !self.answers.contains(digest)
+        !self.answers.contains(&digest)
             && self.note_end(digest, incarnation, end) == ReportOutcome::New
     }
 
@@ -191,7 +199,7 @@
     /// be told, because an end was recorded for the request.
     #[must_use]
     pub fn note_answered(&mut self, digest: RequestDigest, now: BootMs) -> bool {
-        self.answers.add(digest, now);
+        self.answers.insert(digest, (), now);
         self.note_answer(digest, now) == ReportOutcome::New
     }
 
@@ -316,36 +324,3 @@
         answered.into_iter().chain(ends)
     }
 }
-
-/// Requests that were recently answered at this entry, in two generations; the older one is dropped
-/// when the newer one is full or old enough.
-#[derive(Clone, Debug, Default)]
-struct RecentAnswers {
-    newer: IndexSet<RequestDigest>,
-    older: IndexSet<RequestDigest>,
-    rotated_at: BootMs,
-}
-
-impl RecentAnswers {
-    fn add(&mut self, digest: RequestDigest, now: BootMs) {
-        if self.newer.len() >= MAX_ANSWERS {
-            self.rotate(now);
-        }
-        self.newer.insert(digest);
-    }
-
-    fn contains(&self, digest: RequestDigest) -> bool {
-        self.newer.contains(&digest) || self.older.contains(&digest)
-    }
-
-    fn expire(&mut self, now: BootMs) {
-        if now.since(self.rotated_at) >= ANSWERS_KEPT_MS {
-            self.rotate(now);
-        }
-    }
-
-    fn rotate(&mut self, now: BootMs) {
-        self.older = mem::take(&mut self.newer);
-        self.rotated_at = now;
-    }
-}
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -23,7 +23,8 @@
 //! - [`EventSplitter`] splits an event stream into whole events, so that it can be resumed.
 //! - [`RequestDigest`] identifies requests with the same content, such as a caller's retry.
 //! - [`PromptPart`] names a part of a prompt that requests with different contents share.
-//! - [`CrashTable`] finds requests that crash the backend servers that run them.
+//! - [`CrashTable`] finds requests that crash the backend servers that run them, and
+//!   [`PartCrashTable`] parts of prompts on which they crash.
 //! - [`BackendLimits`] holds the request rates that overloaded backend servers announce;
 //!   [`LimitGrants`] and [`LimitPermits`] share each rate among all entries.
 //! - [`PeerTable`] holds the other processes of the fleet.
@@ -45,11 +46,15 @@
 mod event_splitter;
 mod group_availability;
 mod limit_shares;
+mod part_answers;
+mod part_crash_table;
+mod part_verdict;
 mod pass_tracker;
 mod peer_table;
 mod prompt_parts;
 mod queue_limit;
 mod quiet_ranks;
+mod recent_map;
 mod request_digest;
 mod retry_budget;
 mod selection;
@@ -72,6 +77,8 @@
 pub use event_splitter::{EventSplitter, StreamEvent};
 pub use group_availability::{GroupAvailability, OutageDurations, SendPermission};
 pub use limit_shares::{LimitGrant, LimitGrants, LimitPermits, granting_entry};
+pub use part_crash_table::{CallerDigest, PartCrashTable, PartEnd, PartObservation, PartReport};
+pub use part_verdict::PartVerdict;
 pub use pass_tracker::PassTracker;
 pub use peer_table::{Peer, PeerTable};
 pub use prompt_parts::PromptPart;
--- a/crates/direct/src/callers/head.rs
+++ b/crates/direct/src/callers/head.rs
@@ -4,7 +4,7 @@
 use crate::clock::boot_now;
 use crate::state::EntryState;
 use hickorycross_core::direct::{
-    BootMs, Catalog, PromptPart, RequestDigest, RequestIdentity, Route,
+    BootMs, CallerDigest, Catalog, PromptPart, RequestDigest, RequestIdentity, Route,
 };
 use http::header::{AUTHORIZATION, HOST};
 use http::request::Parts;
@@ -48,11 +48,20 @@
         self.attempt_id.to_str().unwrap_or("unreadable")
     }
 
+    /// Returns the team that sent the request, or the address of a caller without a key.
+    fn caller(&self) -> String {
+        self.team.clone().unwrap_or_else(|| self.address.to_string())
+    }
+
+    /// Returns the digest of the team or caller that sent the request.
+    pub(crate) fn caller_digest(&self) -> CallerDigest {
+        CallerDigest::of(&self.caller())
+    }
+
     /// Returns the digest of the request's content, which includes its `body`.
     pub(crate) fn digest(&self, body: &[u8]) -> RequestDigest {
-        let address = self.address.to_string();
         RequestDigest::of(&RequestIdentity {
-            caller: self.team.as_deref().unwrap_or(&address),
+            caller: &self.caller(),
             method: self.method.as_str(),
             host: &self.host,
             target: self.target.path_and_query().map_or("", PathAndQuery::as_str),
--- a/crates/direct/src/callers/refusal.rs
+++ b/crates/direct/src/callers/refusal.rs
@@ -59,9 +59,15 @@
         /// Time in milliseconds after which the caller should retry.
         retry_after_ms: u64,
     },
+    /// A part of the prompt may crash backend servers, and is tried one request at a time.
+    DoubtfulPart {
+        /// Time in milliseconds after which the caller should retry.
+        retry_after_ms: u64,
+    },
     /// No backend server accepts requests.
     NoBackend,
-    /// Several backend servers ended while they ran the request.
+    /// Several backend servers ended while they ran the request, or others with the same part in
+    /// their prompt.
     CrashesBackendServers,
     /// The last attempt ended without an answer that can be forwarded.
     Failed(Verdict),
@@ -83,6 +89,7 @@
             Self::Full => "full",
             Self::GroupUnavailable { .. } => "standing",
             Self::Backoff { .. } => "backoff",
+            Self::DoubtfulPart { .. } => "doubtful-part",
             Self::NoBackend => "no-backend",
             Self::CrashesBackendServers => "ends-backend-servers",
             Self::Failed(_) => "failed",
@@ -108,6 +115,7 @@
             | Self::Full
             | Self::GroupUnavailable { .. }
             | Self::Backoff { .. }
+            | Self::DoubtfulPart { .. }
             | Self::NoBackend
             | Self::Failed(Verdict::NotRun)
             | Self::TimedOut(Verdict::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
@@ -121,6 +129,7 @@
             Self::GroupUnavailable { retry_after_ms } | Self::Backoff { retry_after_ms } => {
                 *retry_after_ms
             }
+            Self::DoubtfulPart { retry_after_ms } => retry_after_ms + spread_ms,
             Self::NoConfiguration | Self::StaleConfiguration | Self::NoBackend => {
                 RETRY_AFTER_OUTAGE_MS + spread_ms
             }
@@ -141,6 +150,7 @@
             Self::Full => "all backend servers are full",
             Self::GroupUnavailable { .. } => "the backend servers of this group stand still",
             Self::Backoff { .. } => "all backend servers asked for a backoff",
+            Self::DoubtfulPart { .. } => "a part of the prompt may end backend servers",
             Self::NoBackend => "no backend server takes work",
             Self::CrashesBackendServers => "backend servers end when they run this request",
             Self::Failed(_) => "no backend server gave an answer",
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -135,6 +135,7 @@
         let now = boot_now();
         state.update_retry_budget();
         state.crashes.borrow_mut().expire(now);
+        state.part_crashes.borrow_mut().expire(now);
         state.limits.borrow_mut().expire(now);
         state.limit_grants.borrow_mut().expire(now);
         state.limit_permits.borrow_mut().expire(now);
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -7,11 +7,13 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::gossip::{GossipReport, receive_reports};
+use crate::outbox::Round;
+use crate::part_reports;
 use crate::peer_call::{PeerCallError, post};
 use crate::state::EntryState;
 use crate::store_watch::adopt_catalog;
 use futures_util::future::join_all;
-use hickorycross_core::direct::{BackendServer, BootMs, Catalog};
+use hickorycross_core::direct::{BackendServer, BootMs, Catalog, PartReport};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -66,6 +68,10 @@
     /// with all its reports; if it is `None`, with none.
     #[serde(rename = "shared_sum")]
     pub(crate) reports_checksum: Option<u64>,
+    /// Reports about parts of prompts that the sender pushes to the peer.
+    pub(crate) part_reports: Vec<PartReport>,
+    /// Checksum over all reports of the sender about parts of prompts, like `reports_checksum`.
+    pub(crate) part_reports_checksum: Option<u64>,
 }
 
 impl ExchangeRequest {
@@ -78,6 +84,8 @@
             backend_report: None,
             reports: Vec::new(),
             reports_checksum: None,
+            part_reports: Vec::new(),
+            part_reports_checksum: None,
         }
     }
 }
@@ -128,6 +136,8 @@
     /// All reports of the peer, if its checksum differs from that of the requester.
     #[serde(rename = "shared")]
     pub(crate) reports: Vec<GossipReport>,
+    /// All reports of the peer about parts of prompts, if that checksum differs.
+    pub(crate) part_reports: Vec<PartReport>,
 }
 
 /// Applies a peer's request and returns the response.
@@ -140,6 +150,7 @@
         note_backend_report(state, report, now);
     }
     receive_reports(state, &request.reports, true);
+    part_reports::receive(state, &request.part_reports, true);
     let belief = state.catalog.borrow();
     let newer = belief.catalog().filter(|catalog| catalog.version > request.version);
     let backends_as_of = state.backends_as_of.get();
@@ -155,6 +166,7 @@
         backends,
         members: members.collect(),
         reports: state.reports_for(request.reports_checksum, now),
+        part_reports: state.part_reports_for(request.part_reports_checksum, now),
     }
 }
 
@@ -184,6 +196,7 @@
 ) {
     note_member(state, peer, boot_now());
     receive_reports(state, &response.reports, false);
+    part_reports::receive(state, &response.part_reports, false);
     // All live peers hold the same reports, so one response suffices.
     state.has_asked_peers.set(true);
     for (address, silent_ms) in response.members {
@@ -259,17 +272,19 @@
 
 /// Sends a request that fetches the reports this entry lacks.
 async fn exchange_with_peer(state: Rc<EntryState>, peer: SocketAddr) {
-    let reports_checksum = Some(state.reports_checksum());
-    send_and_apply(&state, peer, ExchangeRequest { reports_checksum, ..new_request(&state) }).await;
+    let request = ExchangeRequest {
+        reports_checksum: Some(state.reports_checksum()),
+        part_reports_checksum: Some(state.part_crashes.borrow().checksum()),
+        ..new_request(&state)
+    };
+    send_and_apply(&state, peer, request).await;
 }
 
 /// Pushes reports to a peer.
-pub(crate) async fn push_reports(
-    state: Rc<EntryState>,
-    peer: SocketAddr,
-    reports: Vec<GossipReport>,
-) {
-    send_and_apply(&state, peer, ExchangeRequest { reports, ..new_request(&state) }).await;
+pub(crate) async fn push_reports(state: Rc<EntryState>, peer: SocketAddr, round: Round) {
+    let Round { reports, part_reports } = round;
+    let request = ExchangeRequest { reports, part_reports, ..new_request(&state) };
+    send_and_apply(&state, peer, request).await;
 }
 
 fn new_request(state: &EntryState) -> ExchangeRequest {
--- a/crates/direct/src/forward/active_request.rs
+++ b/crates/direct/src/forward/active_request.rs
@@ -10,7 +10,9 @@
 use crate::state::EntryState;
 use bytes::Bytes;
 use hickorycross_core::Verdict;
-use hickorycross_core::direct::{BackendServer, BootMs, Choice, PromptPart, RequestDigest, Route};
+use hickorycross_core::direct::{
+    BackendServer, BootMs, CallerDigest, Choice, PromptPart, RequestDigest, Route,
+};
 use http::{Response, response};
 use rand::RngExt;
 use std::cell::Cell;
@@ -23,6 +25,8 @@
     pub(crate) service: String,
     body: Bytes,
     pub(super) digest: RequestDigest,
+    /// Digest of the team or caller that sent the request.
+    pub(super) caller: CallerDigest,
     /// Parts of the prompt that other requests may share.
     pub(super) prompt_parts: Vec<PromptPart>,
     /// Ids of the backend servers that are not chosen again.
@@ -34,8 +38,10 @@
     pub(super) waiting_since: BootMs,
     /// When the request was last sent to a backend server.
     pub(super) sent_at: BootMs,
-    /// Whether the head of an answer has arrived in the current attempt.
-    pub(super) has_head: bool,
+    /// When the head of an answer arrived in the current attempt.
+    pub(super) head_at: Option<BootMs>,
+    /// Whether the current attempt has shown that the prompt does not crash the backend server.
+    pub(super) has_cleared_parts: bool,
     /// Whether the caller got an event.
     pub(super) has_event: bool,
     /// Whether the request has waited for an unavailable group.
@@ -69,9 +75,11 @@
     let mut active = ActiveRequest {
         waiting_since: request.arrived_at,
         sent_at: request.arrived_at,
-        has_head: false,
+        head_at: None,
+        has_cleared_parts: false,
         has_event: false,
         has_waited_for_group: false,
+        caller: request.caller_digest(),
         state,
         request,
         service,
@@ -151,6 +159,7 @@
             let is_probe = self.wait_for_admission().await?;
             let choice = self.choose()?;
             self.spend_retry()?;
+            self.begin_part_trial()?;
             let options =
                 SendOptions { urgency: self.urgency(resume_after.is_some()), resume_after };
             self.log_attempt(&choice, options);
@@ -159,12 +168,13 @@
             self.tried.push(server.id.clone());
             self.sends += 1;
             self.sent_at = boot_now();
-            self.has_head = false;
+            self.head_at = None;
+            self.has_cleared_parts = false;
             let wait = self.response_wait(&server, Awaited::Head);
             let sending = attempt::send(&self.state, &self.request, &self.body, &wait, options);
             match sending.await {
                 SendOutcome::Answer(reply) => {
-                    self.has_head = true;
+                    self.head_at = Some(boot_now());
                     let answered = verdict_of_answer(reply.response.status());
                     self.verdict = self.verdict.max(answered);
                     return Ok(*reply);
@@ -183,9 +193,11 @@
     /// Checks again whether the request may be sent, as it may have waited since it was accepted.
     ///
     /// Meanwhile its deadline may have passed, the catalog by which its key was checked may have
-    /// become too old, or too many backend servers may have ended while they had the request.
+    /// become too old, or too many backend servers may have ended while they had the request or
+    /// others with a part of its prompt.
     pub(super) fn check_before_send(&self) -> Result<(), Refusal> {
         self.check_crashes()?;
+        self.check_prompt_parts()?;
         let now = boot_now();
         if now >= self.request.deadline_at {
             return Err(Refusal::TimedOut(self.verdict));
--- a/crates/direct/src/forward/answer.rs
+++ b/crates/direct/src/forward/answer.rs
@@ -2,7 +2,6 @@
 
 use super::active_request::ActiveRequest;
 use super::attempt::{Attempt, end_to_end};
-use super::crash::note_answered;
 use super::response_wait::{Awaited, WaitError};
 use crate::callers::{AnswerBody, Refusal, full_body};
 use crate::clock::boot_now;
@@ -34,7 +33,7 @@
 
     /// Records that a backend server answered the request to its end.
     pub(crate) fn note_success(&self, attempt: &Attempt, status: StatusCode) {
-        note_answered(&self.state, self.digest);
+        self.note_answer_for_crashes(attempt, status);
         let mut backends = self.state.backends.borrow_mut();
         if status.is_server_error() {
             backends.note_failure(&attempt.server, boot_now());
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -41,6 +41,8 @@
     connection: Option<Connection>,
     idle_timeout_ms: Option<u64>,
     is_last_on_connection: bool,
+    /// Whether the answer has a length or chunks, so that its end is told from a lost connection.
+    pub(crate) is_framed: bool,
     sent_at: BootMs,
     /// For a stream, whether an event was received; `None` for other requests.
     is_begun: Option<bool>,
@@ -100,14 +102,15 @@
         }
     }
 
-    /// Records from a response head whether and for how long the connection can be reused.
+    /// Records from a response head whether the answer is framed, and whether and for how long the
+    /// connection can be reused.
     fn note_connection_fields(&mut self, headers: &HeaderMap) {
         let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
         let is_close = |value: &str| value.trim().eq_ignore_ascii_case("close");
         let closes = values.flat_map(|value| value.split(',')).any(is_close);
-        let has_end =
+        self.is_framed =
             headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        self.is_last_on_connection = closes || !has_end;
+        self.is_last_on_connection = closes || !self.is_framed;
         self.idle_timeout_ms = idle_timeout_ms(headers);
     }
 
@@ -158,6 +161,7 @@
         connection: None,
         idle_timeout_ms: None,
         is_last_on_connection: true,
+        is_framed: true,
         sent_at: boot_now(),
         is_begun: is_stream.then_some(false),
     };
--- a/crates/direct/src/forward/mod.rs
+++ b/crates/direct/src/forward/mod.rs
@@ -12,6 +12,7 @@
 //! - `stream` forwards events and resumes a broken stream at another backend server.
 //! - `migration` moves a stream away from a rank that slows its group.
 //! - `crash` detects backend servers that end while they have the request.
+//! - `suspect_parts` refuses prompts with a part that crashes backend servers.
 //! - `limit` applies the request rates that backend servers announce.
 //! - `pool` keeps connections to backend servers.
 //! - `telemetry` writes log lines and metrics about the request.
@@ -30,6 +31,7 @@
 mod retry;
 mod room;
 mod stream;
+mod suspect_parts;
 mod telemetry;
 
 pub(crate) use active_request::forward;
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -162,6 +162,7 @@
         if let Some(attempt) = &mut self.attempt {
             attempt.note_event(pass);
         }
+        self.active.note_answer_goes_on(now);
         self.last_event_at = now;
         self.active.has_event = true;
         self.events += 1;
--- /dev/null
+++ b/crates/direct/src/forward/suspect_parts.rs
@@ -0,0 +1,98 @@
+//! Refuses requests with a part in their prompt that crashes backend servers, and tries doubtful
+//! parts one request at a time.
+//!
+//! [`PartCrashTable`] decides; here the parts of requests are checked before each send, and answers
+//! on them are recorded.
+//!
+//! [`PartCrashTable`]: hickorycross_core::direct::PartCrashTable
+
+use super::active_request::ActiveRequest;
+use crate::callers::Refusal;
+use crate::clock::boot_now;
+use crate::part_reports;
+use crate::state::EntryState;
+use hickorycross_core::Verdict;
+use hickorycross_core::direct::{BootMs, PartVerdict, PromptPart};
+
+/// Time for which an answer must have gone on to show that no part of its prompt crashes the
+/// backend server.
+const SOUND_ANSWER_MS: u64 = 1_000;
+
+impl ActiveRequest {
+    /// Refuses the request if a part of its prompt must not be sent to backend servers now.
+    pub(super) fn check_prompt_parts(&self) -> Result<(), Refusal> {
+        match self.judge_prompt_parts() {
+            PartVerdict::Allowed | PartVerdict::Trial(_) => Ok(()),
+            verdict => Err(self.refuse_prompt_part(verdict)),
+        }
+    }
+
+    /// Announces the request to all entries if it is a trial of a doubtful part. Fails like
+    /// [`Self::check_prompt_parts`] if there is another trial now.
+    pub(super) fn begin_part_trial(&self) -> Result<(), Refusal> {
+        let parts = match self.judge_prompt_parts() {
+            PartVerdict::Allowed => return Ok(()),
+            PartVerdict::Trial(parts) => parts,
+            verdict => return Err(self.refuse_prompt_part(verdict)),
+        };
+        for part in parts {
+            let report = self.state.part_crashes.borrow_mut().note_tried(part, boot_now());
+            self.log_part_trial(part);
+            part_reports::tell(&self.state, report, "tried-here");
+        }
+        Ok(())
+    }
+
+    fn judge_prompt_parts(&self) -> PartVerdict {
+        let crashes = self.state.part_crashes.borrow();
+        crashes.judge(&self.prompt_parts, self.caller, boot_now())
+    }
+
+    /// Returns the refusal of a request that must not be sent now.
+    fn refuse_prompt_part(&self, verdict: PartVerdict) -> Refusal {
+        let now = boot_now();
+        let (part, refusal) = match verdict {
+            PartVerdict::Doubtful { part, retry_at } => {
+                (part, Refusal::DoubtfulPart { retry_after_ms: retry_at.since(now) })
+            }
+            PartVerdict::Refused { part } => (part, Refusal::CrashesBackendServers),
+            PartVerdict::Allowed | PartVerdict::Trial(_) => return Refusal::Full,
+        };
+        let mut crashes = self.state.part_crashes.borrow_mut();
+        crashes.note_refused(part, now);
+        self.log_part_refusal(part, crashes.ended_server_count(part), &refusal);
+        match self.verdict {
+            Verdict::NotRun => refusal,
+            verdict => Refusal::Failed(verdict),
+        }
+    }
+
+    /// Records that the answer goes on, which clears the parts of the prompt after
+    /// [`SOUND_ANSWER_MS`].
+    pub(super) fn note_answer_goes_on(&mut self, now: BootMs) {
+        let Some(head_at) = self.head_at else { return };
+        if !self.has_cleared_parts && now.since(head_at) >= SOUND_ANSWER_MS {
+            self.has_cleared_parts = true;
+            note_parts_answered(&self.state, &self.prompt_parts, head_at);
+        }
+    }
+
+    /// Returns when the backend server began to answer; of an answer without events this is not
+    /// known, and the moment of the send is taken.
+    pub(super) fn answer_began_at(&self) -> BootMs {
+        let is_stream = self.request.route.kind.is_stream();
+        self.head_at.filter(|_| is_stream).unwrap_or(self.sent_at)
+    }
+}
+
+/// Records an answer on these parts that began at `began_at`, and tells the other entries if they
+/// may suspect a part.
+pub(super) fn note_parts_answered(state: &EntryState, parts: &[PromptPart], began_at: BootMs) {
+    for part in parts {
+        let now = boot_now();
+        let report = state.part_crashes.borrow_mut().note_answered(*part, began_at, now);
+        if let Some(report) = report {
+            part_reports::tell(state, report, "answered-here");
+        }
+    }
+}
--- a/crates/direct/src/forward/telemetry.rs
+++ b/crates/direct/src/forward/telemetry.rs
@@ -5,7 +5,7 @@
 use crate::callers::Refusal;
 use crate::clock::boot_now;
 use crate::decision_log::{DecisionLog, Fields};
-use hickorycross_core::direct::{AttemptEnd, BackendServer, Choice};
+use hickorycross_core::direct::{AttemptEnd, BackendServer, Choice, PromptPart};
 use http::StatusCode;
 
 /// Most prompt parts in one log line.
@@ -97,7 +97,7 @@
         metrics::counter!("hickorycross_attempts_failed_total", "end" => end.as_str()).increment(1);
         let line = self.line("attempt-end").with("backend", id).with("end", end.as_str());
         let line = line.with("verdict", self.verdict).with("paused", is_paused);
-        let line = line.with("digest", self.digest).with("has_head", self.has_head);
+        let line = line.with("digest", self.digest).with("has_head", self.head_at.is_some());
         let line = self.with_prompt_parts(line);
         let line = line.with("since_sent_ms", boot_now().since(self.sent_at));
         self.state.log.note(line.with("sends", self.sends));
@@ -111,6 +111,28 @@
         self.state.log.note(line.with("verdict", self.verdict));
     }
 
+    /// Logs that the request is a trial of a part under which backend servers have ended.
+    pub(super) fn log_part_trial(&self, part: PromptPart) {
+        metrics::counter!("hickorycross_prompt_part_trials_total").increment(1);
+        self.state.log.note(self.line("part-trial").with("part", part).with("sends", self.sends));
+    }
+
+    /// Logs that the request is refused because `ended_servers` backend servers ended under
+    /// requests with a part of its prompt.
+    pub(super) fn log_part_refusal(
+        &self,
+        part: PromptPart,
+        ended_servers: usize,
+        refusal: &Refusal,
+    ) {
+        metrics::counter!("hickorycross_prompt_part_refusals_total", "cause" => refusal.as_str())
+            .increment(1);
+        let line = self.line("request-refused").with("part", part);
+        let line = line.with("ended_under_it", ended_servers).with("sends", self.sends);
+        let line = line.with("cause", refusal.as_str());
+        self.state.log.note(line.with("verdict", self.verdict));
+    }
+
     /// Logs an answer with a server error status, and whether the request is retried elsewhere
     /// instead of forwarding that answer.
     pub(super) fn log_failure(&self, id: &str, status: StatusCode, is_retried: bool) {
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/gossip.rs
@@ -8,35 +8,22 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::exchange;
+use crate::outbox::Aged;
 use crate::state::EntryState;
 use hickorycross_core::direct::{
-    BootMs, LimitReport, QuietReport, ReportOutcome, RequestObservation, RequestReport,
+    LimitReport, QuietReport, ReportOutcome, RequestObservation, RequestReport,
 };
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
 
 /// Interval between two rounds: several times the latency between two entries.
 const ROUND_INTERVAL_MS: u64 = 250;
 
-/// Number of rounds in which one entry pushes a report.
-const ROUNDS_PER_REPORT: u32 = 2;
-
 /// Number of peers that get a report in one round. Eight peers per entry miss less than one entry
 /// in a thousand, and a small fleet is covered at once.
 const PEERS_PER_ROUND: usize = 4;
 
-/// Maximum number of reports in one message. Together with the interval, this bounds the network
-/// load when many backend servers end at once.
-const MAX_REPORTS_PER_MESSAGE: usize = 24;
-
-/// Maximum number of queued reports. Entries that miss the others fetch them with their next
-/// request to a peer.
-const MAX_QUEUED: usize = 256;
-
 /// A report that entries spread among themselves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum GossipReport {
@@ -48,9 +35,8 @@
     Quiet(QuietReport),
 }
 
-impl GossipReport {
-    /// Returns the report with its age increased by `span_ms`.
-    const fn aged(self, span_ms: u64) -> Self {
+impl Aged for GossipReport {
+    fn aged(self, span_ms: u64) -> Self {
         match self {
             Self::Request(report) => Self::Request(RequestReport {
                 age_ms: report.age_ms.saturating_add(span_ms),
@@ -66,59 +52,17 @@
     }
 }
 
-/// Queue of reports to push to peers.
-#[derive(Debug, Default)]
-pub(crate) struct Outbox {
-    waiting: RefCell<VecDeque<Outgoing>>,
-    filled: Notify,
-}
-
-/// A queued report.
-#[derive(Clone, Copy, Debug)]
-struct Outgoing {
-    report: GossipReport,
-    noted_at: BootMs,
-    rounds_left: u32,
-}
-
-impl Outbox {
-    /// Appends a report. If the queue is full, the oldest one is dropped.
-    pub(crate) fn add(&self, report: GossipReport, now: BootMs) {
-        let mut waiting = self.waiting.borrow_mut();
-        if waiting.len() >= MAX_QUEUED {
-            waiting.pop_front();
-        }
-        waiting.push_back(Outgoing { report, noted_at: now, rounds_left: ROUNDS_PER_REPORT });
-        self.filled.notify_one();
-    }
-
-    /// Returns the reports of the next round with their present age.
-    fn next_round(&self, now: BootMs) -> Vec<GossipReport> {
-        let mut waiting = self.waiting.borrow_mut();
-        let count = waiting.len().min(MAX_REPORTS_PER_MESSAGE);
-        let mut reports = Vec::with_capacity(count);
-        for mut outgoing in waiting.drain(..count).collect::<Vec<_>>() {
-            reports.push(outgoing.report.aged(now.since(outgoing.noted_at)));
-            outgoing.rounds_left -= 1;
-            if outgoing.rounds_left > 0 {
-                waiting.push_back(outgoing);
-            }
-        }
-        reports
-    }
-}
-
 /// Pushes queued reports to peers continuously.
 pub(crate) async fn run(state: Rc<EntryState>) {
     loop {
-        let reports = state.outbox.next_round(boot_now());
-        if reports.is_empty() {
-            state.outbox.filled.notified().await;
+        let round = state.outbox.next_round(boot_now());
+        if round.is_empty() {
+            state.outbox.filled().await;
             continue;
         }
         let peers = state.peers.borrow().sample(PEERS_PER_ROUND, &mut *state.random.borrow_mut());
         for peer in peers {
-            let push = exchange::push_reports(Rc::clone(&state), peer, reports.clone());
+            let push = exchange::push_reports(Rc::clone(&state), peer, round.clone());
             tokio::task::spawn_local(push);
         }
         tokio::time::sleep(Duration::from_millis(ROUND_INTERVAL_MS)).await;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -21,6 +21,8 @@
 mod gossip;
 mod limit_share;
 mod operators;
+mod outbox;
+mod part_reports;
 mod peer_call;
 mod process;
 mod reload;
--- a/crates/direct/src/operators.rs
+++ b/crates/direct/src/operators.rs
@@ -3,6 +3,7 @@
 use crate::clock::boot_now;
 use crate::exchange::{self, EXCHANGE_PATH};
 use crate::limit_share::{self, LIMIT_SHARE_PATH};
+use crate::peer_call;
 use crate::state::EntryState;
 use bytes::Bytes;
 use hickorycross_runtime::exposition::Exposition;
@@ -121,7 +122,7 @@
     answer: impl FnOnce(&EntryState, &Q) -> A,
 ) -> Response<Full<Bytes>> {
     let body = Limited::new(request.into_body(), MAX_PEER_REQUEST_BYTES).collect().await;
-    let question = body.ok().and_then(|body| postcard::from_bytes::<Q>(&body.to_bytes()).ok());
+    let question = body.ok().and_then(|body| peer_call::decode::<Q>(&body.to_bytes()).ok());
     let Some(question) = question else {
         return plain(StatusCode::BAD_REQUEST, Bytes::from_static(b"unreadable question\n"));
     };
--- a/crates/direct/src/peer_call.rs
+++ b/crates/direct/src/peer_call.rs
@@ -9,6 +9,9 @@
 /// delay of a busy peer.
 const ANSWER_TIMEOUT_MS: u64 = 500;
 
+/// Encoding of fields that are empty lists or `None`, as many as an earlier release may lack.
+const EMPTY_FIELDS: [u8; 8] = [0; 8];
+
 /// Error of a call to a peer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum PeerCallError {
@@ -37,5 +40,18 @@
     let body = postcard::to_stdvec(message)?;
     let request = client.post(format!("http://{peer}{path}")).body(body);
     let response = request.send().await?.error_for_status()?;
-    Ok(postcard::from_bytes(&response.bytes().await?)?)
+    Ok(decode(&response.bytes().await?)?)
+}
+
+/// Decodes a message of a peer, which may be of another release.
+///
+/// Later releases only append fields. Those that an earlier release lacks are read as empty, and
+/// those of a later one are passed over.
+///
+/// # Errors
+///
+/// When the bytes are not such a message.
+pub(crate) fn decode<M: DeserializeOwned>(bytes: &[u8]) -> Result<M, postcard::Error> {
+    let padded = [bytes, &EMPTY_FIELDS].concat();
+    postcard::from_bytes(&padded)
 }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -3,16 +3,18 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::forward::{Pool, SuspectedCrashes};
-use crate::gossip::{GossipReport, Outbox};
+use crate::gossip::GossipReport;
 use crate::limit_share::SilentEntries;
+use crate::outbox::Outbox;
 use crate::peer_call;
 use crate::settings::ProcessSettings;
 use crate::store_watch::CATALOG_WAIT_MS;
 use crate::wire_names::WireNames;
 use hickorycross_core::direct::{
     Admission, AdmissionSettings, BackendLimits, BackendTable, BootMs, CatalogState, CrashTable,
-    GroupAvailability, InitialTimeouts, LimitGrants, LimitPermits, PassTracker, PeerTable,
-    QueueLimit, RetryBudget, RetryBudgetSettings, max_catalog_age_for_keys_ms,
+    GroupAvailability, InitialTimeouts, LimitGrants, LimitPermits, PartCrashTable, PartReport,
+    PassTracker, PeerTable, QueueLimit, RetryBudget, RetryBudgetSettings,
+    max_catalog_age_for_keys_ms,
 };
 use indexmap::IndexMap;
 use rand::SeedableRng;
@@ -100,6 +102,8 @@
     pub(crate) has_asked_peers: Cell<bool>,
     /// Requests that backend servers had when they ended.
     pub(crate) crashes: RefCell<CrashTable>,
+    /// Parts of prompts under which backend servers have ended.
+    pub(crate) part_crashes: RefCell<PartCrashTable>,
     /// Backend servers that may have ended while they had requests, until that is checked.
     pub(crate) suspected_crashes: SuspectedCrashes,
     /// Request rate limits that backend servers announced.
@@ -156,6 +160,7 @@
             peers: RefCell::new(peers),
             has_asked_peers: Cell::new(false),
             crashes: RefCell::default(),
+            part_crashes: RefCell::default(),
             suspected_crashes: SuspectedCrashes::default(),
             limits: RefCell::default(),
             limit_grants: RefCell::default(),
@@ -234,6 +239,16 @@
         requests.chain(limits).collect()
     }
 
+    /// Returns all reports of this entry about parts of prompts if the peer's `checksum` differs
+    /// from its own, or none if the peer sent no checksum.
+    pub(crate) fn part_reports_for(&self, checksum: Option<u64>, now: BootMs) -> Vec<PartReport> {
+        let crashes = self.part_crashes.borrow();
+        if checksum.is_none_or(|checksum| checksum == crashes.checksum()) {
+            return Vec::new();
+        }
+        crashes.reports(now)
+    }
+
     /// Returns a checksum over the reports of this entry, which is equal at entries that have the
     /// same reports.
     pub(crate) fn reports_checksum(&self) -> u64 {
