fix(entry): an entry uses the slots that other entries leave unused

An entry cannot see what others use, but how soon its own requests begin. While only the share holds requests back and others begin in time, the share and the bound grow by half every 200 ms, up to all slots; a late first event halves what exceeds the even share, and five seconds without need end it. Weighed: entries that tell each other their load, which 400 entries that ask one another every 2 s learn too late; a higher fixed share, which all entries would fill at once when there is too much.

--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/admission.rs
@@ -91,6 +91,14 @@
         }
     }
 
+    /// Increases the bound of a service by `factor`, since this entry's share has grown by it. By the
+    /// constant increase alone, the bound would follow late.
+    pub fn note_share_grown(&mut self, service: &str, factor: f64) {
+        if let Some(bound) = self.services.get_mut(service) {
+            bound.requests *= factor;
+        }
+    }
+
     /// Adjusts the bound of a service after an event that came in time or too late.
     pub fn note_timeliness(&mut self, service: &str, in_time: bool, now: BootMs) {
         let AdmissionSettings { decrease_ratio, increase_requests, decrease_interval_ms, .. } =
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -19,7 +19,7 @@
 //! - [`PassTracker`] measures the passes of a group and limits how many requests may begin in the
 //!   next one.
 //! - [`Admission`] bounds the requests that an entry keeps open at the backend servers of a
-//!   service.
+//!   service, and [`UnusedShares`] lets it use the slots that other entries leave unused.
 //! - [`EventSplitter`] splits an event stream into whole events, so that it can be resumed.
 //! - [`RequestDigest`] identifies requests with the same content, such as a caller's retry.
 //! - [`PromptPart`] names a part of a prompt that requests with different contents share.
@@ -58,6 +58,7 @@
 mod request_digest;
 mod retry_budget;
 mod selection;
+mod unused_shares;
 mod waiting;
 
 pub use admission::{Admission, AdmissionSettings};
@@ -88,6 +89,7 @@
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use selection::Choice;
 pub(crate) use selection::max_avoided_ranks;
+pub use unused_shares::UnusedShares;
 pub use waiting::{
     InitialTimeouts, escalated_urgency, event_wait_deadline, moved_urgency, pass_wait_deadline,
     patience_used, retry_after_ms, urgency,
--- a/crates/direct/src/forward/admission.rs
+++ b/crates/direct/src/forward/admission.rs
@@ -96,7 +96,7 @@
         if self.request.route.kind.is_stream() && self.sends > 0 && !self.has_event {
             let now = boot_now();
             let waited_ms = now.since(self.sent_at);
-            self.state.admission.borrow_mut().note_not_begun(&self.service, waited_ms, now);
+            self.state.note_not_begun(&self.service, waited_ms, now);
         }
     }
 
--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -43,6 +43,8 @@
     /// wait for.
     pub(super) fn room(&self, urgency: u8, entered_at: BootMs) -> Room {
         if !self.has_capacity() {
+            let mut unused_shares = self.state.unused_shares.borrow_mut();
+            unused_shares.note_limited(&self.service, boot_now());
             return Room::Full;
         }
         if !self.would_begin_soon(urgency) {
@@ -133,11 +135,20 @@
         let backends = self.state.backends.borrow();
         let now = boot_now();
         let slots = f64::from(backends.slots(&self.service, now));
-        let share = slots / self.state.live_entry_count() as f64;
+        let entries = self.state.live_entry_count() as f64;
+        let even_share = slots / entries;
         let open = backends.outstanding(&self.service);
         let used = patience_used(&self.request.route, self.waiting_since, now);
         let late_share = self.availability(|availability| availability.late_share(now, used));
-        let part = if self.is_late() && late_share < 1.0 { late_share } else { MAX_ENTRY_SHARE };
-        self.state.admission.borrow_mut().admits(&self.service, open, share, part)
+        let mut admission = self.state.admission.borrow_mut();
+        if self.is_late() && late_share < 1.0 {
+            return admission.admits(&self.service, open, even_share, late_share);
+        }
+        let mut unused_shares = self.state.unused_shares.borrow_mut();
+        if f64::from(open) >= even_share * MAX_ENTRY_SHARE {
+            unused_shares.note_exceeded(&self.service, now);
+        }
+        let factor = unused_shares.factor(&self.service, entries, now);
+        admission.admits(&self.service, open, even_share * factor, MAX_ENTRY_SHARE)
     }
 }
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -143,7 +143,7 @@
         // the group is.
         let span_ms = now.since(self.last_event_at.max(self.active.sent_at));
         if self.events == 0 {
-            state.admission.borrow_mut().note_first_event(service, span_ms, now);
+            state.note_begun(service, span_ms, now);
         } else {
             state.admission.borrow_mut().note_gap(service, span_ms, now);
         }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -13,7 +13,7 @@
 use hickorycross_core::direct::{
     Admission, AdmissionSettings, BackendLimits, BackendTable, BootMs, CatalogState, CrashTable,
     GroupAvailability, InitialTimeouts, LimitGrants, LimitPermits, PartCrashTable, PartReport,
-    PassTracker, PeerTable, QueueLimit, RetryBudget, RetryBudgetSettings,
+    PassTracker, PeerTable, QueueLimit, RetryBudget, RetryBudgetSettings, UnusedShares,
     max_catalog_age_for_keys_ms,
 };
 use indexmap::IndexMap;
@@ -48,7 +48,8 @@
 /// the group's slots.
 ///
 /// Callers are spread unevenly over entries, so one entry may need more than its even share. If
-/// all of them together send too much, the backend servers reject the excess.
+/// all of them together send too much, the backend servers reject the excess. An entry that needs
+/// still more gets it while the others leave theirs unused.
 pub(crate) const MAX_ENTRY_SHARE: f64 = 1.6;
 
 /// Number of requests that wait for admission and were not sent yet.
@@ -95,6 +96,8 @@
     pub(crate) unreadable_backends: RefCell<IndexMap<String, String>>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) admission: RefCell<Admission>,
+    /// By how much this entry exceeds its even share of the slots of each service.
+    pub(crate) unused_shares: RefCell<UnusedShares>,
     /// The streams that wait at the backend servers of each service.
     pub(crate) queue_limit: RefCell<QueueLimit>,
     pub(crate) peers: RefCell<PeerTable>,
@@ -156,6 +159,7 @@
             unreadable_backends: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
             admission: RefCell::new(Admission::new(ADMISSION)),
+            unused_shares: RefCell::default(),
             queue_limit: RefCell::default(),
             peers: RefCell::new(peers),
             has_asked_peers: Cell::new(false),
@@ -223,6 +227,28 @@
         self.passes.borrow_mut().entry(service.to_owned()).or_default().note_sent(bytes);
     }
 
+    /// Records that a stream got its first event `span_ms` after it was sent.
+    pub(crate) fn note_begun(&self, service: &str, span_ms: u64, now: BootMs) {
+        let entries = self.live_entry_count() as f64;
+        let mut unused_shares = self.unused_shares.borrow_mut();
+        let growth = unused_shares.note_first_event(service, span_ms, entries, now);
+        let mut admission = self.admission.borrow_mut();
+        admission.note_first_event(service, span_ms, now);
+        admission.note_share_grown(service, growth);
+        if growth > 1.0 {
+            let factor = unused_shares.factor(service, entries, now);
+            let line = DecisionLog::fields("share").with("service", service);
+            let line = line.with("factor", format_args!("{factor:.2}")).with("entries", entries);
+            self.log.note(line.with("span_ms", span_ms).with("outcome", "grown"));
+        }
+    }
+
+    /// Records that a stream that was sent `span_ms` ago ended without an event.
+    pub(crate) fn note_not_begun(&self, service: &str, span_ms: u64, now: BootMs) {
+        self.admission.borrow_mut().note_not_begun(service, span_ms, now);
+        self.unused_shares.borrow_mut().note_not_begun(service, span_ms, now);
+    }
+
     /// Returns a random peer, or `None` if none is known.
     pub(crate) fn random_peer(&self) -> Option<SocketAddr> {
         self.peers.borrow().random_peer(&mut *self.random.borrow_mut())
