--- a/crates/direct/src/forward/room.rs
+++ b/crates/direct/src/forward/room.rs
@@ -43,8 +43,7 @@
     /// wait for.
     pub(super) fn room(&self, urgency: u8, entered_at: BootMs) -> Room {
         if !self.has_capacity() {
-            let mut unused_shares = self.state.unused_shares.borrow_mut();
-            unused_shares.note_limited(&self.service, boot_now());
+            self.note_limited_by_share();
             return Room::Full;
         }
         if !self.would_begin_soon(urgency) {
@@ -94,15 +93,30 @@
     /// retried before, and cannot do so again, waits for its target latency.
     fn capacity_wait_until(&self, entered_at: BootMs) -> BootMs {
         let target_ms = self.request.route.target_latency_ms;
-        let is_recovering =
-            self.availability(|availability| availability.is_recovering(boot_now()));
-        if self.request.route.kind.is_stream() && (self.has_waited_for_group || is_recovering) {
+        if self.request.route.kind.is_stream()
+            && (self.has_waited_for_group || self.is_group_recovering())
+        {
             return self.caller_patience_until();
         }
         let has_retried = self.request.used_ms > 0;
         entered_at.after(if has_retried { target_ms } else { target_ms / CAPACITY_WAIT_DIVISOR })
     }
 
+    /// Records that the request is held back by this entry's share of the slots.
+    ///
+    /// Right after an outage all entries have more requests than their share, and none leaves slots
+    /// unused for long.
+    fn note_limited_by_share(&self) {
+        if !self.is_group_recovering() {
+            let mut unused_shares = self.state.unused_shares.borrow_mut();
+            unused_shares.note_limited(&self.service, boot_now());
+        }
+    }
+
+    fn is_group_recovering(&self) -> bool {
+        self.availability(|availability| availability.is_recovering(boot_now()))
+    }
+
     /// Returns whether the queues of the backend servers are short enough for the request, and no
     /// more urgent one is held back.
     ///
