refactor(core): reports about prompt parts and digests of incarnations in files of their own

The part table keeps what it decides from, what entries tell each other stands beside it. The digest of an incarnation is used by limits too and leaves the crash table.

--- a/crates/core/src/direct/crash_table.rs
+++ b/crates/core/src/direct/crash_table.rs
@@ -10,11 +10,10 @@
 //! often.
 
 use super::recent_map::RecentMap;
-use super::{BackendServer, BootMs, RequestDigest};
+use super::{BootMs, IncarnationDigest, RequestDigest};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use std::fmt;
-use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Backend servers that must have ended while they ran a request until it is refused.
 const ENDED_TO_REFUSE: u32 = 3;
@@ -40,27 +39,6 @@
 /// large fleet's load (42 requests per second) over more than [`ANSWERS_KEPT_MS`].
 const MAX_ANSWERS: usize = 4_096;
 
-/// Identifies one incarnation of a backend server in fewer bytes than its name and start time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct IncarnationDigest(pub u64);
-
-impl IncarnationDigest {
-    /// Returns the digest of the name and start time of a backend server.
-    #[must_use]
-    pub fn of(server: &BackendServer) -> Self {
-        let mut hasher = Xxh3::new();
-        hasher.update(&server.born_ms.to_le_bytes());
-        hasher.update(server.id.as_bytes());
-        Self(hasher.digest())
-    }
-}
-
-impl fmt::Display for IncarnationDigest {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
 /// What was observed of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestObservation {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -45,9 +45,11 @@
 mod crash_table;
 mod event_splitter;
 mod group_availability;
+mod incarnation_digest;
 mod limit_shares;
 mod part_answers;
 mod part_crash_table;
+mod part_report;
 mod part_verdict;
 mod pass_tracker;
 mod peer_table;
@@ -72,13 +74,13 @@
     BackendShare, CallerLimits, Catalog, GroupDimensions, RequestKind, Route, Service, Team,
 };
 pub use catalog_state::{Adoption, CatalogState, max_catalog_age_for_keys_ms};
-pub use crash_table::{
-    CrashTable, IncarnationDigest, ReportOutcome, RequestObservation, RequestReport,
-};
+pub use crash_table::{CrashTable, ReportOutcome, RequestObservation, RequestReport};
 pub use event_splitter::{EventSplitter, StreamEvent};
 pub use group_availability::{GroupAvailability, OutageDurations, SendPermission};
+pub use incarnation_digest::IncarnationDigest;
 pub use limit_shares::{LimitGrant, LimitGrants, LimitPermits, granting_entry};
-pub use part_crash_table::{CallerDigest, PartCrashTable, PartEnd, PartObservation, PartReport};
+pub use part_crash_table::PartCrashTable;
+pub use part_report::{CallerDigest, PartEnd, PartObservation, PartReport};
 pub use part_verdict::PartVerdict;
 pub use pass_tracker::PassTracker;
 pub use peer_table::{Peer, PeerTable};
--- a/crates/core/src/direct/part_verdict.rs
+++ b/crates/core/src/direct/part_verdict.rs
@@ -9,9 +9,9 @@
 //! backend servers have ended, the longer the pause between trials. It never becomes endless, so
 //! that a part is served again once the model can answer on it.
 
-use super::crash_table::{BEGUN_WEIGHT, IncarnationDigest, NOT_BEGUN_WEIGHT};
-use super::part_crash_table::{CallerDigest, End, PartCrashTable, PartRecord};
-use super::{BootMs, PromptPart};
+use super::crash_table::{BEGUN_WEIGHT, NOT_BEGUN_WEIGHT};
+use super::part_crash_table::{End, PartCrashTable, PartRecord};
+use super::{BootMs, CallerDigest, IncarnationDigest, PromptPart};
 use indexmap::IndexMap;
 
 /// Weight of the ends from which on a part waits longer for its next trial.
