--- a/crates/core/src/direct/part_verdict.rs
+++ b/crates/core/src/direct/part_verdict.rs
@@ -44,9 +44,15 @@
 pub enum PartVerdict {
     /// Nothing speaks against it.
     Allowed,
-    /// It may be sent to find out whether these parts crash backend servers; the other entries must
-    /// be told before.
-    Trial(Vec<PromptPart>),
+    /// It may be sent to find out whether parts of its prompt crash backend servers; the other
+    /// entries must be told before.
+    Trial {
+        /// The suspected parts.
+        parts: Vec<PromptPart>,
+        /// Whether it may be sent again if a backend server rejects it. If the parts are the likely
+        /// cause, as few requests as possible should reach backend servers.
+        may_repeat: bool,
+    },
     /// It must not be sent now, because this part may crash backend servers.
     Doubtful {
         /// The suspected part.
@@ -145,7 +151,7 @@
             PartVerdict::Refused { part: first }
         }
         Some(retry_at) if now < retry_at => PartVerdict::Doubtful { part: first, retry_at },
-        _ => PartVerdict::Trial(suspects),
+        _ => PartVerdict::Trial { parts: suspects, may_repeat: weight < LIKELY_WEIGHT },
     }
 }
 
--- a/crates/core/tests/part_crashes.rs
+++ b/crates/core/tests/part_crashes.rs
@@ -264,7 +264,7 @@
 fn verdict(table: &PartCrashTable, ids: &[u128], now: BootMs) -> Expected {
     match table.judge(&parts(ids), CALLER, now) {
         PartVerdict::Allowed => Allowed,
-        PartVerdict::Trial(_) => Trial,
+        PartVerdict::Trial { .. } => Trial,
         PartVerdict::Doubtful { .. } => Doubtful,
         PartVerdict::Refused { .. } => Refused,
     }
--- a/crates/direct/src/forward/active_request.rs
+++ b/crates/direct/src/forward/active_request.rs
@@ -38,6 +38,8 @@
     pub(super) waiting_since: BootMs,
     /// When the request was last sent to a backend server.
     pub(super) sent_at: BootMs,
+    /// Whether the request is a trial of a doubtful part that no backend server has run yet.
+    pub(super) is_part_trial: bool,
     /// When the head of an answer arrived in the current attempt.
     pub(super) head_at: Option<BootMs>,
     /// Whether the current attempt has shown that the prompt does not crash the backend server.
@@ -75,6 +77,7 @@
     let mut active = ActiveRequest {
         waiting_since: request.arrived_at,
         sent_at: request.arrived_at,
+        is_part_trial: false,
         head_at: None,
         has_cleared_parts: false,
         has_event: false,
--- a/crates/direct/src/forward/retry.rs
+++ b/crates/direct/src/forward/retry.rs
@@ -60,6 +60,7 @@
     ) -> Result<(), Refusal> {
         let judgement = judge_attempt(end);
         self.verdict = self.verdict.max(judgement.verdict);
+        self.is_part_trial &= judgement.verdict == Verdict::NotRun;
         self.count_unsent(end);
         self.record_attempt_end(server, end, judgement.blames_backend);
         if self.shows_group_unavailable(end) && self.note_rejected() {
--- a/crates/direct/src/forward/suspect_parts.rs
+++ b/crates/direct/src/forward/suspect_parts.rs
@@ -22,19 +22,26 @@
     /// Refuses the request if a part of its prompt must not be sent to backend servers now.
     pub(super) fn check_prompt_parts(&self) -> Result<(), Refusal> {
         match self.judge_prompt_parts() {
-            PartVerdict::Allowed | PartVerdict::Trial(_) => Ok(()),
-            verdict => Err(self.refuse_prompt_part(verdict)),
+            PartVerdict::Allowed | PartVerdict::Trial { .. } => Ok(()),
+            PartVerdict::Doubtful { .. } if self.is_part_trial => Ok(()),
+            PartVerdict::Doubtful { part, retry_at } => {
+                let retry_after_ms = retry_at.since(boot_now());
+                Err(self.refuse_prompt_part(part, Refusal::DoubtfulPart { retry_after_ms }))
+            }
+            PartVerdict::Refused { part } => {
+                Err(self.refuse_prompt_part(part, Refusal::CrashesBackendServers))
+            }
         }
     }
 
     /// Announces the request to all entries if it is a trial of a doubtful part. Fails like
-    /// [`Self::check_prompt_parts`] if there is another trial now.
-    pub(super) fn begin_part_trial(&self) -> Result<(), Refusal> {
-        let parts = match self.judge_prompt_parts() {
-            PartVerdict::Allowed => return Ok(()),
-            PartVerdict::Trial(parts) => parts,
-            verdict => return Err(self.refuse_prompt_part(verdict)),
+    /// [`Self::check_prompt_parts`] if another request is such a trial now.
+    pub(super) fn begin_part_trial(&mut self) -> Result<(), Refusal> {
+        self.check_prompt_parts()?;
+        let PartVerdict::Trial { parts, may_repeat } = self.judge_prompt_parts() else {
+            return Ok(());
         };
+        self.is_part_trial = may_repeat;
         for part in parts {
             let report = self.state.part_crashes.borrow_mut().note_tried(part, boot_now());
             self.log_part_trial(part);
@@ -48,18 +55,11 @@
         crashes.judge(&self.prompt_parts, self.caller, boot_now())
     }
 
-    /// Returns the refusal of a request that must not be sent now.
-    fn refuse_prompt_part(&self, verdict: PartVerdict) -> Refusal {
-        let now = boot_now();
-        let (part, refusal) = match verdict {
-            PartVerdict::Doubtful { part, retry_at } => {
-                (part, Refusal::DoubtfulPart { retry_after_ms: retry_at.since(now) })
-            }
-            PartVerdict::Refused { part } => (part, Refusal::CrashesBackendServers),
-            PartVerdict::Allowed | PartVerdict::Trial(_) => return Refusal::Full,
-        };
+    /// Returns `refusal` for a request whose part must not be sent now, or that of a request that
+    /// may have run before.
+    fn refuse_prompt_part(&self, part: PromptPart, refusal: Refusal) -> Refusal {
         let mut crashes = self.state.part_crashes.borrow_mut();
-        crashes.note_refused(part, now);
+        crashes.note_refused(part, boot_now());
         self.log_part_refusal(part, crashes.ended_server_count(part), &refusal);
         match self.verdict {
             Verdict::NotRun => refusal,
