--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/admission.rs
@@ -12,7 +12,7 @@
 /// All slots stay in use at this bound, and callers can retry what is refused. A request that waits
 /// in a backend server's queue for longer is lost when its caller gives up or the instance of its
 /// rank fails.
-const SLOW_FIRST_EVENT_MS: u64 = 500;
+pub(super) const SLOW_FIRST_EVENT_MS: u64 = 500;
 
 /// Gap between two events of a stream above which a group counts as overloaded.
 const SLOW_GAP_MS: u64 = 500;
--- a/crates/core/src/direct/unused_shares.rs
+++ b/crates/core/src/direct/unused_shares.rs
@@ -7,11 +7,9 @@
 //! it shrinks again.
 
 use super::BootMs;
+use super::admission::SLOW_FIRST_EVENT_MS;
 use indexmap::IndexMap;
 
-/// Time to the first event above which the slots count as taken, also by other entries.
-const SLOW_FIRST_EVENT_MS: u64 = 500;
-
 /// Factor by which the share grows in one step.
 const GROWTH: f64 = 1.5;
 
