--- a/crates/core/src/direct/crash_table.rs
+++ b/crates/core/src/direct/crash_table.rs
@@ -64,7 +64,7 @@
     pub age_ms: u64,
 }
 
-/// Result of [`CrashTable::note`].
+/// Result of recording a report about a request, or about a part of prompts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[must_use]
 pub enum ReportOutcome {
--- a/crates/core/src/direct/part_answers.rs
+++ b/crates/core/src/direct/part_answers.rs
@@ -78,9 +78,10 @@
             answer.rounds += 1;
             answer.round_ended_at = ended_at;
         }
-        match answer.rounds >= ROUNDS_AGAINST_ANSWERS {
-            true => Familiarity::AnsweredBefore,
-            false => Familiarity::Answered,
+        if answer.rounds >= ROUNDS_AGAINST_ANSWERS {
+            Familiarity::AnsweredBefore
+        } else {
+            Familiarity::Answered
         }
     }
 
