fix(standins): each token takes one step, also of steps made in a burst

Cause: before each token the newest step was marked as seen. When the machine pauses, the clock makes the steps that are due in one go, and all of them counted as one. Ruled out: a request that was lost (the sockets of the hung process show 130 bytes read, none waiting).

Now a run keeps the step that its last token took.

--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -73,6 +73,8 @@
     call: OpenCall,
     knobs: watch::Receiver<Knobs>,
     steps: Option<watch::Receiver<u64>>,
+    /// The step that the last piece took.
+    used_step: u64,
     pieces: u32,
     _slot: Slot,
 }
@@ -129,7 +131,14 @@
         let slot = self.slots.take(priority).await?;
         call.start();
         let steps = self.steps.clone();
-        Some(Run { call, knobs: self.knobs.subscribe(), steps, pieces: 0, _slot: slot })
+        Some(Run {
+            call,
+            knobs: self.knobs.subscribe(),
+            steps,
+            used_step: 0,
+            pieces: 0,
+            _slot: slot,
+        })
     }
 }
 
@@ -148,8 +157,13 @@
             tokio::time::sleep(Duration::from_millis(scaled_ms)).await;
         }
         if let Some(steps) = &mut self.steps {
-            steps.mark_unchanged();
-            steps.changed().await.map_err(|_| Ended::Broken)?;
+            // Steps that were made before the piece was due do not count for it.
+            if scaled_ms > 0 || self.pieces == 0 {
+                self.used_step = *steps.borrow();
+            }
+            let used_step = self.used_step;
+            steps.wait_for(|made| *made > used_step).await.map_err(|_| Ended::Broken)?;
+            self.used_step += 1;
         }
         self.pieces += 1;
         Ok(())
--- a/crates/standins/tests/group.rs
+++ b/crates/standins/tests/group.rs
@@ -403,3 +403,24 @@
     let text = answer.await.unwrap().unwrap().text().await.unwrap();
     expect_that!(text, contains_substring(expected_answer("m", "p", 5)));
 }
+
+/// Guards against an answer that never ends because steps of a burst, as after a pause of the
+/// machine, count as one.
+#[gtest]
+#[tokio::test]
+async fn each_token_takes_one_step_of_a_burst() {
+    const TOKENS: u64 = 5;
+    let group = Group::start(true).await;
+    let url = format!("http://{}/v1/completions", group.engines[0].address());
+    let body = r#"{"model":"m","prompt":"p","max_tokens":5}"#;
+    let answer = tokio::spawn(reqwest::Client::new().post(url).body(body).send());
+    while group.engines[0].running() == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    group.stage_and_grant(1, TOKENS).await;
+    // Nothing else runs on this thread meanwhile, so that all steps are due at once.
+    std::thread::sleep(Duration::from_millis(50));
+    let answer = tokio::time::timeout(PATIENCE, answer).await;
+    let answer = answer.expect("all tokens within as many steps").unwrap().unwrap();
+    expect_that!(answer.text().await.unwrap(), contains_substring(expected_answer("m", "p", 5)));
+}
