fix(entry): a request that may well be sound waits for a trial in place of 503

Before anybody has seen an answer on the parts that the first requests share, each of them is as likely as the one that crashes servers.

--- a/crates/core/src/direct/part_verdict.rs
+++ b/crates/core/src/direct/part_verdict.rs
@@ -59,6 +59,8 @@
         part: PromptPart,
         /// When it may be tried again.
         retry_at: BootMs,
+        /// Whether it has all likely causes of an end. Without, it may well be sound.
+        has_cause: bool,
     },
     /// It must not be sent, because this part crashes backend servers.
     Refused {
@@ -150,7 +152,9 @@
         Some(retry_at) if now < retry_at && weight >= BLAMED_WEIGHT => {
             PartVerdict::Refused { part: first }
         }
-        Some(retry_at) if now < retry_at => PartVerdict::Doubtful { part: first, retry_at },
+        Some(retry_at) if now < retry_at => {
+            PartVerdict::Doubtful { part: first, retry_at, has_cause: weight > 0 }
+        }
         _ => PartVerdict::Trial { parts: suspects, may_repeat: weight < LIKELY_WEIGHT },
     }
 }
--- a/crates/direct/src/forward/active_request.rs
+++ b/crates/direct/src/forward/active_request.rs
@@ -160,9 +160,9 @@
         loop {
             self.check_before_send()?;
             let is_probe = self.wait_for_admission().await?;
+            self.pass_part_trial().await?;
             let choice = self.choose()?;
             self.spend_retry()?;
-            self.begin_part_trial()?;
             let options =
                 SendOptions { urgency: self.urgency(resume_after.is_some()), resume_after };
             self.log_attempt(&choice, options);
--- a/crates/direct/src/forward/suspect_parts.rs
+++ b/crates/direct/src/forward/suspect_parts.rs
@@ -13,18 +13,24 @@
 use crate::state::EntryState;
 use hickorycross_core::Verdict;
 use hickorycross_core::direct::{BootMs, PartVerdict, PromptPart};
+use std::time::Duration;
 
 /// Time for which an answer must have gone on to show that no part of its prompt crashes the
 /// backend server.
 const SOUND_ANSWER_MS: u64 = 1_000;
 
+/// Longest time for which a request that may well be sound waits for trials: the pause between two
+/// of them, and time for the answer to begin.
+const MAX_DOUBT_WAIT_MS: u64 = 1_500;
+
 impl ActiveRequest {
     /// Refuses the request if a part of its prompt must not be sent to backend servers now.
     pub(super) fn check_prompt_parts(&self) -> Result<(), Refusal> {
         match self.judge_prompt_parts() {
             PartVerdict::Allowed | PartVerdict::Trial { .. } => Ok(()),
             PartVerdict::Doubtful { .. } if self.is_part_trial => Ok(()),
-            PartVerdict::Doubtful { part, retry_at } => {
+            PartVerdict::Doubtful { has_cause: false, .. } => Ok(()),
+            PartVerdict::Doubtful { part, retry_at, .. } => {
                 let retry_after_ms = retry_at.since(boot_now());
                 Err(self.refuse_prompt_part(part, Refusal::DoubtfulPart { retry_after_ms }))
             }
@@ -34,12 +40,36 @@
         }
     }
 
-    /// Announces the request to all entries if it is a trial of a doubtful part. Fails like
-    /// [`Self::check_prompt_parts`] if another request is such a trial now.
-    pub(super) fn begin_part_trial(&mut self) -> Result<(), Refusal> {
-        self.check_prompt_parts()?;
+    /// Waits while another request finds out which of several parts crashes backend servers, if this
+    /// one may well be sound, and announces it to all entries if it is such a trial itself.
+    ///
+    /// Fails like [`Self::check_prompt_parts`].
+    pub(super) async fn pass_part_trial(&mut self) -> Result<(), Refusal> {
+        let give_up_at = boot_now().after(MAX_DOUBT_WAIT_MS).min(self.request.deadline_at);
+        while let PartVerdict::Doubtful { part, retry_at, has_cause: false } =
+            self.judge_prompt_parts()
+            && !self.is_part_trial
+        {
+            let now = boot_now();
+            if now >= give_up_at {
+                let retry_after_ms = retry_at.since(now);
+                return Err(self.refuse_prompt_part(part, Refusal::DoubtfulPart { retry_after_ms }));
+            }
+            self.log_wait(retry_at.since(now), "doubtful-part");
+            let left_ms = retry_at.min(give_up_at).since(now).max(1);
+            let changed = self.state.parts_changed.notified();
+            // Whether notified or timed out, the loop judges again.
+            let _ = tokio::time::timeout(Duration::from_millis(left_ms), changed).await;
+        }
+        self.check_before_send()?;
+        self.begin_part_trial();
+        Ok(())
+    }
+
+    /// Announces the request to all entries if it is a trial of a doubtful part.
+    fn begin_part_trial(&mut self) {
         let PartVerdict::Trial { parts, may_repeat } = self.judge_prompt_parts() else {
-            return Ok(());
+            return;
         };
         self.is_part_trial = may_repeat;
         for part in parts {
@@ -47,7 +77,6 @@
             self.log_part_trial(part);
             part_reports::tell(&self.state, report, "tried-here");
         }
-        Ok(())
     }
 
     fn judge_prompt_parts(&self) -> PartVerdict {
--- a/crates/direct/src/forward/telemetry.rs
+++ b/crates/direct/src/forward/telemetry.rs
@@ -74,8 +74,8 @@
         self.state.log.note_routine(line.with("sends", self.sends));
     }
 
-    /// Logs that the request waits until its group is expected back or a backoff ends, as `cause`
-    /// says, in `back_in_ms`.
+    /// Logs that the request waits until its group is expected back, a backoff ends or a part of its
+    /// prompt may be tried, as `cause` says, in `back_in_ms`.
     pub(super) fn log_wait(&self, back_in_ms: u64, cause: &'static str) {
         let line = self.line("wait").with("cause", cause).with("back_in_ms", back_in_ms);
         let line = line.with("used_ms", self.request.used_ms).with("sends", self.sends);
--- a/crates/direct/src/part_reports.rs
+++ b/crates/direct/src/part_reports.rs
@@ -23,8 +23,7 @@
             if is_pushed {
                 state.outbox.add_part(report, now);
             }
-            // Requests that wait may have to be refused.
-            state.capacity_changed.notify_waiters();
+            wake_waiting(state);
         }
         ReportOutcome::Contradicted => {
             let answer = state.part_crashes.borrow().answer_report(report.part, now);
@@ -39,7 +38,13 @@
 pub(crate) fn tell(state: &EntryState, report: PartReport, outcome: &'static str) {
     log_report(state, report, outcome);
     state.outbox.add_part(report, boot_now());
+    wake_waiting(state);
+}
+
+/// Lets requests that wait check again whether they may be sent, or have to be refused.
+fn wake_waiting(state: &EntryState) {
     state.capacity_changed.notify_waiters();
+    state.parts_changed.notify_waiters();
 }
 
 /// Logs what is known of a part under which a backend server has ended.
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -133,6 +133,8 @@
     /// Notified when a waiting request should check again whether it may be sent, because a request
     /// ended, a group is available again or permits were granted.
     pub(crate) capacity_changed: Notify,
+    /// Notified when something else is believed of a part of prompts.
+    pub(crate) parts_changed: Notify,
     /// Notified when a pass of a group ends.
     pub(crate) pass_ended: Notify,
     pub(crate) is_draining: Cell<bool>,
@@ -178,6 +180,7 @@
             passes: RefCell::default(),
             unsent: UnsentCount::default(),
             capacity_changed: Notify::new(),
+            parts_changed: Notify::new(),
             pass_ended: Notify::new(),
             is_draining: Cell::new(false),
             open_requests: Cell::new(0),
