feat(direct): the log tells what is spent of the retry budget, of how much, and since when

The logs could not tell two hypotheses of the incident apart: a process that starts takes its part of the slack anew, or splits the slack among too few entries. Each attempt now has second_sends_allowed, second_sends_counted_ms and budget_entries beside second_sends_spent; retry-budget tells a change of the share, at most once a second, and retry-denied a request that is not sent again. The share moves to core (RetryShare) unchanged, so that a test can play it.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -18,7 +18,7 @@
 //!   retry if all backend servers are in backoff.
 //! - [`DomainDrains`] holds the failure domains that operators have drained, whose backend servers
 //!   get no requests.
-//! - [`RetryBudget`] bounds retries; [`judge_attempt`] classifies how an attempt ended.
+//! - [`RetryBudget`] bounds retries to a [`RetryShare`] of the fleet's budget; [`judge_attempt`] classifies how an attempt ended.
 //! - [`GroupAvailability`] detects whether a model group makes progress; [`event_wait_deadline`],
 //!   [`retry_after_ms`] and [`urgency`] set what happens to requests while it does not, and in
 //!   which order they run afterwards.
@@ -84,6 +84,7 @@
 mod request_digest;
 mod residency;
 mod retry_budget;
+mod retry_share;
 mod selection;
 mod unused_shares;
 mod urgency;
@@ -132,7 +133,8 @@
 pub use quiet_ranks::QuietReport;
 pub use request_digest::{RequestDigest, RequestIdentity};
 pub use residency::{AllowedRegions, DomainRegions, Residency, Restriction};
-pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use retry_budget::{RetryBudget, RetryBudgetSettings, RetryBudgetUsage};
+pub use retry_share::{FleetRetryBudget, RetryShare};
 pub(crate) use selection::max_avoided_ranks;
 pub use selection::{Choice, Selection};
 pub use unused_shares::UnusedShares;
--- a/crates/core/src/direct/retry_budget.rs
+++ b/crates/core/src/direct/retry_budget.rs
@@ -27,6 +27,15 @@
     services: IndexMap<String, Sends>,
 }
 
+/// What an entry has used of its share for a service, and what the share allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBudgetUsage {
+    /// Retries in the window.
+    pub retries: usize,
+    /// Retries that are allowed in the window, in fractions of one.
+    pub allowed: f64,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Sends {
     first: VecDeque<BootMs>,
@@ -64,16 +73,17 @@
     /// Returns whether the budget allows another retry.
     #[must_use]
     pub fn allows_retry(&mut self, now: BootMs, service: &str) -> bool {
-        let RetryBudgetSettings { ratio, slack, .. } = self.settings;
-        let sends = self.sends(now, service);
-        let allowed = ratio * sends.first.len() as f64 + slack;
-        sends.retries.len() as f64 + 1.0 <= allowed
+        let usage = self.usage(now, service);
+        usage.retries as f64 + 1.0 <= usage.allowed
     }
 
-    /// Returns the number of retries in the window as of the last use of the budget.
+    /// Returns what is used of the budget of a service.
     #[must_use]
-    pub fn retry_count(&self, service: &str) -> usize {
-        self.services.get(service).map_or(0, |sends| sends.retries.len())
+    pub fn usage(&mut self, now: BootMs, service: &str) -> RetryBudgetUsage {
+        let RetryBudgetSettings { ratio, slack, .. } = self.settings;
+        let sends = self.sends(now, service);
+        let allowed = ratio * sends.first.len() as f64 + slack;
+        RetryBudgetUsage { retries: sends.retries.len(), allowed }
     }
 
     /// Returns the sends of a service that are within the window.
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -8,7 +8,7 @@
 use crate::state::EntryState;
 use crate::store::SharedStore;
 use crate::wire_names::WireNames;
-use crate::{callers, exchange, gossip, operators, store_watch, warm_up};
+use crate::{callers, exchange, gossip, operators, retry_budget, store_watch, warm_up};
 use hickorycross_runtime::exposition::Exposition;
 use std::rc::Rc;
 use std::time::Duration;
@@ -129,7 +129,7 @@
         log_regions(&state.log, &settings);
     }
     *state.settings.borrow_mut() = settings;
-    state.update_retry_budget();
+    retry_budget::update(state);
     warm_up::update_limits(state);
 }
 
@@ -154,7 +154,8 @@
         state.pool.prune(|id, born_ms| state.backends.borrow().takes_work(id, born_ms));
         metrics::gauge!("hickorycross_buffered_bytes").set(state.buffers.used_bytes() as f64);
         let now = boot_now();
-        state.update_retry_budget();
+        retry_budget::update(&state);
+        retry_budget::report(&state);
         state.forget_pools();
         state.crashes.borrow_mut().expire(now);
         state.part_crashes.borrow_mut().expire(now);
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -12,6 +12,7 @@
 use crate::outbox::Round;
 use crate::part_reports;
 use crate::peer_call::{PeerCallError, post};
+use crate::retry_budget;
 use crate::state::EntryState;
 use crate::store_watch::adopt_catalog;
 use crate::warm_up;
@@ -338,7 +339,7 @@
 fn note_member(state: &EntryState, address: SocketAddr, heard_at: BootMs) {
     if state.peers.borrow_mut().note(address, heard_at) {
         state.log.note(DecisionLog::fields("member").with("peer", address).with("outcome", "seen"));
-        state.update_retry_budget();
+        retry_budget::update(state);
     }
 }
 
@@ -382,7 +383,7 @@
         state.log.note(DecisionLog::fields("member").with("peer", peer).with("outcome", "gone"));
     }
     if !gone.is_empty() {
-        state.update_retry_budget();
+        retry_budget::update(state);
     }
 }
 
--- a/crates/direct/src/forward/retry.rs
+++ b/crates/direct/src/forward/retry.rs
@@ -21,7 +21,7 @@
         if self.sends == 0 || self.state.retry_budget.borrow_mut().try_spend(now, &self.service) {
             return Ok(());
         }
-        metrics::counter!("hickorycross_retries_denied_total").increment(1);
+        self.log_retry_denied();
         Err(self.final_refusal())
     }
 
--- a/crates/direct/src/forward/telemetry.rs
+++ b/crates/direct/src/forward/telemetry.rs
@@ -5,6 +5,7 @@
 use crate::callers::Refusal;
 use crate::clock::boot_now;
 use crate::decision_log::{DecisionLog, Fields};
+use crate::retry_budget;
 use hickorycross_core::direct::{AttemptEnd, BackendServer, Choice, PromptPart};
 use http::StatusCode;
 
@@ -56,13 +57,19 @@
         let line = line.with("left_ms", self.request.deadline_at.since(now));
         let line = line.with("configuration", self.request.catalog.version);
         let line = line.with_some("configuration_age_ms", catalog_state.age_ms(now));
-        let spent = self.state.retry_budget.borrow().retry_count(&self.service);
         let line = self.with_load(line);
         let line = line.with("backends_as_of", self.state.backends_as_of.get());
-        let line = line.with("second_sends_spent", spent);
+        let line = retry_budget::with_usage(&self.state, line, &self.service);
         self.state.log.note_routine(line.with_some("resume_after", options.resume_after));
     }
 
+    /// Logs that the retry budget does not allow to send the request again.
+    pub(super) fn log_retry_denied(&self) {
+        metrics::counter!("hickorycross_retries_denied_total").increment(1);
+        let line = self.line("retry-denied").with("sends", self.sends);
+        self.state.log.note_routine(retry_budget::with_usage(&self.state, line, &self.service));
+    }
+
     /// Adds the load of the pool: open requests, how many of them are streams without an event,
     /// and the bound on open requests.
     fn with_load(&self, line: Fields) -> Fields {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 mod peer_call;
 mod process;
 mod reload;
+mod retry_budget;
 mod settings;
 mod state;
 mod store;
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the processes.
 
-use hickorycross_core::direct::DomainRegions;
+use hickorycross_core::direct::{DomainRegions, FleetRetryBudget};
 use std::net::SocketAddr;
 
 /// Settings of an entry or an agent, as provided by the platform.
@@ -72,6 +72,17 @@
     pub fences_orders: bool,
 }
 
+impl Bounds {
+    /// Returns the retry budget of the whole fleet.
+    pub(crate) const fn retry_budget(&self) -> FleetRetryBudget {
+        FleetRetryBudget {
+            window_ms: self.retry_window_ms,
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+        }
+    }
+}
+
 /// Reads the settings again while a process runs.
 pub trait SettingsSource {
     /// Reads the settings. Returns `None` if they have not changed since the last call.
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -14,7 +14,7 @@
     Admission, AdmissionSettings, BackendLimits, BackendServer, BackendTable, BootMs, BufferBudget,
     CatalogState, ColdFigures, ColdShares, CrashTable, GroupAssignment, GroupAvailability,
     InitialTimeouts, LimitGrants, LimitPermits, OutageDurations, PartCrashTable, PartReport,
-    PassTracker, PeerTable, PoolChoice, QueueLimit, RetryBudget, RetryBudgetSettings, UnusedShares,
+    PassTracker, PeerTable, PoolChoice, QueueLimit, RetryBudget, RetryShare, UnusedShares,
     WorkEstimator, max_catalog_age_for_keys_ms,
 };
 use indexmap::IndexMap;
@@ -26,14 +26,6 @@
 use std::sync::Arc;
 use tokio::sync::{Notify, watch};
 
-/// Share of the fleet's retry budget that is used. The rest is a margin, since the entries and an
-/// observer of the limit count over windows that begin at different times.
-const USED_BUDGET_SHARE: f64 = 0.7;
-
-/// Smallest number of entries among which the slack of the retry budget is split, even if fewer are
-/// known.
-const MIN_ENTRIES: usize = 4;
-
 /// Most entries that an entry trusts itself to have counted. Peers name fewer entries than this in one
 /// answer, so a larger fleet may have many more.
 const MAX_COUNTED_ENTRIES: usize = 48;
@@ -104,6 +96,10 @@
     /// logged, by id.
     pub(crate) unreadable_backends: RefCell<IndexMap<String, String>>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
+    /// This entry's share of the fleet's retry budget.
+    pub(crate) retry_share: RefCell<RetryShare>,
+    /// Number of entries in the last log line about the retry budget.
+    pub(crate) logged_retry_entries: Cell<usize>,
     pub(crate) admission: RefCell<Admission>,
     /// By how much this entry exceeds its even share of the slots of each pool.
     pub(crate) unused_shares: RefCell<UnusedShares>,
@@ -185,7 +181,9 @@
         let backends = BackendTable::new(&settings.failure_domain);
         let peers = PeerTable::new(&settings.seeds, settings.listen.control);
         let buffers = BufferBudget::new(settings.bounds.buffer_bytes);
-        let retry_budget = RetryBudget::new(local_retry_budget(&settings, 0));
+        let started_at = boot_now();
+        let retry_share = RetryShare::new(started_at);
+        let retry_budget = retry_share.settings(settings.bounds.retry_budget(), started_at);
         Rc::new(Self {
             settings: RefCell::new(settings),
             names,
@@ -194,7 +192,9 @@
             backends: RefCell::new(backends),
             backends_as_of: Cell::new(0),
             unreadable_backends: RefCell::default(),
-            retry_budget: RefCell::new(retry_budget),
+            retry_budget: RefCell::new(RetryBudget::new(retry_budget)),
+            retry_share: RefCell::new(retry_share),
+            logged_retry_entries: Cell::new(0),
             admission: RefCell::new(Admission::new(ADMISSION)),
             unused_shares: RefCell::default(),
             queue_limit: RefCell::default(),
@@ -211,10 +211,10 @@
             cold_grants: RefCell::default(),
             cold_shares: RefCell::default(),
             knows_entries: Cell::new(false),
-            started_at: boot_now(),
+            started_at,
             cold_permits: RefCell::new(LimitPermits::for_cold_servers()),
             cold_silent_entries: SilentEntries::default(),
-            alone_at: Cell::new(boot_now()),
+            alone_at: Cell::new(started_at),
             cold_waiters: RefCell::default(),
             client: peer_call::client(),
             outbox: Outbox::default(),
@@ -271,12 +271,6 @@
             && (!needs_keys || self.keys_are_fresh(now))
     }
 
-    /// Recomputes this entry's share of the retry budget from the number of live entries.
-    pub(crate) fn update_retry_budget(&self) {
-        let peers = self.peers.borrow().live_count(boot_now());
-        self.retry_budget.borrow_mut().set(local_retry_budget(&self.settings.borrow(), peers));
-    }
-
     /// Returns the name of the pool to which a backend server belongs.
     pub(crate) fn pool_of(&self, server: &BackendServer) -> Arc<str> {
         let pool = self.backends.borrow().pool_of(server);
@@ -405,13 +399,3 @@
         self.peers.borrow().live_count(boot_now()) + 1
     }
 }
-
-/// Returns one entry's share of the fleet's retry budget when it knows `peers` other entries.
-fn local_retry_budget(settings: &ProcessSettings, peers: usize) -> RetryBudgetSettings {
-    let entries = (peers + 1).max(MIN_ENTRIES) as f64;
-    RetryBudgetSettings {
-        window_ms: settings.bounds.retry_window_ms,
-        ratio: settings.bounds.retry_ratio * USED_BUDGET_SHARE,
-        slack: settings.bounds.retry_slack * USED_BUDGET_SHARE / entries,
-    }
-}
