fix(direct): an entry that has just started does not take its share of the retry slack anew

Cause: the slack holds over all entries, but what was spent of it was known to each process alone. A process that started had counted nothing and took its whole share (15.4 of 88 with three entries), 0.1 s after its start, once for each restart. Evidence: second_sends_spent=1 of second_sends_allowed=19.18 at second_sends_counted_ms=111; three entries that restart every 2 s in the test exceed the budget by 50 to 62, every second by 257 to 305.

Until an entry has counted for a whole window, it has a start allowance in place of its share: the part of the slack that all shares leave, divided by the entries and by 11 starts in a window. The ratio against its own first sends holds from the start, as a restart forgets these too. Retries of one entry in any window are then at most its share and 11 allowances, however often it restarts. A single entry may send 6 requests again at once, one of three 1, one of six 0.4.

--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -1,4 +1,8 @@
 //! One entry's share of the fleet's retry budget.
+//!
+//! What an entry has spent is known to its process alone, so one that has just started does not know
+//! what its predecessor has spent. Until a whole window has passed it therefore has a small start
+//! allowance in place of its share of the slack, from the part of the slack that the shares leave.
 
 use super::{BootMs, RetryBudgetSettings};
 
@@ -9,6 +13,10 @@
 /// Smallest number of entries among which the slack is split, even if fewer are known.
 const MIN_ENTRIES: usize = 4;
 
+/// Most starts of one entry in a window for which the start allowances stay within the slack: one a
+/// second in a window of 10 s.
+const MAX_STARTS_PER_WINDOW: usize = 11;
+
 /// The retry budget that all entries of a fleet keep together, for each service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetRetryBudget {
@@ -20,6 +28,19 @@
     pub slack: f64,
 }
 
+impl FleetRetryBudget {
+    /// Returns the slack of each of `entries` entries that have counted for a whole window.
+    fn counted_slack(&self, entries: usize) -> f64 {
+        self.slack * USED_BUDGET_SHARE / entries.max(MIN_ENTRIES) as f64
+    }
+
+    /// Returns the slack of each of `entries` entries until it has counted for a whole window.
+    fn start_slack(&self, entries: usize) -> f64 {
+        let left = self.slack - self.counted_slack(entries) * entries as f64;
+        left / (entries * MAX_STARTS_PER_WINDOW) as f64
+    }
+}
+
 /// What determines the share of one entry.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryShare {
@@ -36,13 +57,13 @@
 
     /// Records the number of live entries that this one knows, itself included.
     pub fn note_live_entries(&mut self, entries: usize) {
-        self.entries = entries;
+        self.entries = entries.max(1);
     }
 
     /// Returns the number of entries among which the slack is split.
     #[must_use]
-    pub fn entries(&self) -> usize {
-        self.entries.max(MIN_ENTRIES)
+    pub const fn entries(&self) -> usize {
+        self.entries
     }
 
     /// Returns the time since the entry started, and so since it counts its sends.
@@ -53,11 +74,17 @@
 
     /// Returns what the entry may use of the fleet's budget.
     #[must_use]
-    pub fn settings(&self, fleet: FleetRetryBudget, _now: BootMs) -> RetryBudgetSettings {
+    pub fn settings(&self, fleet: FleetRetryBudget, now: BootMs) -> RetryBudgetSettings {
+        let has_counted = self.age_ms(now) >= fleet.window_ms;
+        let slack = if has_counted {
+            fleet.counted_slack(self.entries)
+        } else {
+            fleet.start_slack(self.entries)
+        };
         RetryBudgetSettings {
             window_ms: fleet.window_ms,
             ratio: fleet.ratio * USED_BUDGET_SHARE,
-            slack: fleet.slack * USED_BUDGET_SHARE / self.entries() as f64,
+            slack,
         }
     }
 }
--- a/crates/core/tests/retry_share.rs
+++ b/crates/core/tests/retry_share.rs
@@ -3,7 +3,8 @@
 mod retry_fleet;
 
 use googletest::prelude::*;
-use retry_fleet::{Restarts, Setup, play};
+use hickorycross_core::direct::{BootMs, RetryBudget, RetryShare};
+use retry_fleet::{BUDGET, Restarts, Setup, play};
 
 const SEEDS: u64 = 8;
 
@@ -87,3 +88,24 @@
         }
     }
 }
+
+/// Guards against callers of a single entry that get no second send right after its start.
+#[gtest]
+fn a_single_entry_that_has_just_started_may_send_a_request_again() {
+    let now = BootMs(5_000);
+    let mut budget = RetryBudget::new(RetryShare::new(now).settings(BUDGET, now));
+    budget.note_first_send(now, "svc");
+    expect_true!(budget.try_spend(now, "svc"));
+}
+
+/// Guards against entries that have counted for a whole window and use less of the slack than before.
+#[gtest]
+fn entries_that_have_counted_for_a_window_have_their_whole_share_of_the_slack() {
+    let started_at = BootMs(5_000);
+    for (entries, slack) in [(1, 15.4), (3, 15.4), (6, 10.267), (400, 0.154)] {
+        let mut share = RetryShare::new(started_at);
+        share.note_live_entries(entries);
+        let settings = share.settings(BUDGET, started_at.after(BUDGET.window_ms));
+        expect_that!(settings.slack, near(slack, 0.001), "{entries} entries");
+    }
+}
--- a/crates/direct/src/retry_budget.rs
+++ b/crates/direct/src/retry_budget.rs
@@ -23,7 +23,7 @@
     let settings = share.settings(fleet, now);
     metrics::gauge!("hickorycross_retry_budget_entries").set(share.entries() as f64);
     metrics::gauge!("hickorycross_retry_budget_slack").set(settings.slack);
-    if state.logged_retry_entries.replace(share.entries()) == share.entries() {
+    if state.logged_retry_budget.replace(Some(settings)) == Some(settings) {
         return;
     }
     let line = DecisionLog::fields("retry-budget").with("entries", share.entries());
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -14,8 +14,8 @@
     Admission, AdmissionSettings, BackendLimits, BackendServer, BackendTable, BootMs, BufferBudget,
     CatalogState, ColdFigures, ColdShares, CrashTable, GroupAssignment, GroupAvailability,
     InitialTimeouts, LimitGrants, LimitPermits, OutageDurations, PartCrashTable, PartReport,
-    PassTracker, PeerTable, PoolChoice, QueueLimit, RetryBudget, RetryShare, UnusedShares,
-    WorkEstimator, max_catalog_age_for_keys_ms,
+    PassTracker, PeerTable, PoolChoice, QueueLimit, RetryBudget, RetryBudgetSettings, RetryShare,
+    UnusedShares, WorkEstimator, max_catalog_age_for_keys_ms,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
@@ -98,8 +98,8 @@
     pub(crate) retry_budget: RefCell<RetryBudget>,
     /// This entry's share of the fleet's retry budget.
     pub(crate) retry_share: RefCell<RetryShare>,
-    /// Number of entries in the last log line about the retry budget.
-    pub(crate) logged_retry_entries: Cell<usize>,
+    /// The share that the last log line about the retry budget told.
+    pub(crate) logged_retry_budget: Cell<Option<RetryBudgetSettings>>,
     pub(crate) admission: RefCell<Admission>,
     /// By how much this entry exceeds its even share of the slots of each pool.
     pub(crate) unused_shares: RefCell<UnusedShares>,
@@ -194,7 +194,7 @@
             unreadable_backends: RefCell::default(),
             retry_budget: RefCell::new(RetryBudget::new(retry_budget)),
             retry_share: RefCell::new(retry_share),
-            logged_retry_entries: Cell::new(0),
+            logged_retry_budget: Cell::new(None),
             admission: RefCell::new(Admission::new(ADMISSION)),
             unused_shares: RefCell::default(),
             queue_limit: RefCell::default(),
