fix(direct): the retry slack is divided among as many entries as any entry has lately heard of

Each entry divided the slack among the entries that it hears of now, at least four. With six entries, three that had restarted divided by four for over a second.

An entry now tells the largest number that it has heard of within an hour, with its age, in each answer (6 bytes at most), and divides by that. Until a peer has answered a question sent 600 ms after its start it has no slack, unless its settings and peers name no other entry. All seeds have been asked by then. After a fleet has shrunk its entries use less than they might for up to an hour.

entries_that_know_few_others_keep_the_retry_budget was red in the four cut cases and passes: starts of 3, 35 and 400, cuts, cuts with restarts, 3 and 397 that join 3, 200 of 400 that leave.

--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -45,24 +45,25 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RetryShare {
     started_at: BootMs,
-    entries: usize,
+    entries: Option<usize>,
 }
 
 impl RetryShare {
-    /// Returns the share of an entry that started at `started_at` and knows no other entry.
+    /// Returns the share of an entry that started at `started_at` and does not know yet how many
+    /// entries there are.
     #[must_use]
     pub const fn new(started_at: BootMs) -> Self {
-        Self { started_at, entries: 1 }
+        Self { started_at, entries: None }
     }
 
-    /// Records the number of live entries that this one knows, itself included.
-    pub fn note_live_entries(&mut self, entries: usize) {
-        self.entries = entries.max(1);
+    /// Sets the number of entries among which the slack is split; `None` while it is not known.
+    pub fn set_entries(&mut self, entries: Option<usize>) {
+        self.entries = entries.map(|entries| entries.max(1));
     }
 
-    /// Returns the number of entries among which the slack is split.
+    /// Returns the number of entries among which the slack is split; `None` while it is not known.
     #[must_use]
-    pub const fn entries(&self) -> usize {
+    pub const fn entries(&self) -> Option<usize> {
         self.entries
     }
 
@@ -76,10 +77,10 @@
     #[must_use]
     pub fn settings(&self, fleet: FleetRetryBudget, now: BootMs) -> RetryBudgetSettings {
         let has_counted = self.age_ms(now) >= fleet.window_ms;
-        let slack = if has_counted {
-            fleet.counted_slack(self.entries)
-        } else {
-            fleet.start_slack(self.entries)
+        let slack = match self.entries {
+            None => 0.0,
+            Some(entries) if has_counted => fleet.counted_slack(entries),
+            Some(entries) => fleet.start_slack(entries),
         };
         RetryBudgetSettings {
             window_ms: fleet.window_ms,
--- a/crates/core/tests/retry_fleet/mod.rs
+++ b/crates/core/tests/retry_fleet/mod.rs
@@ -1,7 +1,9 @@
 //! Simulates the entries of a fleet whose requests all fail, each of which is sent again as often as
 //! the retry budget allows.
 
-use hickorycross_core::direct::{BootMs, FleetRetryBudget, PeerTable, RetryBudget, RetryShare};
+use hickorycross_core::direct::{
+    BootMs, EntryCount, FleetRetryBudget, PeerTable, RetryBudget, RetryShare,
+};
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -22,6 +24,8 @@
 const FIRST_INTERVAL_MS: u64 = 400;
 const INTERVAL_MS: u64 = 2_000;
 const FIRST_QUESTIONS: u32 = 3;
+/// Time after its start from which an answer tells an entry how many others there are.
+const COUNTING_MS: u64 = 600;
 /// Interval at which an entry recomputes its share.
 const UPDATE_INTERVAL_MS: u64 = 1_000;
 
@@ -103,6 +107,8 @@
 struct Entry {
     own: SocketAddr,
     peers: PeerTable,
+    count: EntryCount,
+    knows_entries: bool,
     share: RetryShare,
     budget: RetryBudget,
     up_at: BootMs,
@@ -119,6 +125,8 @@
         Self {
             own,
             peers: PeerTable::new(&seeds(), Some(own)),
+            count: EntryCount::default(),
+            knows_entries: false,
             budget: RetryBudget::new(share.settings(BUDGET, up_at)),
             share,
             up_at,
@@ -134,7 +142,8 @@
     }
 
     fn update(&mut self, now: BootMs) {
-        self.share.note_live_entries(self.peers.live_count(now) + 1);
+        self.count.note(self.peers.live_count(now) + 1, now, now);
+        self.share.set_entries(self.knows_entries.then(|| self.count.entries()));
         self.budget.set(self.share.settings(BUDGET, now));
     }
 
@@ -265,7 +274,11 @@
         let own = self.entries[asker].own;
         self.entries[asked].note_member(own, now, now);
         let members = self.entries[asked].peers.most_recent(MEMBERS);
-        self.entries[asker].note_member(address(asked), now, now);
+        let count = self.entries[asked].count.report(now);
+        let entry = &mut self.entries[asker];
+        entry.count.note_report(count, now, now);
+        entry.knows_entries |= now.since(entry.up_at) >= COUNTING_MS;
+        entry.note_member(address(asked), now, now);
         for member in members {
             self.entries[asker].note_member(member.address, member.last_seen_at, now);
         }
--- a/crates/core/tests/retry_share.rs
+++ b/crates/core/tests/retry_share.rs
@@ -89,11 +89,79 @@
     }
 }
 
+/// Entries that know few others, or other ones than there are.
+struct CountCase {
+    name: &'static str,
+    setup: Setup,
+}
+
+/// Entries that all start at once while requests fail.
+fn starting(entries: usize, requests_per_s: f64) -> Setup {
+    Setup { end_ms: 30_000, ..Setup::calm(entries, requests_per_s) }
+}
+
+/// Entries that are cut off from each other after a minute, for two minutes.
+fn cut_off(entries: usize, requests_per_s: f64) -> Setup {
+    Setup {
+        cut_from_ms: Some(60_000),
+        busy_from_ms: 90_000,
+        idle_requests_per_s: 0.0,
+        end_ms: 180_000,
+        ..Setup::calm(entries, requests_per_s)
+    }
+}
+
+fn count_cases() -> Vec<CountCase> {
+    let restarts = Restarts { from_ms: 100_000, until_ms: 115_000, every_ms: 1_000, share: 0.3 };
+    vec![
+        CountCase { name: "3 start", setup: starting(3, 60.0) },
+        CountCase { name: "35 start", setup: starting(35, 200.0) },
+        CountCase { name: "400 start", setup: starting(400, 200.0) },
+        CountCase { name: "3 cut off", setup: cut_off(3, 60.0) },
+        CountCase { name: "35 cut off", setup: cut_off(35, 70.0) },
+        CountCase { name: "400 cut off", setup: cut_off(400, 200.0) },
+        CountCase {
+            name: "35 cut off that restart",
+            setup: Setup { restarts: Some(restarts), ..cut_off(35, 70.0) },
+        },
+        CountCase {
+            name: "400 that start cut off",
+            setup: Setup { cut_from_ms: Some(0), ..starting(400, 200.0) },
+        },
+        CountCase {
+            name: "3 join 3",
+            setup: Setup { joins: Some((3, 20_000)), ..Setup::calm(3, 60.0) },
+        },
+        CountCase {
+            name: "397 join 3",
+            setup: Setup { joins: Some((397, 20_000)), ..Setup::calm(3, 60.0) },
+        },
+        CountCase {
+            name: "200 of 400 leave",
+            setup: Setup { leaves: Some((200, 30_000)), ..Setup::calm(400, 200.0) },
+        },
+    ]
+}
+
+/// Guards against entries that divide the slack among fewer entries than there are.
+#[gtest]
+fn entries_that_know_few_others_keep_the_retry_budget() {
+    for CountCase { name, setup } in count_cases() {
+        for seed in 0..SEEDS {
+            let excess = play(Setup { seed, ..setup.clone() }).worst_excess();
+            println!("{name}, seed {seed}: {excess:.1}");
+            expect_that!(excess, le(0.0), "{name}, seed {seed}");
+        }
+    }
+}
+
 /// Guards against callers of a single entry that get no second send right after its start.
 #[gtest]
 fn a_single_entry_that_has_just_started_may_send_a_request_again() {
     let now = BootMs(5_000);
-    let mut budget = RetryBudget::new(RetryShare::new(now).settings(BUDGET, now));
+    let mut share = RetryShare::new(now);
+    share.set_entries(Some(1));
+    let mut budget = RetryBudget::new(share.settings(BUDGET, now));
     budget.note_first_send(now, "svc");
     expect_true!(budget.try_spend(now, "svc"));
 }
@@ -104,7 +172,7 @@
     let started_at = BootMs(5_000);
     for (entries, slack) in [(1, 15.4), (3, 15.4), (6, 10.267), (400, 0.154)] {
         let mut share = RetryShare::new(started_at);
-        share.note_live_entries(entries);
+        share.set_entries(Some(entries));
         let settings = share.settings(BUDGET, started_at.after(BUDGET.window_ms));
         expect_that!(settings.slack, near(slack, 0.001), "{entries} entries");
     }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -54,6 +54,7 @@
     log.note(line.with("failure_domain", &settings.failure_domain).with("callers_at", callers_at));
     log_regions(&log, &settings);
     let state = EntryState::new(settings, names, log);
+    retry_budget::update(&state);
     serve_internal_endpoints(&state, &exposition).await?;
     let listener = listen(callers_at).await?;
     tokio::task::spawn_local(store_watch::watch_catalog(Rc::clone(&state), Rc::clone(&store)));
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -18,8 +18,8 @@
 use crate::warm_up;
 use futures_util::future::join_all;
 use hickorycross_core::direct::{
-    BackendServer, BootMs, Catalog, ColdFigures, ColdReport, EngineFigures, GroupAssignment,
-    GroupDigest, PartReport, Residency,
+    BackendServer, BootMs, Catalog, ColdFigures, ColdReport, EngineFigures, EntryCountReport,
+    GroupAssignment, GroupDigest, PartReport, Residency,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -185,6 +185,9 @@
     /// Regions of the configuration, with each one that this release sends; `None` from a process of
     /// a release without regions.
     pub(crate) residency: Option<Residency>,
+    /// The largest number of entries that the peer has lately heard of; `None` from a process of an
+    /// earlier release.
+    pub(crate) entry_count: Option<EntryCountReport>,
 }
 
 /// Applies a peer's request and returns the response.
@@ -227,6 +230,7 @@
         age_ms: belief.age_ms(now),
         catalog: newer.map(|catalog| Catalog::clone(catalog)),
         residency: newer.and_then(|catalog| catalog.residency.clone()),
+        entry_count: Some(state.entry_count.borrow().report(now)),
         backends_as_of,
         backends,
         members: members.collect(),
@@ -290,6 +294,10 @@
     if sent_at.since(state.started_at) >= COUNTING_MS {
         state.knows_entries.set(true);
     }
+    if let Some(report) = response.entry_count {
+        state.entry_count.borrow_mut().note_report(report, sent_at, boot_now());
+    }
+    retry_budget::update(state);
     for (address, silent_ms) in response.members {
         note_member(state, address, sent_at.before(silent_ms));
     }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -12,10 +12,10 @@
 use crate::wire_names::WireNames;
 use hickorycross_core::direct::{
     Admission, AdmissionSettings, BackendLimits, BackendServer, BackendTable, BootMs, BufferBudget,
-    CatalogState, ColdFigures, ColdShares, CrashTable, GroupAssignment, GroupAvailability,
-    InitialTimeouts, LimitGrants, LimitPermits, OutageDurations, PartCrashTable, PartReport,
-    PassTracker, PeerTable, PoolChoice, QueueLimit, RetryBudget, RetryBudgetSettings, RetryShare,
-    UnusedShares, WorkEstimator, max_catalog_age_for_keys_ms,
+    CatalogState, ColdFigures, ColdShares, CrashTable, EntryCount, GroupAssignment,
+    GroupAvailability, InitialTimeouts, LimitGrants, LimitPermits, OutageDurations, PartCrashTable,
+    PartReport, PassTracker, PeerTable, PoolChoice, QueueLimit, RetryBudget, RetryBudgetSettings,
+    RetryShare, UnusedShares, WorkEstimator, max_catalog_age_for_keys_ms,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
@@ -106,6 +106,8 @@
     /// The streams that wait at the backend servers of each pool.
     pub(crate) queue_limit: RefCell<QueueLimit>,
     pub(crate) peers: RefCell<PeerTable>,
+    /// The largest number of entries that this one has lately heard of.
+    pub(crate) entry_count: RefCell<EntryCount>,
     /// Whether a peer has answered, or the time for first answers after the start has passed.
     pub(crate) has_asked_peers: Cell<bool>,
     /// Requests that backend servers had when they ended.
@@ -199,6 +201,7 @@
             unused_shares: RefCell::default(),
             queue_limit: RefCell::default(),
             peers: RefCell::new(peers),
+            entry_count: RefCell::default(),
             has_asked_peers: Cell::new(false),
             crashes: RefCell::default(),
             part_crashes: RefCell::default(),
@@ -394,6 +397,14 @@
         backends.warm_up(service).map_or(0, |warm_up| warm_up.share_requests(entries))
     }
 
+    /// Returns the number of entries among which limits of the fleet are divided, or `None` while no
+    /// peer has told this entry of the others.
+    pub(crate) fn counted_entries(&self) -> Option<usize> {
+        let has_others = !self.peers.borrow().candidates().is_empty();
+        let is_counted = self.knows_entries.get() || !has_others;
+        is_counted.then(|| self.entry_count.borrow().entries())
+    }
+
     /// Returns the number of entries that are known to be alive, including this one.
     pub(crate) fn live_entry_count(&self) -> usize {
         self.peers.borrow().live_count(boot_now()) + 1
