fix(direct): shares of a cold server's limit are divided among the entries heard of within an hour

An entry sends to a cold server without a permit within its part of half of the limit, divided by the entries that it hears of now. Cut off from the others it forgets them after 25 s, and three or more parts of a fleet exceed the limit together, which crashes the server.

The divisor is now the largest number of entries that any entry has heard of within an hour.

--- a/crates/core/tests/cold_shares.rs
+++ b/crates/core/tests/cold_shares.rs
@@ -1,7 +1,9 @@
 //! Tests that entries keep the limit of a cold server by their own shares, without a question.
 
 use googletest::prelude::*;
-use hickorycross_core::direct::{BootMs, ColdFigures, ColdShares, IncarnationDigest, WarmUp};
+use hickorycross_core::direct::{
+    BootMs, ColdFigures, ColdShares, EntryCount, IncarnationDigest, WarmUp,
+};
 
 const SERVER: IncarnationDigest = IncarnationDigest(7);
 const STEP_MS: u64 = 10;
@@ -18,6 +20,15 @@
     counted: usize,
 }
 
+/// Returns the number by which entries divide a limit that were `entries`, of which each then hears
+/// `heard` for a minute.
+fn counted_after_cut(entries: usize, heard: usize) -> usize {
+    let mut count = EntryCount::default();
+    count.note(entries, BootMs(10_000), BootMs(10_000));
+    count.note(heard, BootMs(70_000), BootMs(70_000));
+    count.entries()
+}
+
 /// Guards against more requests to a cold server than it takes, while every entry sends as much as
 /// it can, also after a network partition in which each half counts only itself.
 #[gtest]
@@ -36,6 +47,8 @@
         case("fourteen entries", 28.0, 14, 14),
         case("two halves", 28.0, 14, 7),
         case("two halves with little", 10.0, 14, 7),
+        case("four parts", 28.0, 12, counted_after_cut(12, 3)),
+        case("all cut off from each other", 28.0, 7, counted_after_cut(7, 1)),
         case("more entries than requests", 10.0, 48, 48),
         Case { cold_slack: 0.0, ..case("no slack", 1.0, 2, 1) },
     ];
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -391,7 +391,7 @@
     /// Returns the requests in one second that this entry may send to a cold server of a service
     /// without a permit, 0 if it does not know how many entries there are.
     pub(crate) fn cold_share_requests(&self, service: &str) -> u32 {
-        let entries = self.live_entry_count();
+        let entries = self.entry_count.borrow().entries();
         if !self.knows_entries.get() || entries > MAX_COUNTED_ENTRIES {
             return 0;
         }
