fix(direct): an entry that has just started asks for no permits for cold servers

An entry sends to a cold server within its share of half of the limit from 0.6 s after its start on, and until then it asked for permits out of the other half. If all but the granting entry restart within a second, the server gets the shares twice and the permits between: 57 requests in one second of 47 allowed in the test (23 entries that are away for 0.2 s, every 0.85 s).

Shares of two processes are the whole limit at most, so an entry now waits until it can have a share. After the loss of all entries nothing changes: a new granting entry grants nothing for a second anyway. The choice between share and permits moves to core (ColdAccess), where the test plays it.

entries_that_restart_keep_the_limit_of_a_cold_server: 57 without the wait (red), 45 with it.

--- a/crates/core/src/direct/cold_shares.rs
+++ b/crates/core/src/direct/cold_shares.rs
@@ -6,7 +6,7 @@
 //! limit is at least one request.
 
 use super::warm_up::{TRANSIT_MS, WINDOW_MS};
-use super::{BootMs, IncarnationDigest};
+use super::{BootMs, IncarnationDigest, WarmUp};
 use indexmap::IndexMap;
 use std::collections::VecDeque;
 
@@ -17,6 +17,51 @@
 /// largest differences between the times at which two requests are sent and reach it.
 const SPAN_MS: u64 = WINDOW_MS + SEND_MS + TRANSIT_MS;
 
+/// Time after its start from which an answer of a peer tells an entry how many others there are, in
+/// milliseconds. Entries that start together have all asked their seeds by then.
+pub const COUNTING_MS: u64 = 600;
+
+/// Most entries that an entry trusts itself to have counted. Peers name fewer entries than this in one
+/// answer, so a larger fleet may have many more.
+const MAX_COUNTED_ENTRIES: usize = 48;
+
+/// By which rule an entry sends requests to the cold servers of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdAccess {
+    /// It has just started, and sends none.
+    Wait,
+    /// Within its own share of the limit, which is so many requests in one second.
+    Share(u32),
+    /// With permits of the granting entry.
+    Permits,
+}
+
+impl ColdAccess {
+    /// Returns the rule for an entry that started `age_ms` ago and has counted `entries` entries, if
+    /// it knows how many there are.
+    ///
+    /// An entry that has just started asks for no permits while it may still get a share. Those that
+    /// restart would else use permits beside the shares that they have used before and after.
+    #[must_use]
+    pub fn of(warm_up: &WarmUp, entries: Option<usize>, age_ms: u64) -> Self {
+        let counted = entries.filter(|entries| *entries <= MAX_COUNTED_ENTRIES);
+        match counted.map_or(0, |entries| warm_up.share_requests(entries)) {
+            0 if age_ms < COUNTING_MS => Self::Wait,
+            0 => Self::Permits,
+            share_requests => Self::Share(share_requests),
+        }
+    }
+
+    /// Returns the requests in one second within the entry's own share.
+    #[must_use]
+    pub const fn share_requests(self) -> u32 {
+        match self {
+            Self::Share(requests) => requests,
+            Self::Wait | Self::Permits => 0,
+        }
+    }
+}
+
 /// When an entry lately sent requests to cold servers, by server.
 #[derive(Clone, Debug, Default)]
 pub struct ColdShares {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -107,7 +107,7 @@
 };
 pub use catalog_state::{Adoption, CatalogState, max_catalog_age_for_keys_ms};
 pub use cold_servers::{ColdCause, ColdChange, ColdReport, ColdServer, ListedCold, ListingRead};
-pub use cold_shares::ColdShares;
+pub use cold_shares::{COUNTING_MS, ColdAccess, ColdShares};
 pub use crash_table::{CrashTable, ReportOutcome, RequestObservation, RequestReport};
 pub use domain_drains::{DomainDrains, DrainChanges};
 pub use engine_figures::EngineFigures;
--- a/crates/core/tests/cold_shares.rs
+++ b/crates/core/tests/cold_shares.rs
@@ -2,10 +2,13 @@
 
 use googletest::prelude::*;
 use hickorycross_core::direct::{
-    BootMs, ColdFigures, ColdShares, EntryCount, IncarnationDigest, WarmUp,
+    BootMs, COUNTING_MS, ColdAccess, ColdFigures, ColdShares, EntryCount, IncarnationDigest,
+    LimitGrants, WarmUp,
 };
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 const SERVER: IncarnationDigest = IncarnationDigest(7);
+const ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8_229);
 const STEP_MS: u64 = 10;
 const SPAN_MS: u64 = 5_000;
 const WINDOW_MS: u64 = 1_000;
@@ -94,3 +97,74 @@
     shares.expire(start.after(2_000));
     expect_that!(shares.admits_at(SERVER, 1, start.after(2_000)), some(eq(start.after(2_000))));
 }
+
+/// Time for which an entry that restarts is away.
+const DOWN_MS: u64 = 200;
+
+/// An entry that sends to a cold server as much as it may.
+struct Sender {
+    started_at: BootMs,
+    shares: ColdShares,
+}
+
+/// Sends as many requests as an entry may, and returns their number.
+fn send_all(
+    sender: &mut Sender,
+    warm_up: &WarmUp,
+    entries: usize,
+    grants: &mut LimitGrants,
+    now: BootMs,
+) -> u32 {
+    let age_ms = now.since(sender.started_at);
+    let counted = (age_ms >= COUNTING_MS).then_some(entries);
+    let mut sent = 0;
+    match ColdAccess::of(warm_up, counted, age_ms) {
+        ColdAccess::Wait => {}
+        ColdAccess::Share(share) => {
+            while sender.shares.admits_at(SERVER, share, now) == Some(now) {
+                sender.shares.note_sent(SERVER, now);
+                sent += 1;
+            }
+        }
+        ColdAccess::Permits => {
+            sent = grants.grant_cold(SERVER, warm_up.rate(), ADDRESS, u32::MAX, now).permits;
+        }
+    }
+    sent
+}
+
+/// Guards against entries that use their shares again after a restart, and permits in between.
+#[gtest]
+fn entries_that_restart_keep_the_limit_of_a_cold_server() {
+    for entries in [3, 14, 23, 40] {
+        for restart_every_ms in [850, 1_000, 3_000] {
+            let (figures, _) = ColdFigures::new(3.0, 28.0);
+            let warm_up = WarmUp::new(figures, 1.5, 5.0).expect("a limit");
+            let sender = || Sender { started_at: BootMs(0), shares: ColdShares::default() };
+            let mut senders: Vec<Sender> = (0..entries).map(|_| sender()).collect();
+            // The first entry goes on, and has granted permits for long.
+            let mut grants = LimitGrants::default();
+            let _ = grants.grant_cold(SERVER, warm_up.rate(), ADDRESS, 0, BootMs(1_000));
+            let mut sent_at = Vec::new();
+            for at_ms in (0..SPAN_MS).step_by(STEP_MS as usize) {
+                let now = BootMs(10_000 + at_ms);
+                if at_ms > 0 && at_ms.is_multiple_of(restart_every_ms) {
+                    for sender in &mut senders[1..] {
+                        let started_at = now.after(DOWN_MS);
+                        *sender = Sender { started_at, shares: ColdShares::default() };
+                    }
+                }
+                for sender in senders.iter_mut().filter(|sender| sender.started_at <= now) {
+                    let sent = send_all(sender, &warm_up, entries, &mut grants, now);
+                    sent_at.extend((0..sent).map(|_| now));
+                }
+            }
+            let in_window = |from: &BootMs| {
+                sent_at.iter().filter(|at| **at >= *from && at.since(*from) < WINDOW_MS).count()
+            };
+            let most = sent_at.iter().map(in_window).max().unwrap_or(0);
+            println!("{entries} entries, every {restart_every_ms} ms: {most}");
+            expect_that!(most, le(47), "{entries} entries, every {restart_every_ms} ms");
+        }
+    }
+}
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -18,8 +18,8 @@
 use crate::warm_up;
 use futures_util::future::join_all;
 use hickorycross_core::direct::{
-    BackendServer, BootMs, Catalog, ColdFigures, ColdReport, EngineFigures, EntryCountReport,
-    GroupAssignment, GroupDigest, PartReport, Residency,
+    BackendServer, BootMs, COUNTING_MS, Catalog, ColdFigures, ColdReport, EngineFigures,
+    EntryCountReport, GroupAssignment, GroupDigest, PartReport, Residency,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -52,10 +52,6 @@
 /// the reports that an entry missed while it was partitioned.
 const INTERVAL_MS: u64 = 2_000;
 
-/// Time after its start from which an answer tells an entry how many others there are. Entries that
-/// start together have all asked their seeds by then.
-const COUNTING_MS: u64 = 600;
-
 /// Maximum number of entry addresses in a response, about 700 bytes. With fewer, the entries of a
 /// large fleet would not hear of each other before they expire from each other's tables.
 const MAX_MEMBERS: usize = 64;
--- a/crates/direct/src/forward/warm_up.rs
+++ b/crates/direct/src/forward/warm_up.rs
@@ -13,8 +13,8 @@
 use crate::state::EntryState;
 use crate::warm_up_share;
 use hickorycross_core::direct::{
-    BackendServer, BootMs, ColdServer, IncarnationDigest, Selection, backoff_retry_after_ms,
-    parse_cold_ms,
+    BackendServer, BootMs, ColdAccess, ColdServer, IncarnationDigest, Selection,
+    backoff_retry_after_ms, parse_cold_ms,
 };
 use http::HeaderMap;
 use rand::RngExt;
@@ -106,7 +106,7 @@
     }
 
     fn is_in_cold_share(&self, server: &ColdServer, now: BootMs) -> bool {
-        let share_requests = self.state.cold_share_requests(&self.service);
+        let share_requests = self.state.cold_access(&self.service).share_requests();
         let shares = self.state.cold_shares.borrow();
         shares.admits_at(server.incarnation, share_requests, now) == Some(now)
     }
@@ -123,7 +123,7 @@
                 self.permit_until.set(Some(self.use_cold_permit(&server, now)));
             } else if !self.may_send_cold(&server, now) {
                 is_diverted |= chosen.is_some();
-                if self.state.cold_share_requests(&self.service) > 0 {
+                if self.state.cold_access(&self.service) != ColdAccess::Permits {
                     continue;
                 }
                 let wanted = self.state.cold_permits.borrow_mut().note_denied(incarnation, now);
@@ -161,7 +161,7 @@
 
     /// Requests permits for the requests that wait for one, where a question is due.
     fn request_waiting_permits(&self, now: BootMs) {
-        if self.state.cold_share_requests(&self.service) > 0 {
+        if self.state.cold_access(&self.service) != ColdAccess::Permits {
             return;
         }
         let excluded = self.excluded_but_cold();
@@ -264,7 +264,7 @@
         let cold = self.state.backends.borrow().cold_servers(&self.service, now);
         let cold: Vec<ColdServer> =
             cold.into_iter().filter(|server| !excluded.contains(&server.id)).collect();
-        let share_requests = self.state.cold_share_requests(&self.service);
+        let share_requests = self.state.cold_access(&self.service).share_requests();
         let shares = self.state.cold_shares.borrow();
         let in_share =
             cold.iter().filter_map(|it| shares.admits_at(it.incarnation, share_requests, now));
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -12,7 +12,7 @@
 use crate::wire_names::WireNames;
 use hickorycross_core::direct::{
     Admission, AdmissionSettings, BackendLimits, BackendServer, BackendTable, BootMs, BufferBudget,
-    CatalogState, ColdFigures, ColdShares, CrashTable, EntryCount, GroupAssignment,
+    CatalogState, ColdAccess, ColdFigures, ColdShares, CrashTable, EntryCount, GroupAssignment,
     GroupAvailability, InitialTimeouts, LimitGrants, LimitPermits, OutageDurations, PartCrashTable,
     PartReport, PassTracker, PeerTable, PoolChoice, QueueLimit, RetryBudget, RetryBudgetSettings,
     RetryShare, UnusedShares, WorkEstimator, max_catalog_age_for_keys_ms,
@@ -26,10 +26,6 @@
 use std::sync::Arc;
 use tokio::sync::{Notify, watch};
 
-/// Most entries that an entry trusts itself to have counted. Peers name fewer entries than this in one
-/// answer, so a larger fleet may have many more.
-const MAX_COUNTED_ENTRIES: usize = 48;
-
 /// Settings of the bound on open requests to a group.
 ///
 /// `decrease_ratio` and `increase_requests` are the parameters of the additive increase and
@@ -388,15 +384,13 @@
         self.crashes.borrow().checksum() ^ self.limits.borrow().checksum()
     }
 
-    /// Returns the requests in one second that this entry may send to a cold server of a service
-    /// without a permit, 0 if it does not know how many entries there are.
-    pub(crate) fn cold_share_requests(&self, service: &str) -> u32 {
-        let entries = self.entry_count.borrow().entries();
-        if !self.knows_entries.get() || entries > MAX_COUNTED_ENTRIES {
-            return 0;
-        }
+    /// Returns by which rule this entry sends requests to the cold servers of a service.
+    pub(crate) fn cold_access(&self, service: &str) -> ColdAccess {
+        let entries = self.knows_entries.get().then(|| self.entry_count.borrow().entries());
+        let age_ms = boot_now().since(self.started_at);
         let backends = self.backends.borrow();
-        backends.warm_up(service).map_or(0, |warm_up| warm_up.share_requests(entries))
+        let warm_up = backends.warm_up(service);
+        warm_up.map_or(ColdAccess::Wait, |warm_up| ColdAccess::of(warm_up, entries, age_ms))
     }
 
     /// Returns the number of entries among which limits of the fleet are divided, or `None` while no
