--- a/crates/direct/src/agent/fleet.rs
+++ b/crates/direct/src/agent/fleet.rs
@@ -4,7 +4,8 @@
 use super::rank::RankClient;
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
-use crate::exchange::{self, ExchangeRequest, RankGroup};
+use crate::exchange;
+use crate::exchange_messages::{ExchangeRequest, RankGroup};
 use crate::peer_call;
 use hickorycross_core::direct::{
     Adoption, BackendServer, CatalogState, GroupDimensions, MAX_GROUP_NAME_BYTES, PeerTable,
--- a/crates/direct/src/agent/notify_entries.rs
+++ b/crates/direct/src/agent/notify_entries.rs
@@ -8,7 +8,8 @@
 use super::member::Member;
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
-use crate::exchange::{self, BackendObservation, BackendReport, ExchangeRequest};
+use crate::exchange;
+use crate::exchange_messages::{BackendObservation, BackendReport, ExchangeRequest};
 use crate::peer_call;
 use hickorycross_core::map_change::{Reachability, SilenceDetector, machines_to_monitor};
 use std::net::SocketAddr;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,6 +18,7 @@
 mod domain_drains;
 mod entry;
 mod exchange;
+mod exchange_messages;
 mod forward;
 mod gossip;
 mod limit_share;
