--- a/crates/core/src/direct/cold_shares.rs
+++ b/crates/core/src/direct/cold_shares.rs
@@ -17,8 +17,8 @@
 /// largest differences between the times at which two requests are sent and reach it.
 const SPAN_MS: u64 = WINDOW_MS + SEND_MS + TRANSIT_MS;
 
-/// Time after its start from which an answer of a peer tells an entry how many others there are, in
-/// milliseconds. Entries that start together have all asked their seeds by then.
+/// Time in milliseconds after its start from which the answer of a peer tells an entry how many
+/// others there are. Entries that start together have all asked their seeds by then.
 pub const COUNTING_MS: u64 = 600;
 
 /// Most entries that an entry trusts itself to have counted. Peers name fewer entries than this in one
@@ -40,8 +40,8 @@
     /// Returns the rule for an entry that started `age_ms` ago and has counted `entries` entries, if
     /// it knows how many there are.
     ///
-    /// An entry that has just started asks for no permits while it may still get a share. Those that
-    /// restart would else use permits beside the shares that they have used before and after.
+    /// An entry that has just started waits until it knows whether it has a share. Otherwise entries
+    /// that restart would use permits in addition to their shares before and after the restart.
     #[must_use]
     pub fn of(warm_up: &WarmUp, entries: Option<usize>, age_ms: u64) -> Self {
         let counted = entries.filter(|entries| *entries <= MAX_COUNTED_ENTRIES);
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -18,7 +18,8 @@
 //!   retry if all backend servers are in backoff.
 //! - [`DomainDrains`] holds the failure domains that operators have drained, whose backend servers
 //!   get no requests.
-//! - [`RetryBudget`] bounds retries to a [`RetryShare`] of the fleet's budget; [`judge_attempt`] classifies how an attempt ended.
+//! - [`RetryBudget`] bounds retries to this entry's [`RetryShare`] of the fleet's budget;
+//!   [`judge_attempt`] classifies how an attempt ended.
 //! - [`GroupAvailability`] detects whether a model group makes progress; [`event_wait_deadline`],
 //!   [`retry_after_ms`] and [`urgency`] set what happens to requests while it does not, and in
 //!   which order they run afterwards.
--- a/crates/core/src/direct/retry_budget.rs
+++ b/crates/core/src/direct/retry_budget.rs
@@ -4,8 +4,8 @@
 use indexmap::IndexMap;
 use std::collections::VecDeque;
 
-/// Windows in which the threshold for a fraction of a retry passes through all values. Within one
-/// window it hardly changes, so that an entry does not use its fraction twice.
+/// Windows in which the rounding threshold passes through all values. If it changed much within one
+/// window, an entry could use the same fraction of a retry twice.
 const WINDOWS_PER_ROUND: u64 = 60;
 
 /// One entry's share of the fleet's retry budget.
@@ -26,13 +26,14 @@
 /// other. Without a budget, a fault that affects every request would multiply the load when
 /// capacity is short.
 ///
-/// In a large fleet the share of an entry with few requests is a fraction of a retry. Entries round
-/// it at different thresholds (see [`Self::with_rounding`]), so that as many of them as the fraction
-/// says have a whole one.
+/// In a large fleet an entry with few requests is allowed a fraction of a retry. Entries round it at
+/// different thresholds (see [`Self::with_rounding`]): at a fraction of 0.3, three in ten entries may
+/// retry once.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     settings: RetryBudgetSettings,
-    rounding_offset: f64,
+    /// Rounding threshold at boot; `None` if the budget always rounds down.
+    rounding_offset: Option<f64>,
     services: IndexMap<String, Sends>,
 }
 
@@ -55,17 +56,17 @@
     /// Creates a budget with no sends counted, which rounds down.
     #[must_use]
     pub fn new(settings: RetryBudgetSettings) -> Self {
-        Self { settings, rounding_offset: 0.0, services: IndexMap::new() }
+        Self { settings, rounding_offset: None, services: IndexMap::new() }
     }
 
-    /// Rounds what is allowed up where it lacks less than a threshold that passes slowly through all
-    /// values from 0 to 1.
+    /// Allows one retry more where less than a threshold is missing to a whole one. The threshold is
+    /// `offset` at boot and passes slowly through all values from 0 to 1.
     ///
-    /// `offset` is the first threshold. Drawn evenly from 0 to 1 for each process, it makes the mean
-    /// over many entries, and over many starts of one, what is allowed without rounding.
+    /// If each process draws its offset evenly from 0 to 1, then the mean over many entries, and over
+    /// many starts of one, is what the budget allows in fractions.
     #[must_use]
     pub fn with_rounding(self, offset: f64) -> Self {
-        Self { rounding_offset: offset, ..self }
+        Self { rounding_offset: Some(offset), ..self }
     }
 
     /// Changes this entry's share of the budget.
@@ -93,16 +94,14 @@
     #[must_use]
     pub fn allows_retry(&mut self, now: BootMs, service: &str) -> bool {
         let usage = self.usage(now, service);
-        usage.retries as f64 + 1.0 <= usage.allowed + self.rounding(now)
+        usage.retries as f64 + 1.0 <= usage.allowed + self.rounding_threshold(now)
     }
 
-    /// Returns the fraction of a retry that is added to what is allowed.
-    fn rounding(&self, now: BootMs) -> f64 {
-        if self.rounding_offset == 0.0 {
-            return 0.0;
-        }
+    /// Returns the rounding threshold, which may be missing to a whole retry.
+    fn rounding_threshold(&self, now: BootMs) -> f64 {
+        let Some(offset) = self.rounding_offset else { return 0.0 };
         let round_ms = self.settings.window_ms.saturating_mul(WINDOWS_PER_ROUND).max(1);
-        (self.rounding_offset + now.0 as f64 / round_ms as f64).fract()
+        (offset + now.0 as f64 / round_ms as f64).fract()
     }
 
     /// Returns what is used of the budget of a service.
--- a/crates/core/src/direct/retry_share.rs
+++ b/crates/core/src/direct/retry_share.rs
@@ -1,8 +1,9 @@
 //! One entry's share of the fleet's retry budget.
 //!
-//! What an entry has spent is known to its process alone, so one that has just started does not know
-//! what its predecessor has spent. Until a whole window has passed it therefore has a small start
-//! allowance in place of its share of the slack, from the part of the slack that the shares leave.
+//! What an entry has spent is known to its process alone, so a process that has just started does not
+//! know what the one before it has spent. Until a whole window has passed it therefore has a start
+//! allowance in place of its share of the slack. The allowances come from the part of the slack that
+//! the shares leave over.
 
 use super::{BootMs, RetryBudgetSettings};
 
@@ -13,8 +14,8 @@
 /// Smallest number of entries among which the slack is split, even if fewer are known.
 const MIN_ENTRIES: usize = 4;
 
-/// Most starts of one entry in a window for which the start allowances stay within the slack: one a
-/// second in a window of 10 s.
+/// Most starts of one entry in a window with which the start allowances stay within the slack: one
+/// per second in a window of 10 s.
 const MAX_STARTS_PER_WINDOW: usize = 11;
 
 /// The retry budget that all entries of a fleet keep together, for each service.
@@ -41,7 +42,7 @@
     }
 }
 
-/// What determines the share of one entry.
+/// The share of one entry, by when it started and among how many entries the slack is split.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryShare {
     started_at: BootMs,
--- a/crates/core/tests/retry_share.rs
+++ b/crates/core/tests/retry_share.rs
@@ -1,13 +1,21 @@
 //! The retry budget of a fleet while entries restart, join, leave or do not know each other.
+//!
+//! `HICKORYCROSS_SEEDS` sets the number of seeds.
 
 mod retry_fleet;
 
 use googletest::prelude::*;
 use hickorycross_core::direct::{BootMs, RetryBudget, RetryShare};
 use retry_fleet::{BUDGET, Restarts, Setup, play};
+use std::ops::Range;
 
 const SEEDS: u64 = 8;
 
+fn seeds() -> Range<u64> {
+    let seeds = std::env::var("HICKORYCROSS_SEEDS").ok().and_then(|text| text.parse().ok());
+    0..seeds.unwrap_or(SEEDS)
+}
+
 /// Entries that restart in series while requests fail.
 struct RestartCase {
     name: &'static str,
@@ -87,7 +95,7 @@
 #[gtest]
 fn entries_that_restart_in_series_keep_the_retry_budget() {
     for case in RESTART_CASES {
-        for seed in 0..SEEDS {
+        for seed in seeds() {
             let restarts = Restarts {
                 from_ms: 30_000,
                 until_ms: 45_000,
@@ -162,7 +170,7 @@
 #[gtest]
 fn entries_that_know_few_others_keep_the_retry_budget() {
     for CountCase { name, setup } in count_cases() {
-        for seed in 0..SEEDS {
+        for seed in seeds() {
             let excess = play(Setup { seed, ..setup.clone() }).worst_excess();
             println!("{name}, seed {seed}: {excess:.1}");
             expect_that!(excess, le(0.0), "{name}, seed {seed}");
