--- a/crates/core/tests/retry_fleet/mod.rs
+++ b/crates/core/tests/retry_fleet/mod.rs
@@ -2,7 +2,7 @@
 //! the retry budget allows.
 
 use hickorycross_core::direct::{
-    BootMs, EntryCount, FleetRetryBudget, PeerTable, RetryBudget, RetryShare,
+    BootMs, COUNTING_MS, EntryCount, FleetRetryBudget, PeerTable, RetryBudget, RetryShare,
 };
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
@@ -24,8 +24,6 @@
 const FIRST_INTERVAL_MS: u64 = 400;
 const INTERVAL_MS: u64 = 2_000;
 const FIRST_QUESTIONS: u32 = 3;
-/// Time after its start from which an answer tells an entry how many others there are.
-const COUNTING_MS: u64 = 600;
 /// Interval at which an entry recomputes its share.
 const UPDATE_INTERVAL_MS: u64 = 1_000;
 
