--- a/crates/core/tests/retry_fleet/mod.rs
+++ b/crates/core/tests/retry_fleet/mod.rs
@@ -17,6 +17,7 @@
 const BEGIN: BootMs = BootMs(1_000_000);
 /// Time for which an entry that restarts is away.
 const DOWN_MS: u64 = 200;
+/// Number of entries that are in the settings of all.
 const SEEDS: usize = 3;
 /// Number of members in an answer of an entry.
 const MEMBERS: usize = 64;
@@ -37,11 +38,11 @@
     pub(crate) share: f64,
 }
 
-/// What happens to a fleet.
+/// The load on a fleet, and what happens to it.
 #[derive(Clone, Debug)]
 pub(crate) struct Setup {
     pub(crate) entries: usize,
-    /// Requests that all entries get together, before and after `busy_from_ms`.
+    /// Requests to all entries together, before and after `busy_from_ms`.
     pub(crate) idle_requests_per_s: f64,
     pub(crate) busy_requests_per_s: f64,
     pub(crate) busy_from_ms: u64,
