--- a/crates/core/tests/retry_share.rs
+++ b/crates/core/tests/retry_share.rs
@@ -133,6 +133,17 @@
     }
 }
 
+/// Entries of which some join, some restart each second and all are cut off from each other, at once.
+fn joining_restarting_and_cut_off(entries: usize, requests_per_s: f64) -> Setup {
+    let restarts = Restarts { from_ms: 20_000, until_ms: 45_000, every_ms: 1_000, share: 0.3 };
+    Setup {
+        restarts: Some(restarts),
+        joins: Some((entries, 22_000)),
+        cut_from_ms: Some(24_000),
+        ..Setup::calm(entries, requests_per_s)
+    }
+}
+
 fn count_cases() -> Vec<CountCase> {
     let restarts = Restarts { from_ms: 100_000, until_ms: 115_000, every_ms: 1_000, share: 0.3 };
     vec![
@@ -147,6 +158,18 @@
             name: "35 cut off that restart",
             setup: Setup { restarts: Some(restarts), ..cut_off(35, 70.0) },
         },
+        CountCase {
+            name: "3 that join, restart and are cut off",
+            setup: joining_restarting_and_cut_off(3, 60.0),
+        },
+        CountCase {
+            name: "35 that join, restart and are cut off",
+            setup: joining_restarting_and_cut_off(35, 70.0),
+        },
+        CountCase {
+            name: "400 that join, restart and are cut off",
+            setup: joining_restarting_and_cut_off(400, 200.0),
+        },
         CountCase {
             name: "400 that start cut off",
             setup: Setup { cut_from_ms: Some(0), ..starting(400, 200.0) },
