fix(core): the preference for the own failure domain no longer fills the few servers that a group has there

Change: a request prefers the own domain only as far as its servers then get half again what they would if all domains sent the same; beyond that it is chosen without regard to the domain. Where servers are spread over the domains nothing changes. Ruled out: the pool of servers whose group is not known (71 to 191 servers, even); underloaded ranks that catch up.

--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -15,6 +15,11 @@
 /// only.
 const OTHER_DOMAIN_PENALTY_REQUESTS: f64 = 0.3;
 
+/// Largest load that the preference for the own failure domain may bring to a backend server, as a
+/// multiple of what it gets if the entries of each domain send as much as the others and prefer their
+/// own.
+const OWN_DOMAIN_SHARES: f64 = 1.5;
+
 /// Load, in requests, that a stream without an event adds beyond its own.
 ///
 /// A rank begins only a few streams per pass, and callers lose queued streams if its instance
@@ -153,12 +158,15 @@
         let rows = if unavoided.is_empty() { rows } else { unavoided };
         let others = rows.len().saturating_sub(1);
         let (rows, draw) = self.candidates(rows, selection, now, draw)?;
-        let load_requests =
-            rows.iter().map(|row| self.load(row, selection, now)).min_by(f64::total_cmp)?;
+        let (prefers_own_domain, draw) = self.prefers_own_domain(&rows, draw);
+        let load = |row: &Row| match prefers_own_domain {
+            true => self.load(row, selection, now),
+            false => self.load_in_any_domain(row, selection, now),
+        };
+        let load_requests = rows.iter().map(|row| load(row)).min_by(f64::total_cmp)?;
         // Entries do not see each other's requests. If each took the first of several equals, the
         // first servers of the list would get the requests of all entries.
-        let is_least =
-            |row: &&&Row| self.load(row, selection, now) <= load_requests + EQUAL_REQUESTS;
+        let is_least = |row: &&&Row| load(row) <= load_requests + EQUAL_REQUESTS;
         let equals: Vec<&&Row> = rows.iter().filter(is_least).collect();
         let index = ((draw * equals.len() as f64) as usize).min(equals.len() - 1);
         let server = equals[index].server.clone();
@@ -206,6 +214,31 @@
         Some((rest, (draw - share) / (1.0 - share)))
     }
 
+    /// Returns whether a request prefers the backend servers of the own failure domain among `rows`, and
+    /// the rest of its draw rescaled to 0 up to 1.
+    ///
+    /// An entry of a large fleet has no open requests at most backend servers, so that the preference
+    /// decides nearly always. Where few of the servers are in its domain, as when a group has one rank
+    /// there and all others elsewhere, these would get the requests of all entries of the domain.
+    fn prefers_own_domain(&self, rows: &[&Row], draw: f64) -> (bool, f64) {
+        let domains: IndexSet<&str> =
+            rows.iter().map(|row| row.server.failure_domain.as_str()).collect();
+        let own = rows.iter().filter(|row| self.is_in_own_domain(row)).count();
+        let even_share = own as f64 / rows.len() as f64;
+        let share = even_share * domains.len() as f64 * OWN_DOMAIN_SHARES;
+        if own == 0 || share >= 1.0 {
+            return (true, draw);
+        }
+        if draw < share {
+            return (true, draw / share);
+        }
+        (false, (draw - share) / (1.0 - share))
+    }
+
+    fn is_in_own_domain(&self, row: &Row) -> bool {
+        row.server.failure_domain == self.own_failure_domain
+    }
+
     /// Returns whether any backend server takes a request.
     #[must_use]
     pub fn has_choice(&self, selection: &Selection<'_>, now: BootMs) -> bool {
@@ -257,9 +290,24 @@
 
     /// Returns the load of a backend server in usual requests, penalties included.
     fn load(&self, row: &Row, selection: &Selection<'_>, now: BootMs) -> f64 {
+        let is_elsewhere = !self.is_in_own_domain(row);
+        let penalty = if is_elsewhere { OTHER_DOMAIN_PENALTY_REQUESTS } else { 0.0 };
+        self.load_with_penalty(row, selection, now, penalty)
+    }
+
+    /// Returns the load of a backend server without the penalty for another failure domain.
+    fn load_in_any_domain(&self, row: &Row, selection: &Selection<'_>, now: BootMs) -> f64 {
+        self.load_with_penalty(row, selection, now, 0.0)
+    }
+
+    fn load_with_penalty(
+        &self,
+        row: &Row,
+        selection: &Selection<'_>,
+        now: BootMs,
+        domain_penalty: f64,
+    ) -> f64 {
         let measure = selection.load_measure;
-        let is_same_domain = row.server.failure_domain == self.own_failure_domain;
-        let domain_penalty = if is_same_domain { 0.0 } else { OTHER_DOMAIN_PENALTY_REQUESTS };
         let requests = measure.open_load(row.open_requests())
             + f64::from(row.streams.not_begun) * NOT_BEGUN_PENALTY_REQUESTS
             + domain_penalty
