fix(agent): a leader polls and reads the ranks of its own group

Each leader sends 187 collecting polls a second and gets 40 answers. Cause: a leader polls all agents of the service, of which those of other groups do not answer, and as soon as one rank of its group is unheard for 0.8 s it reads every backend server whose agent it does not hear, which are all of the other groups: 516 connections every 0.35 s. Both grow with groups times servers. Change: once it has heard the agent of each rank it polls their instances only, and all of them for 0.3 s in 2 s while one is silent. It reads the servers beside silent agents, and at most 4 others (32 while a rank was never heard).

--- a/crates/core/src/map_change/mod.rs
+++ b/crates/core/src/map_change/mod.rs
@@ -26,7 +26,8 @@
 //! - [`EngineOrder`] is an order in the form in which the engine of a rank takes it.
 //! - [`Roster`] lists the instances to poll.
 //! - [`PollSchedule`] decides when the leader polls which agents. A [`StatusCollection`] gathers
-//!   the statuses of a section of the group on one of its agents.
+//!   the statuses of a section of the group on one of its agents. [`PollScope`] keeps the polls to the
+//!   instances of the group while their agents answer.
 //! - [`LinkPace`] limits the rate of long messages.
 //! - [`DemandEstimator`] estimates the load of each expert.
 //! - [`HoldClock`] measures how long a rank holds a pass.
@@ -49,6 +50,7 @@
 mod pass_clock;
 mod phase;
 mod poll_schedule;
+mod poll_scope;
 mod roster;
 mod silence_detector;
 mod status;
@@ -65,6 +67,7 @@
 pub use link_pace::LinkPace;
 pub use order::{OrderKind, OrderOutcome, OrderResult, RankOrder};
 pub use poll_schedule::{PollSchedule, SectionPoll, Sections};
+pub use poll_scope::{PollScope, machines_of_group, servers_to_read};
 pub use roster::Roster;
 pub use silence_detector::{LastContact, Reachability, SilenceDetector, machines_to_monitor};
 pub use status::{ArmAttempt, Armed, CountsSample, RankStatus, Witness};
--- a/crates/direct/src/agent/lead.rs
+++ b/crates/direct/src/agent/lead.rs
@@ -7,15 +7,17 @@
 use super::member::Member;
 use super::rank::GroupMembership;
 use super::relay::Relays;
+use super::silent_ranks::MAX_SILENCE_MS;
 use super::watchers::Watchers;
 use crate::clock::{boot_now, wall_ms};
 use crate::decision_log::DecisionLog;
 use hickorycross_core::direct::BootMs;
 use hickorycross_core::map_change::{
-    Leader, LeaderAction, LeaderNote, PollSchedule, SectionPoll, Sections, UnevenNote,
+    Leader, LeaderAction, LeaderNote, PollSchedule, PollScope, SectionPoll, Sections, UnevenNote,
+    machines_of_group,
 };
 use rand::RngExt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -53,6 +55,7 @@
 /// Leads the group whenever no other leader is heard, continuously.
 pub(crate) async fn run(member: Rc<Member>) {
     let mut polls = PollSchedule::default();
+    let mut scope = PollScope::default();
     let mut poll_watchers_at = BootMs(0);
     let mut last_tick_at = boot_now();
     let mut was_held = false;
@@ -71,8 +74,7 @@
         let Some(dimensions) = member.fleet.dimensions() else { continue };
         let counts_per_rank =
             usize::from(dimensions.layers) * usize::from(dimensions.experts_per_layer);
-        let machines = member.fleet.machines();
-        let (actions, poll, is_busy, is_held) = {
+        let (actions, poll, is_busy, is_held, has_silent_ranks) = {
             let mut leading = member.leader.borrow_mut();
             let Some(leader) = leading.as_mut() else {
                 metrics::gauge!(UNEVEN_SECONDS).set(0.0);
@@ -84,6 +86,7 @@
             let group = leader.group().to_owned();
             watchers.set(leader.watchers(), leader.witness_rank());
             let (is_busy, is_held) = (leader.is_busy(), leader.is_held());
+            let has_silent_ranks = !leader.silent_ranks(now, MAX_SILENCE_MS).is_empty();
             log_uneven(&member.log, leader, now);
             if leader.is_deposed() {
                 *leading = None;
@@ -93,12 +96,13 @@
             let is_watched = watchers.are_needed();
             let poll =
                 Poll { group, fence, known_map, wants_counts: false, watch: None, is_watched };
-            (actions, poll, is_busy, is_held)
+            (actions, poll, is_busy, is_held, has_silent_ranks)
         };
         if is_held && !was_held {
             polls.poll_all_next();
         }
         was_held = is_held;
+        let machines = machines_to_poll(&member, &mut scope, now, has_silent_ranks);
         let sections = Sections::of(&machines, counts_per_rank);
         // While a pass is held the link is reserved for orders and their results.
         let sections = if is_held { sections.without_counts() } else { sections };
@@ -117,6 +121,23 @@
     }
 }
 
+/// Returns the instances to poll, with their failure domains: those of the group, or all of the service
+/// while the agent of a rank is looked for.
+fn machines_to_poll(
+    member: &Member,
+    scope: &mut PollScope,
+    now: BootMs,
+    has_silent_ranks: bool,
+) -> Vec<(String, IpAddr)> {
+    let machines = member.fleet.machines();
+    let agents = member.agents.borrow();
+    let ranks = member.ranks_of_group.get();
+    if scope.is_whole_service(now, &agents, ranks, has_silent_ranks) {
+        return machines;
+    }
+    machines_of_group(machines, &agents)
+}
+
 /// Polls the agents of a section, through a collector if there are several.
 async fn poll_section(member: &Member, section_poll: SectionPoll, poll: &Poll) {
     let agent_on = |machine| SocketAddr::new(machine, member.port);
--- a/crates/direct/src/agent/remote_reads.rs
+++ b/crates/direct/src/agent/remote_reads.rs
@@ -5,7 +5,7 @@
 use super::status::status_from_report;
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
-use hickorycross_core::map_change::{Leader, RankStatus};
+use hickorycross_core::map_change::{Leader, RankStatus, servers_to_read};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,10 +38,11 @@
         if silent.is_empty() {
             continue;
         }
-        let addresses = member.fleet.addresses();
-        for address in
-            addresses.into_iter().filter(|it| member.silent_ranks.is_silent(it.ip(), silent_ms))
-        {
+        let is_silent = |it: &SocketAddr| member.silent_ranks.is_silent(it.ip(), silent_ms);
+        let servers: Vec<SocketAddr> =
+            member.fleet.addresses().into_iter().filter(is_silent).collect();
+        let servers = servers_to_read(&silent, &member.agents.borrow(), &servers, &mut rand::rng());
+        for address in servers {
             tokio::task::spawn_local(read_rank(Rc::clone(&member), address));
         }
     }
