fix(agent): silence of an agent is counted in rounds of polls

Cause: an agent is silent after 0.35 s, which are 3.5 rounds of 0.1 s; a leader that polls 645 agents has rounds of 0.137 s, so that losing two polls of a section is enough. Any group with more counts has longer rounds. Change: 3.5 rounds, and at least 0.35 s. Measured: core/tests/map_silence_detector.rs, rounds of 60 to 200 ms.

--- a/crates/core/src/map_change/poll_schedule.rs
+++ b/crates/core/src/map_change/poll_schedule.rs
@@ -77,6 +77,13 @@
         self.sections.len()
     }
 
+    /// Returns the time in milliseconds in which all sections are polled once while no change is in
+    /// progress.
+    #[must_use]
+    pub fn round_ms(&self) -> u64 {
+        round_ms(self, false)
+    }
+
     /// Returns whether there is no instance to poll.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/core/src/map_change/silence_detector.rs
+++ b/crates/core/src/map_change/silence_detector.rs
@@ -9,8 +9,12 @@
 use indexmap::{IndexMap, IndexSet};
 use std::net::{IpAddr, SocketAddr};
 
-/// Silence after which an agent is reported: several rounds of polls, some of which may be lost.
-const MAX_SILENCE_MS: u64 = 350;
+/// Shortest silence after which an agent is reported, which covers several rounds of polls in a group of
+/// usual size.
+const MIN_SILENCE_MS: u64 = 350;
+
+/// Rounds of polls after which an agent is reported, in tenths. Some polls may be lost.
+const SILENT_ROUND_TENTHS: u64 = 35;
 
 /// Interval after which a report is repeated. Entries discard it after 3 s.
 const REPEAT_MS: u64 = 2_000;
@@ -71,13 +75,20 @@
         self.updated_at = BootMs(0);
     }
 
-    /// Evaluates when other agents last sent a message. Returns the reports for the entries.
-    pub fn update(&mut self, now: BootMs, others: &[LastContact]) -> Vec<Reachability> {
+    /// Evaluates when other agents last sent a message, each of which is polled once in `round_ms`.
+    /// Returns the reports for the entries.
+    pub fn update(
+        &mut self,
+        now: BootMs,
+        others: &[LastContact],
+        round_ms: u64,
+    ) -> Vec<Reachability> {
         if now.since(self.updated_at) > MAX_UPDATE_GAP_MS {
             self.running_since = now;
         }
         self.updated_at = now;
-        let silent = others.iter().filter(|other| self.is_silent(now, other));
+        let max_silence_ms = MIN_SILENCE_MS.max(round_ms * SILENT_ROUND_TENTHS / 10);
+        let silent = others.iter().filter(|other| self.is_silent(now, other, max_silence_ms));
         let silent: Vec<IpAddr> = silent.map(|other| other.machine).collect();
         let heard: Vec<IpAddr> =
             self.reported.keys().filter(|machine| !silent.contains(machine)).copied().collect();
@@ -103,9 +114,9 @@
     /// An agent that was never heard may not have started yet while its rank is healthy. After a
     /// suspension of its own instance, the leader would take all other agents for silent, so
     /// silence counts from the time it resumed.
-    fn is_silent(&self, now: BootMs, other: &LastContact) -> bool {
+    fn is_silent(&self, now: BootMs, other: &LastContact, max_silence_ms: u64) -> bool {
         let Some(heard_at) = other.heard_at else { return false };
         let is_replaced = other.replaced_at.is_some_and(|at| at >= heard_at);
-        is_replaced || now.since(heard_at.max(self.running_since)) > MAX_SILENCE_MS
+        is_replaced || now.since(heard_at.max(self.running_since)) > max_silence_ms
     }
 }
--- a/crates/core/tests/map_silence_detector.rs
+++ b/crates/core/tests/map_silence_detector.rs
@@ -7,6 +7,9 @@
 };
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
+/// Time in which a leader polls each agent once.
+const ROUND_MS: u64 = 100;
+
 /// Interval between two updates.
 const UPDATE_MS: u64 = 100;
 
@@ -32,7 +35,9 @@
                 replaced_at: None,
             })
             .collect();
-        for Reachability { machine: it, is_heard } in detector.update(BootMs(at_ms), &others) {
+        for Reachability { machine: it, is_heard } in
+            detector.update(BootMs(at_ms), &others, ROUND_MS)
+        {
             reports.push((
                 (0..heard_until_ms.len()).position(|i| machine(i) == it).unwrap(),
                 is_heard,
@@ -112,16 +117,48 @@
         heard_at: Some(BootMs(1_000)),
         replaced_at: Some(BootMs(1_100)),
     };
-    let reports = detector.update(BootMs(1_120), &[replaced]);
+    let reports = detector.update(BootMs(1_120), &[replaced], ROUND_MS);
     expect_that!(
         reports,
         elements_are![eq(&Reachability { machine: machine(0), is_heard: false })]
     );
     let woken = LastContact { heard_at: Some(BootMs(5_000)), ..replaced };
-    let reports = detector.update(BootMs(5_010), &[woken]);
+    let reports = detector.update(BootMs(5_010), &[woken], ROUND_MS);
     expect_that!(reports, elements_are![eq(&Reachability { machine: machine(0), is_heard: true })]);
 }
 
+/// How long an agent goes unheard whose polls are lost for a while.
+struct RoundCase {
+    round_ms: u64,
+    silent_ms: u64,
+    is_reported: bool,
+}
+
+const ROUND_CASES: &[RoundCase] = &[
+    RoundCase { round_ms: 60, silent_ms: 300, is_reported: false },
+    RoundCase { round_ms: 100, silent_ms: 300, is_reported: false },
+    RoundCase { round_ms: 100, silent_ms: 400, is_reported: true },
+    RoundCase { round_ms: 137, silent_ms: 420, is_reported: false },
+    RoundCase { round_ms: 200, silent_ms: 600, is_reported: false },
+    RoundCase { round_ms: 200, silent_ms: 800, is_reported: true },
+];
+
+/// Guards against healthy agents of a large group that are reported as silent whenever two polls in a
+/// row are lost, since each is polled less often there.
+#[gtest]
+fn an_agent_is_silent_after_some_rounds_of_polls() {
+    for RoundCase { round_ms, silent_ms, is_reported } in ROUND_CASES {
+        let mut detector = SilenceDetector::default();
+        let mut reports = Vec::new();
+        for at_ms in (1_000..=2_000 + silent_ms).step_by(UPDATE_MS as usize) {
+            let heard_at = Some(BootMs(at_ms.min(2_000)));
+            let others = [LastContact { machine: machine(0), heard_at, replaced_at: None }];
+            reports.extend(detector.update(BootMs(at_ms), &others, *round_ms));
+        }
+        expect_that!(!reports.is_empty(), eq(*is_reported), "{round_ms}, {silent_ms} ms");
+    }
+}
+
 struct GroupCase {
     name: &'static str,
     /// Instances of the agents of the group, by rank.
--- a/crates/direct/src/agent/lead.rs
+++ b/crates/direct/src/agent/lead.rs
@@ -104,6 +104,7 @@
         was_held = is_held;
         let machines = machines_to_poll(&member, &mut scope, now, has_silent_ranks);
         let sections = Sections::of(&machines, counts_per_rank);
+        member.poll_round_ms.set(sections.round_ms());
         // While a pass is held the link is reserved for orders and their results.
         let sections = if is_held { sections.without_counts() } else { sections };
         let wants_counts = !is_held && polls.wants_counts(&sections, is_busy);
--- a/crates/direct/src/agent/member.rs
+++ b/crates/direct/src/agent/member.rs
@@ -52,6 +52,8 @@
     pub(super) own_rank: Cell<Option<u16>>,
     /// Number of ranks in the own group when this agent began to lead.
     pub(super) ranks_of_group: Cell<usize>,
+    /// Time in which this agent polls each agent of the group once, while it leads.
+    pub(super) poll_round_ms: Cell<u64>,
     /// Name of the own rank's group, once it is known.
     pub(super) own_group: RefCell<Option<String>>,
     /// Wakes the leader's loop when there is new input for a decision.
@@ -105,6 +107,7 @@
             orders: RefCell::default(),
             own_rank: Cell::new(None),
             ranks_of_group: Cell::new(0),
+            poll_round_ms: Cell::new(0),
             own_group: RefCell::new(None),
             leader_wakeup: Notify::new(),
             pace_permille: Cell::new(1_000),
--- a/crates/direct/src/agent/notify_entries.rs
+++ b/crates/direct/src/agent/notify_entries.rs
@@ -68,7 +68,9 @@
         let others: Vec<_> =
             others.into_iter().map(|it| member.silent_ranks.last_contact(it)).collect();
         let addresses = member.fleet.addresses();
-        for Reachability { machine, is_heard } in detector.update(boot_now(), &others) {
+        for Reachability { machine, is_heard } in
+            detector.update(boot_now(), &others, member.poll_round_ms.get())
+        {
             let line = DecisionLog::fields("hearing").with("machine", machine);
             member.log.note(line.with("outcome", if is_heard { "heard" } else { "unheard" }));
             for address in addresses.iter().filter(|address| address.ip() == machine) {
