fix(agent): reports about backend servers go to a few entries, which pass them on

What was seen: reports of slow and unheard ranks reach 64 of 285 entries, and a leader that reports twelve ranks opens 768 connections at once. Cause: each report goes to each entry on a connection of its own; the limit of 64 entries hides it while a fleet is small. Change: an agent sends all reports of a moment in one message to eight entries. An entry to which a report is news passes it on as it does with others; a copy within 0.5 s, or an older report, is no news. Entries of an earlier release read the first report.

--- a/crates/core/src/direct/backend_row.rs
+++ b/crates/core/src/direct/backend_row.rs
@@ -36,6 +36,10 @@
 /// good.
 const AGENT_UNREACHABLE_VALID_MS: u64 = 3_000;
 
+/// Time by which a report of the same content must be newer than the last one to be passed on to other
+/// entries. Copies of one report arrive over several of them, each a little later.
+const REPEATED_AFTER_MS: u64 = 500;
+
 /// Whether the store still lists a backend server of the table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Listing {
@@ -67,6 +71,8 @@
     pace_permille: u32,
     pace_until: BootMs,
     agent_unreachable_until: BootMs,
+    /// When the leader of its group last reported whether the agent beside it is reachable.
+    agent_reported_at: Option<BootMs>,
 }
 
 impl Row {
@@ -92,6 +98,7 @@
             pace_permille: USUAL_PACE_PERMILLE,
             pace_until: BootMs(0),
             agent_unreachable_until: BootMs(0),
+            agent_reported_at: None,
         }
     }
 
@@ -116,16 +123,35 @@
         self.server.state == BackendState::Ready && self.listing != Listing::Unreadable
     }
 
-    /// Records how long its work takes, in thousandths of the usual time.
-    pub(super) fn note_pace(&mut self, permille: u32, now: BootMs) {
-        self.pace_permille = permille.max(USUAL_PACE_PERMILLE);
-        self.pace_until = now.after(PACE_VALID_MS);
+    /// Records how long its work took at `reported_at`, in thousandths of the usual time. Returns
+    /// whether that was news. A report older than the last one changes nothing.
+    pub(super) fn note_pace(&mut self, permille: u32, reported_at: BootMs) -> bool {
+        let permille = permille.max(USUAL_PACE_PERMILLE);
+        let until = reported_at.after(PACE_VALID_MS);
+        if until < self.pace_until {
+            return false;
+        }
+        let is_repeated = until.since(self.pace_until) >= REPEATED_AFTER_MS;
+        let is_news = permille != self.pace_permille || is_repeated;
+        self.pace_permille = permille;
+        self.pace_until = until;
+        is_news
     }
 
-    /// Records whether the leader of its group can reach the agent beside it.
-    pub(super) fn note_agent_reachable(&mut self, is_reachable: bool, now: BootMs) {
-        self.agent_unreachable_until =
-            if is_reachable { now } else { now.after(AGENT_UNREACHABLE_VALID_MS) };
+    /// Records whether the leader of its group could reach the agent beside it at `reported_at`.
+    /// Returns whether that was news. A report older than the last one changes nothing.
+    pub(super) fn note_agent_reachable(&mut self, is_reachable: bool, reported_at: BootMs) -> bool {
+        let until =
+            if is_reachable { reported_at } else { reported_at.after(AGENT_UNREACHABLE_VALID_MS) };
+        let known_at = self.agent_reported_at;
+        if known_at.is_some_and(|at| reported_at < at) {
+            return false;
+        }
+        let was_reachable = known_at.is_some_and(|at| self.agent_unreachable_until <= at);
+        let is_repeated = known_at.is_none_or(|at| reported_at.since(at) >= REPEATED_AFTER_MS);
+        self.agent_reported_at = Some(reported_at);
+        self.agent_unreachable_until = until;
+        is_repeated || was_reachable != is_reachable
     }
 
     /// Records an answer, which ends a run of consecutive failures.
--- a/crates/core/src/direct/backend_table.rs
+++ b/crates/core/src/direct/backend_table.rs
@@ -209,20 +209,25 @@
         row.accepts_work() && !self.drains.is_drained(&row.server.failure_domain)
     }
 
-    /// Records how long the work of the backend server at `address` takes, in thousandths of the
-    /// usual time.
-    pub fn note_pace(&mut self, address: SocketAddr, permille: u32, now: BootMs) {
-        for row in self.rows.values_mut().filter(|row| row.server.address == address) {
-            row.note_pace(permille, now);
-        }
+    /// Records how long the work of the backend server at `address` took at `reported_at`, in
+    /// thousandths of the usual time. Returns whether that was news, which other entries should get.
+    pub fn note_pace(&mut self, address: SocketAddr, permille: u32, reported_at: BootMs) -> bool {
+        let rows = self.rows.values_mut().filter(|row| row.server.address == address);
+        rows.fold(false, |is_news, row| row.note_pace(permille, reported_at) | is_news)
     }
 
-    /// Records whether the leader of the group can reach the agent beside the backend server at
-    /// `address`.
-    pub fn note_agent_reachable(&mut self, address: SocketAddr, is_reachable: bool, now: BootMs) {
-        for row in self.rows.values_mut().filter(|row| row.server.address == address) {
-            row.note_agent_reachable(is_reachable, now);
-        }
+    /// Records whether the leader of the group could reach the agent beside the backend server at
+    /// `address` at `reported_at`. Returns whether that was news, which other entries should get.
+    pub fn note_agent_reachable(
+        &mut self,
+        address: SocketAddr,
+        is_reachable: bool,
+        reported_at: BootMs,
+    ) -> bool {
+        let rows = self.rows.values_mut().filter(|row| row.server.address == address);
+        rows.fold(false, |is_news, row| {
+            row.note_agent_reachable(is_reachable, reported_at) | is_news
+        })
     }
 
     /// Returns the backend servers of a pool or service that accept new work and are not in a
--- a/crates/direct/src/agent/fleet.rs
+++ b/crates/direct/src/agent/fleet.rs
@@ -11,6 +11,7 @@
     Adoption, BackendServer, CatalogState, GroupDimensions, MAX_GROUP_NAME_BYTES, PeerTable,
 };
 use hickorycross_core::map_change::Roster;
+use rand::seq::IteratorRandom;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
@@ -27,9 +28,8 @@
 /// Interval otherwise. New entries and changed group dimensions become known with this delay.
 const PAUSE_MS: u64 = 2_000;
 
-/// Maximum number of entries to which an agent reports about backend servers. Reports to more would
-/// exceed the capacity of its link.
-const MAX_NOTIFIED_ENTRIES: usize = 64;
+/// Number of most recently seen entries among which those are drawn that an agent reports to.
+const MAX_RECENT_ENTRIES: usize = 64;
 
 /// What an agent knows of the fleet.
 pub(crate) struct Fleet {
@@ -95,10 +95,11 @@
         }
     }
 
-    /// Returns the addresses of entries; in a large fleet, those that were seen most recently.
-    pub(crate) fn entries(&self) -> Vec<SocketAddr> {
-        let peers = self.peers.borrow().most_recent(MAX_NOTIFIED_ENTRIES);
-        peers.iter().map(|peer| peer.address).collect()
+    /// Returns `count` random ones of the entries that were seen most recently.
+    pub(crate) fn sample_entries(&self, count: usize) -> Vec<SocketAddr> {
+        let recent = self.peers.borrow().most_recent(MAX_RECENT_ENTRIES);
+        let recent = recent.into_iter().map(|peer| peer.address);
+        recent.sample(&mut rand::rng(), count)
     }
 
     /// Replaces the seed addresses.
--- a/crates/direct/src/agent/notify_entries.rs
+++ b/crates/direct/src/agent/notify_entries.rs
@@ -9,7 +9,9 @@
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
 use crate::exchange;
-use crate::exchange_messages::{BackendObservation, BackendReport, ExchangeRequest};
+use crate::exchange_messages::{
+    AgedBackendReport, BackendObservation, BackendReport, ExchangeRequest,
+};
 use crate::peer_call;
 use hickorycross_core::map_change::{Reachability, SilenceDetector, machines_to_monitor};
 use std::net::SocketAddr;
@@ -23,6 +25,16 @@
 /// Duration of the rank's work, in thousandths of the usual one, from which it counts as slow.
 const MIN_SLOW_PERMILLE: u32 = 1_200;
 
+/// Number of entries to which a report is sent. Those that are sent it pass it on, and with several of
+/// them the loss of some does no harm.
+const NOTIFIED_ENTRIES: usize = 8;
+
+/// Number of entries that are tried in place of one that does not answer.
+const TRIES: usize = 2;
+
+/// Maximum number of reports in one message, so that it stays within what entries accept.
+const MAX_REPORTS_PER_MESSAGE: usize = 100;
+
 /// Number of checks after which a slow pace is reported again. Entries discard the report after 3
 /// s.
 const CHECKS_UNTIL_REPEAT: u32 = 20;
@@ -45,11 +57,8 @@
         reported_permille = permille;
         let line = DecisionLog::fields("pace").with("pace_permille", permille);
         member.log.note(line.with("outcome", "told"));
-        notify_all(
-            &member,
-            &client,
-            BackendReport { address: backend, observation: BackendObservation::Pace { permille } },
-        );
+        let observation = BackendObservation::Pace { permille };
+        notify_some(&member, &client, &[BackendReport { address: backend, observation }]);
     }
 }
 
@@ -68,29 +77,58 @@
         let others: Vec<_> =
             others.into_iter().map(|it| member.silent_ranks.last_contact(it)).collect();
         let addresses = member.fleet.addresses();
+        let mut reports = Vec::new();
         for Reachability { machine, is_heard } in
             detector.update(boot_now(), &others, member.poll_round_ms.get())
         {
             let line = DecisionLog::fields("hearing").with("machine", machine);
             member.log.note(line.with("outcome", if is_heard { "heard" } else { "unheard" }));
-            for address in addresses.iter().filter(|address| address.ip() == machine) {
-                let observation = BackendObservation::AgentReachability { is_reachable: is_heard };
-                notify_all(&member, &client, BackendReport { address: *address, observation });
-            }
+            let observation = BackendObservation::AgentReachability { is_reachable: is_heard };
+            let on_machine = addresses.iter().filter(|address| address.ip() == machine);
+            reports.extend(on_machine.map(|it| BackendReport { address: *it, observation }));
         }
+        notify_some(&member, &client, &reports);
     }
 }
 
-/// Sends a report to all known entries.
-fn notify_all(member: &Member, client: &reqwest::Client, report: BackendReport) {
-    for entry in member.fleet.entries() {
-        tokio::task::spawn_local(notify(client.clone(), entry, report));
+/// Sends reports to some entries, which pass them on to all others.
+///
+/// One message holds all reports. If each report went to each entry, the connections of a leader would
+/// grow with the ranks of its group times the entries.
+fn notify_some(member: &Member, client: &reqwest::Client, reports: &[BackendReport]) {
+    let entries = member.fleet.sample_entries(NOTIFIED_ENTRIES * TRIES);
+    let mut of_task = vec![Vec::new(); NOTIFIED_ENTRIES];
+    for (index, entry) in entries.into_iter().enumerate() {
+        of_task[index % NOTIFIED_ENTRIES].push(entry);
+    }
+    for reports in reports.chunks(MAX_REPORTS_PER_MESSAGE) {
+        for entries in of_task.iter().filter(|entries| !entries.is_empty()) {
+            let notifying = notify_one(client.clone(), entries.clone(), reports.to_vec());
+            tokio::task::spawn_local(notifying);
+        }
     }
 }
 
-async fn notify(client: reqwest::Client, entry: SocketAddr, report: BackendReport) {
-    let request = ExchangeRequest { backend_report: Some(report), ..ExchangeRequest::empty() };
-    if exchange::send(&client, entry, &request).await.is_err() {
+/// Sends reports to the first of `entries` that answers.
+async fn notify_one(
+    client: reqwest::Client,
+    entries: Vec<SocketAddr>,
+    reports: Vec<BackendReport>,
+) {
+    let made_at = boot_now();
+    // Entries of an earlier release read the first report only.
+    let Some((first, others)) = reports.split_first() else { return };
+    for entry in entries {
+        let age_ms = boot_now().since(made_at);
+        let others = others.iter().map(|report| AgedBackendReport { report: *report, age_ms });
+        let request = ExchangeRequest {
+            backend_report: Some(*first),
+            backend_reports: others.collect(),
+            ..ExchangeRequest::empty()
+        };
+        if exchange::send(&client, entry, &request).await.is_ok() {
+            return;
+        }
         metrics::counter!("hickorycross_exchange_failures_total").increment(1);
     }
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -9,7 +9,8 @@
 use crate::decision_log::DecisionLog;
 use crate::domain_drains;
 use crate::exchange_messages::{
-    BackendObservation, BackendReport, ExchangeRequest, ExchangeResponse, RankGroup,
+    AgedBackendReport, BackendObservation, BackendReport, ExchangeRequest, ExchangeResponse,
+    RankGroup,
 };
 use crate::gossip::receive_reports;
 use crate::outbox::Round;
@@ -65,8 +66,9 @@
     if let Some(from) = request.from {
         note_member(state, from, now);
     }
-    if let Some(report) = request.backend_report {
-        note_backend_report(state, report, now);
+    let just_made = request.backend_report.map(|report| AgedBackendReport { report, age_ms: 0 });
+    for report in just_made.iter().chain(&request.backend_reports) {
+        receive_backend_report(state, *report, now);
     }
     if let Some(report) = &request.rank_group {
         note_rank_group(state, report, now);
@@ -113,20 +115,27 @@
     }
 }
 
-/// Applies the report of an agent to the table of backend servers.
-fn note_backend_report(state: &EntryState, report: BackendReport, now: BootMs) {
-    let BackendReport { address, observation } = report;
+/// Applies the report of an agent to the table of backend servers. If it is news, it is queued for the
+/// other entries, since agents tell a few entries only.
+fn receive_backend_report(state: &EntryState, aged: AgedBackendReport, now: BootMs) {
+    let AgedBackendReport { report: BackendReport { address, observation }, age_ms } = aged;
+    let reported_at = now.before(age_ms);
     let line = DecisionLog::fields("backend-server").with("address", address);
+    let line = line.with("age_ms", age_ms);
     let mut backends = state.backends.borrow_mut();
-    match observation {
+    let (is_news, line) = match observation {
         BackendObservation::Pace { permille } => {
-            backends.note_pace(address, permille, now);
-            state.log.note(line.with("pace_permille", permille).with("outcome", "pace"));
+            let line = line.with("pace_permille", permille).with("outcome", "pace");
+            (backends.note_pace(address, permille, reported_at), line)
         }
         BackendObservation::AgentReachability { is_reachable } => {
-            backends.note_agent_reachable(address, is_reachable, now);
-            state.log.note(line.with("outcome", if is_reachable { "heard" } else { "unheard" }));
+            let line = line.with("outcome", if is_reachable { "heard" } else { "unheard" });
+            (backends.note_agent_reachable(address, is_reachable, reported_at), line)
         }
+    };
+    if is_news {
+        state.log.note(line);
+        state.outbox.add_backend(aged, now);
     }
 }
 
@@ -277,8 +286,9 @@
 
 /// Pushes reports to a peer.
 pub(crate) async fn push_reports(state: Rc<EntryState>, peer: SocketAddr, round: Round) {
-    let Round { reports, part_reports } = round;
-    let request = ExchangeRequest { reports, part_reports, ..new_request(&state) };
+    let Round { reports, part_reports, backend_reports } = round;
+    let request =
+        ExchangeRequest { reports, part_reports, backend_reports, ..new_request(&state) };
     send_and_apply(&state, peer, request).await;
 }
 
--- a/crates/direct/src/exchange_messages.rs
+++ b/crates/direct/src/exchange_messages.rs
@@ -21,7 +21,7 @@
     pub(crate) version: u64,
     /// Revision of the store at which the sender's list of backend servers was current.
     pub(crate) backends_as_of: u64,
-    /// Report of an agent about a backend server.
+    /// Report of an agent about a backend server, which was just made.
     #[serde(rename = "word")]
     pub(crate) backend_report: Option<BackendReport>,
     /// Reports that the sender pushes to the peer.
@@ -42,6 +42,8 @@
     /// Checksums over the groups of backend servers that the sender knows, by part. Where one
     /// differs from the peer's, the peer answers with what it knows; without any, with nothing.
     pub(crate) group_checksums: Vec<u32>,
+    /// Further reports about backend servers, which the receiver passes on to other entries.
+    pub(crate) backend_reports: Vec<AgedBackendReport>,
 }
 
 impl ExchangeRequest {
@@ -59,6 +61,7 @@
             drains: None,
             rank_group: None,
             group_checksums: Vec::new(),
+            backend_reports: Vec::new(),
         }
     }
 }
@@ -82,6 +85,15 @@
     pub(crate) observation: BackendObservation,
 }
 
+/// A report about a backend server that was made some time ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct AgedBackendReport {
+    /// The report.
+    pub(crate) report: BackendReport,
+    /// Time in milliseconds since it was made.
+    pub(crate) age_ms: u64,
+}
+
 /// Observation of a backend server by an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum BackendObservation {
