feat(direct): processes tell each other what has changed in the list of backend servers

Cause: in the exchange of every 2 s whoever has an older list gets the whole one, some 42 KB with 700 servers (worked out): entries and agents times servers. Servers that lapsed beside an outage of the store are no longer passed on as listed; the removal is, with what each process needs to keep them for its own grace period. History that the store no longer keeps is an answer, and no longer counts as a failed call.

--- a/crates/core/src/direct/backend_table.rs
+++ b/crates/core/src/direct/backend_table.rs
@@ -314,6 +314,14 @@
         self.rows.get(id).map(|row| row.server.clone())
     }
 
+    /// Returns the backend servers that the store lists, in no particular order.
+    ///
+    /// Those that it has ceased to list, and which stay usable for a short time, are left out.
+    pub fn listed_servers(&self) -> impl Iterator<Item = &BackendServer> {
+        let is_listed = |row: &&Row| !matches!(row.listing, Listing::LapsedUntil(_));
+        self.rows.values().filter(is_listed).map(|row| &row.server)
+    }
+
     /// Returns all backend servers, in no particular order.
     pub fn servers(&self) -> impl Iterator<Item = &BackendServer> {
         self.rows.values().map(|row| &row.server)
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -39,7 +39,8 @@
 //! - [`WarmUp`] limits the requests that all entries together send to a cold backend server, by
 //!   permits of the same kind; [`BackendTable::cold_servers`] knows which ones are cold.
 //! - [`BufferBudget`] bounds the bytes that an entry buffers for callers and backend servers.
-//! - [`PeerTable`] holds the other processes of the fleet.
+//! - [`PeerTable`] holds the other processes of the fleet; [`ListingHistory`] is what they tell each other
+//!   of the list of backend servers.
 //!
 //! A *pass* is one step of a model group: all ranks run it together, and it gives every running
 //! stream one event. Moments are [`BootMs`], a clock that also counts the time for which the
@@ -69,6 +70,7 @@
 mod incarnation_digest;
 mod initial_timeouts;
 mod limit_shares;
+mod listing_history;
 mod load_measure;
 mod outstanding_work;
 mod part_answers;
@@ -121,6 +123,7 @@
 pub use limit_shares::{
     GrantLookup, LimitGrant, LimitGrants, LimitPermits, cold_granting_entry, granting_entry,
 };
+pub use listing_history::{ListingChange, ListingHistory, ListingUpdate};
 pub use load_measure::{
     CountAndWork, LoadMeasure, OpenRequests, RequestCount, WorkSum, load_measure,
 };
--- a/crates/direct/src/agent/fleet.rs
+++ b/crates/direct/src/agent/fleet.rs
@@ -8,9 +8,11 @@
 use crate::exchange_messages::{ExchangeRequest, RankGroup};
 use crate::peer_call;
 use hickorycross_core::direct::{
-    Adoption, BackendServer, CatalogState, GroupDimensions, MAX_GROUP_NAME_BYTES, PeerTable,
+    Adoption, BackendServer, CatalogState, GroupDimensions, ListingChange, ListingUpdate,
+    MAX_GROUP_NAME_BYTES, PeerTable,
 };
 use hickorycross_core::map_change::Roster;
+use indexmap::IndexMap;
 use rand::seq::IteratorRandom;
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, SocketAddr};
@@ -37,6 +39,9 @@
     service: String,
     catalog: RefCell<CatalogState>,
     roster: RefCell<Roster>,
+    /// The list of backend servers, by name, and the revision of the store as of which it is complete.
+    listed: RefCell<IndexMap<String, BackendServer>>,
+    listed_as_of: Cell<u64>,
     peers: RefCell<PeerTable>,
     /// Number of instances that the agent must know while it leads: one per rank.
     required_instances: Cell<usize>,
@@ -49,6 +54,8 @@
             service: service.to_owned(),
             catalog: RefCell::default(),
             roster: RefCell::default(),
+            listed: RefCell::default(),
+            listed_as_of: Cell::new(0),
             peers: RefCell::new(PeerTable::new(seeds, None)),
             required_instances: Cell::new(0),
         })
@@ -72,10 +79,36 @@
         self.roster.borrow().addresses().collect()
     }
 
-    /// Applies a new list of backend servers.
-    fn update_roster(&self, mut listed: Vec<BackendServer>) {
-        listed.retain(|server| server.service == self.service);
-        self.roster.borrow_mut().update(boot_now(), &listed);
+    /// Applies what an entry knows of the list of backend servers.
+    fn update_listed(
+        &self,
+        whole: Option<Vec<BackendServer>>,
+        update: Option<ListingUpdate>,
+        as_of: u64,
+    ) {
+        if as_of <= self.listed_as_of.get() || (whole.is_none() && update.is_none()) {
+            return;
+        }
+        let mut listed = self.listed.borrow_mut();
+        if let Some(whole) = whole {
+            *listed = whole.into_iter().map(|server| (server.id.clone(), server)).collect();
+        }
+        for change in update.into_iter().flat_map(|update| update.changes) {
+            match change {
+                ListingChange::Listed(server) => {
+                    listed.insert(server.id.clone(), server);
+                }
+                ListingChange::Gone(id) => {
+                    listed.swap_remove(&id);
+                }
+                // The rank runs on while its registration cannot be decoded.
+                ListingChange::Unreadable { .. } => {}
+            }
+        }
+        self.listed_as_of.set(as_of);
+        let of_service = listed.values().filter(|server| server.service == self.service);
+        let of_service: Vec<BackendServer> = of_service.cloned().collect();
+        self.roster.borrow_mut().update(boot_now(), &of_service);
     }
 
     /// Sets how many instances the agent must know; 0 if it does not lead.
@@ -121,12 +154,12 @@
 /// Requests news from entries continuously, and tells them the group of the rank at `backend`.
 pub(crate) async fn run(fleet: Rc<Fleet>, rank_client: Rc<dyn RankClient>, backend: SocketAddr) {
     let client = peer_call::client();
-    let mut backends_as_of = 0;
     loop {
         let peer = fleet.peers.borrow().random_peer(&mut rand::rng());
         if let Some(peer) = peer {
             let version = fleet.catalog.borrow().version();
             let rank_group = rank_group(&*rank_client, backend).await;
+            let backends_as_of = fleet.listed_as_of.get();
             let request =
                 ExchangeRequest { version, backends_as_of, rank_group, ..ExchangeRequest::empty() };
             let sent_at = boot_now();
@@ -136,12 +169,11 @@
                     for (address, silent_ms) in &response.members {
                         fleet.peers.borrow_mut().note(*address, sent_at.before(*silent_ms));
                     }
-                    if let Some(backends) = response.backends
-                        && response.backends_as_of > backends_as_of
-                    {
-                        backends_as_of = response.backends_as_of;
-                        fleet.update_roster(backends);
-                    }
+                    fleet.update_listed(
+                        response.backends,
+                        response.listing_update,
+                        response.backends_as_of,
+                    );
                     if let Some(catalog) = response.catalog {
                         let version = catalog.version;
                         let adoption = fleet.catalog.borrow_mut().offer(catalog);
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -13,6 +13,7 @@
     RankGroup,
 };
 use crate::gossip::receive_reports;
+use crate::listing::{self, ListingForPeer};
 use crate::outbox::Round;
 use crate::part_reports;
 use crate::peer_call::{PeerCallError, post};
@@ -21,7 +22,9 @@
 use crate::store_watch::adopt_catalog;
 use crate::warm_up;
 use futures_util::future::join_all;
-use hickorycross_core::direct::{BootMs, COUNTING_MS, Catalog, GroupAssignment, GroupDigest};
+use hickorycross_core::direct::{
+    BackendServer, BootMs, COUNTING_MS, Catalog, GroupAssignment, GroupDigest, ListingUpdate,
+};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -84,13 +87,12 @@
     let newer = belief
         .catalog()
         .filter(|catalog| catalog.version > request.version && catalog.residency.is_some());
-    let backends_as_of = state.backends_as_of.get();
-    let is_newer = backends_as_of > request.backends_as_of;
-    let backends = is_newer.then(|| state.backends.borrow().servers().cloned().collect());
+    let ListingForPeer { backends, update } = listing::for_peer(state, request);
+    let has_changes = update.as_ref().is_some_and(|update| !update.changes.is_empty());
     let peers = state.peers.borrow().most_recent(MAX_MEMBERS);
     let members = peers.iter().map(|peer| (peer.address, now.since(peer.last_seen_at)));
     let cold_figures = newer.map(|_| warm_up::figures(state)).unwrap_or_default();
-    let cold_reports = if is_newer {
+    let cold_reports = if backends.is_some() || has_changes {
         state.backends.borrow().all_cold_reports(now)
     } else {
         state.backends.borrow().cold_reports(MAX_COLD_REPORTS, now)
@@ -102,7 +104,7 @@
         catalog: newer.map(|catalog| Catalog::clone(catalog)),
         residency: newer.and_then(|catalog| catalog.residency.clone()),
         entry_count: Some(state.entry_count.borrow().report(now)),
-        backends_as_of,
+        backends_as_of: state.listing.borrow().as_of(),
         backends,
         members: members.collect(),
         reports: state.reports_for(request.reports_checksum, now),
@@ -112,6 +114,7 @@
         cold_figures,
         cold_reports,
         engine_figures: engine_figures.unwrap_or_default(),
+        listing_update: update,
     }
 }
 
@@ -193,20 +196,38 @@
     if let Some(confirmed_at) = confirmed_at {
         state.catalog.borrow_mut().confirm(response.version, confirmed_at);
     }
-    if let Some(backends) = response.backends
-        && response.backends_as_of > state.backends_as_of.get()
-    {
-        state.backends_as_of.set(response.backends_as_of);
-        let gone = state.backends.borrow_mut().replace_all(backends, boot_now(), None);
-        let line = DecisionLog::fields("backend-servers-heard").with("peer", peer);
-        let line = line.with("as_of", response.backends_as_of);
-        state.log.note(line.with("gone", gone.join(",")));
+    if response.backends_as_of > state.listing.borrow().as_of() {
+        receive_listing(
+            state,
+            peer,
+            response.backends,
+            response.listing_update,
+            response.backends_as_of,
+        );
     }
     // After the list of backend servers, since groups of servers that are not listed are ignored.
     receive_groups(state, peer, &response.groups, sent_at);
     state.backends.borrow_mut().note_cold_reports(&response.cold_reports, sent_at);
 }
 
+/// Applies what a peer knows of the list of backend servers.
+fn receive_listing(
+    state: &EntryState,
+    peer: SocketAddr,
+    backends: Option<Vec<BackendServer>>,
+    update: Option<ListingUpdate>,
+    as_of: u64,
+) {
+    if let Some(backends) = backends {
+        let line = DecisionLog::fields("backend-servers-heard").with("peer", peer);
+        state.log.note(line.with("listed", backends.len()).with("as_of", as_of));
+        listing::replace(state, backends, as_of);
+    }
+    if let Some(update) = update {
+        listing::apply(state, update);
+    }
+}
+
 /// Records the groups of backend servers that a peer knows.
 fn receive_groups(
     state: &EntryState,
@@ -296,7 +317,7 @@
     ExchangeRequest {
         from: state.settings.borrow().listen.control,
         version: known_version(state),
-        backends_as_of: state.backends_as_of.get(),
+        backends_as_of: state.listing.borrow().as_of(),
         drains: domain_drains::for_request(state),
         ..ExchangeRequest::empty()
     }
--- a/crates/direct/src/exchange_messages.rs
+++ b/crates/direct/src/exchange_messages.rs
@@ -7,7 +7,7 @@
 use crate::gossip::GossipReport;
 use hickorycross_core::direct::{
     BackendServer, Catalog, ColdFigures, ColdReport, EngineFigures, EntryCountReport,
-    GroupAssignment, PartReport, Residency,
+    GroupAssignment, ListingUpdate, PartReport, Residency,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -44,6 +44,8 @@
     pub(crate) group_checksums: Vec<u32>,
     /// Further reports about backend servers, which the receiver passes on to other entries.
     pub(crate) backend_reports: Vec<AgedBackendReport>,
+    /// Whether the sender takes changes of the list of backend servers in place of the whole list.
+    pub(crate) takes_updates: bool,
 }
 
 impl ExchangeRequest {
@@ -62,6 +64,7 @@
             rank_group: None,
             group_checksums: Vec::new(),
             backend_reports: Vec::new(),
+            takes_updates: true,
         }
     }
 }
@@ -122,7 +125,8 @@
     pub(crate) catalog: Option<Catalog>,
     /// Revision of the store at which the peer's list of backend servers was current.
     pub(crate) backends_as_of: u64,
-    /// The list of backend servers, if it is newer than that of the requester.
+    /// The list of backend servers, if it is newer than that of the requester and `listing_update`
+    /// does not hold what has changed.
     pub(crate) backends: Option<Vec<BackendServer>>,
     /// Addresses of entries, each with the time in milliseconds since it was last known to be
     /// alive.
@@ -148,4 +152,7 @@
     /// The largest number of entries that the peer has lately heard of; `None` from a process of an
     /// earlier release.
     pub(crate) entry_count: Option<EntryCountReport>,
+    /// What has changed in the list of backend servers since that of the requester. Beside
+    /// `backends` it holds the registrations that cannot be decoded.
+    pub(crate) listing_update: Option<ListingUpdate>,
 }
--- a/crates/direct/src/forward/telemetry.rs
+++ b/crates/direct/src/forward/telemetry.rs
@@ -58,7 +58,7 @@
         let line = line.with("configuration", self.request.catalog.version);
         let line = line.with_some("configuration_age_ms", catalog_state.age_ms(now));
         let line = self.with_load(line);
-        let line = line.with("backends_as_of", self.state.backends_as_of.get());
+        let line = line.with("backends_as_of", self.state.listing.borrow().as_of());
         let line = retry_budget::with_usage(&self.state, line, &self.service);
         self.state.log.note_routine(line.with_some("resume_after", options.resume_after));
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,6 +22,7 @@
 mod forward;
 mod gossip;
 mod limit_share;
+mod listing;
 mod operators;
 mod outbox;
 mod part_reports;
--- /dev/null
+++ b/crates/direct/src/listing.rs
@@ -0,0 +1,109 @@
+//! Applies the list of backend servers and its changes, as the store or a peer reports them, and
+//! passes them on to other processes.
+
+use crate::clock::boot_now;
+use crate::decision_log::DecisionLog;
+use crate::exchange_messages::ExchangeRequest;
+use crate::state::EntryState;
+use hickorycross_core::direct::{BackendServer, ListingChange, ListingUpdate};
+
+/// Maximum number of unreadable entries that are remembered as logged.
+const MAX_LOGGED_UNREADABLE: usize = 64;
+
+/// The list of backend servers for a peer.
+#[derive(Debug, Default)]
+pub(crate) struct ListingForPeer {
+    /// The whole list, if what has changed is not known.
+    pub(crate) backends: Option<Vec<BackendServer>>,
+    /// What has changed; beside the whole list, the registrations that cannot be decoded.
+    pub(crate) update: Option<ListingUpdate>,
+}
+
+/// Returns what a peer lacks of the list of backend servers.
+pub(crate) fn for_peer(state: &EntryState, request: &ExchangeRequest) -> ListingForPeer {
+    let listing = state.listing.borrow();
+    if listing.as_of() <= request.backends_as_of {
+        return ListingForPeer::default();
+    }
+    let update = listing.since(request.backends_as_of).filter(|_| request.takes_updates);
+    if update.is_some() {
+        return ListingForPeer { backends: None, update };
+    }
+    let unreadable = state.unreadable_backends.borrow();
+    let changes = unreadable
+        .iter()
+        .map(|(id, fault)| ListingChange::Unreadable { id: id.clone(), fault: fault.clone() });
+    let update = ListingUpdate { changes: changes.collect(), as_of: listing.as_of() };
+    let backends = state.backends.borrow().listed_servers().cloned().collect();
+    ListingForPeer { backends: Some(backends), update: Some(update) }
+}
+
+/// Replaces the whole list by that of a revision of the store.
+pub(crate) fn replace(state: &EntryState, servers: Vec<BackendServer>, as_of: u64) {
+    state.listing.borrow_mut().restart(as_of);
+    let regained_at = state.store_regained_at.get();
+    let gone = state.backends.borrow_mut().replace_all(servers, boot_now(), regained_at);
+    for id in gone {
+        log_gone(state, &id, as_of);
+    }
+}
+
+/// Applies changes of the list.
+pub(crate) fn apply(state: &EntryState, update: ListingUpdate) {
+    let as_of = update.as_of;
+    for change in &update.changes {
+        apply_change(state, change, as_of);
+    }
+    state.listing.borrow_mut().extend(update);
+}
+
+fn apply_change(state: &EntryState, change: &ListingChange, as_of: u64) {
+    match change {
+        ListingChange::Listed(server) => {
+            let line = DecisionLog::fields("backend-server").with("incarnation", &server.id);
+            let line = line.with("born_ms", server.born_ms).with("address", server.address);
+            state.unreadable_backends.borrow_mut().shift_remove(&server.id);
+            if state.backends.borrow_mut().put(server.clone()) {
+                let line = line.with("as_of", as_of);
+                state.log.note(line.with("outcome", format!("{:?}", server.state)));
+            }
+        }
+        ListingChange::Gone(id) => {
+            let regained_at = state.store_regained_at.get();
+            state.unreadable_backends.borrow_mut().shift_remove(id);
+            if state.backends.borrow_mut().lapse(id, boot_now(), regained_at) {
+                log_gone(state, id, as_of);
+            }
+        }
+        ListingChange::Unreadable { id, fault } => note_unreadable(state, id, fault),
+    }
+}
+
+/// Removes backend servers that were not listed again after the store was regained.
+pub(crate) fn expire(state: &EntryState) {
+    let as_of = state.listing.borrow().as_of();
+    for id in state.backends.borrow_mut().expire(boot_now()) {
+        log_gone(state, &id, as_of);
+    }
+}
+
+/// Records an entry that cannot be decoded, and logs it once per fault.
+pub(crate) fn note_unreadable(state: &EntryState, id: &str, fault: &str) {
+    let changed = state.backends.borrow_mut().note_unreadable(id);
+    let mut logged = state.unreadable_backends.borrow_mut();
+    if !changed && logged.get(id).is_some_and(|known| known == fault) {
+        return;
+    }
+    if logged.len() >= MAX_LOGGED_UNREADABLE {
+        logged.shift_remove_index(0);
+    }
+    logged.insert(id.to_owned(), fault.to_owned());
+    metrics::counter!("hickorycross_store_unreadable_total").increment(1);
+    let line = DecisionLog::fields("backend-server").with("incarnation", id);
+    state.log.note(line.with("fault", fault).with("outcome", "not-readable"));
+}
+
+fn log_gone(state: &EntryState, id: &str, as_of: u64) {
+    let line = DecisionLog::fields("backend-server").with("incarnation", id);
+    state.log.note(line.with("as_of", as_of).with("outcome", "gone"));
+}
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -13,7 +13,7 @@
 use hickorycross_core::direct::{
     Admission, AdmissionSettings, BackendLimits, BackendServer, BackendTable, BootMs, BufferBudget,
     CatalogState, ColdAccess, ColdFigures, ColdShares, CrashTable, EntryCount, GroupAssignment,
-    GroupAvailability, InitialTimeouts, LimitGrants, LimitPermits, OutageDurations, PartCrashTable,
+    GroupAvailability, InitialTimeouts, LimitGrants, LimitPermits, ListingHistory, OutageDurations, PartCrashTable,
     PartReport, PassTracker, PeerTable, PoolChoice, QueueLimit, RetryBudget, RetryBudgetSettings,
     RetryShare, UnusedShares, WorkEstimator, max_catalog_age_for_keys_ms,
 };
@@ -86,10 +86,12 @@
     pub(crate) log: DecisionLog,
     pub(crate) catalog: RefCell<CatalogState>,
     pub(crate) backends: RefCell<BackendTable>,
-    /// The store's revision of the list of backend servers.
-    pub(crate) backends_as_of: Cell<u64>,
-    /// Records of backend servers in the store that could not be read, with the fault that was
-    /// logged, by id.
+    /// The last changes of the list of backend servers, with the revision as of which it is complete.
+    pub(crate) listing: RefCell<ListingHistory>,
+    /// When the store was last regained, if it was lost.
+    pub(crate) store_regained_at: Cell<Option<BootMs>>,
+    /// Registrations of backend servers that cannot be decoded, with the fault that was logged, by
+    /// id.
     pub(crate) unreadable_backends: RefCell<IndexMap<String, String>>,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     /// This entry's share of the fleet's retry budget.
@@ -190,7 +192,8 @@
             log,
             catalog: RefCell::default(),
             backends: RefCell::new(backends),
-            backends_as_of: Cell::new(0),
+            listing: RefCell::default(),
+            store_regained_at: Cell::new(None),
             unreadable_backends: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
             retry_share: RefCell::new(retry_share),
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -6,9 +6,13 @@
 use crate::domain_drains;
 use crate::forward::log_refused_lists;
 use crate::state::EntryState;
-use crate::store::{BackendList, SharedStore, StoreChange, StoreError, UnreadableBackend};
-use crate::warm_up;
-use hickorycross_core::direct::{Adoption, BackendServer, BootMs, Catalog, ListingRead};
+use crate::store::{
+    BackendList, SharedStore, StoreChange, StoreError, StoreWatch, UnreadableBackend,
+};
+use crate::{listing, warm_up};
+use hickorycross_core::direct::{
+    Adoption, BackendServer, BootMs, Catalog, ListingChange, ListingRead, ListingUpdate,
+};
 use rand::RngExt;
 use std::ops::Range;
 use std::rc::Rc;
@@ -45,33 +49,38 @@
 /// Number of consecutive failed calls after which the store counts as lost.
 const FAILURES_UNTIL_LOST: u32 = 2;
 
-/// Maximum number of unreadable entries that are remembered as logged.
-const MAX_LOGGED_UNREADABLE: usize = 64;
-
 /// Availability of the store, as one of the watches observes it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct StoreContact {
+    /// What the watch reads.
+    reading: &'static str,
     failures_in_row: u32,
-    returned_at: Option<BootMs>,
 }
 
 impl StoreContact {
+    const fn new(reading: &'static str) -> Self {
+        Self { reading, failures_in_row: 0 }
+    }
+
     /// Records an answer of the store, and logs if the store was lost before.
-    fn note_answer(&mut self, log: &DecisionLog, source: &str) {
+    fn note_answer(&mut self, state: &EntryState) {
         if self.failures_in_row >= FAILURES_UNTIL_LOST {
-            self.returned_at = Some(boot_now());
-            log.note(DecisionLog::fields("store-regained").with("reading", source));
+            state.store_regained_at.set(Some(boot_now()));
+            state.log.note(DecisionLog::fields("store-regained").with("reading", self.reading));
         }
         self.failures_in_row = 0;
     }
 
     /// Records a failed call, and logs if the store counts as lost from now on.
-    fn note_failure(&mut self, log: &DecisionLog, source: &str, error: &StoreError) {
+    fn note_failure(&mut self, state: &EntryState, error: &StoreError) {
+        if *error == StoreError::HistoryGone {
+            return;
+        }
         self.failures_in_row = self.failures_in_row.saturating_add(1);
         metrics::counter!("hickorycross_store_failures_total").increment(1);
         if self.failures_in_row == FAILURES_UNTIL_LOST {
-            let line = DecisionLog::fields("store-lost").with("reading", source);
-            log.note(line.with("error", error));
+            let line = DecisionLog::fields("store-lost").with("reading", self.reading);
+            state.log.note(line.with("error", error));
         }
     }
 }
@@ -87,13 +96,13 @@
 
 /// Watches the configuration and the drained failure domains continuously.
 pub(crate) async fn watch_catalog(state: Rc<EntryState>, store: Rc<dyn SharedStore>) {
-    let mut contact = StoreContact::default();
+    let mut contact = StoreContact::new("configuration");
     let mut drain_reads = DrainReads::default();
     loop {
         let watching = watch_catalog_once(&state, &*store, &mut contact, &mut drain_reads);
         let Err(error) = watching.await;
         drain_reads.can_watch &= error != StoreError::HistoryGone;
-        contact.note_failure(&state.log, "configuration", &error);
+        contact.note_failure(&state, &error);
         pause_after(&state, &error, CATALOG_PAUSE_MS).await;
     }
 }
@@ -115,7 +124,7 @@
         }
     }
     let read = read?;
-    contact.note_answer(&state.log, "configuration");
+    contact.note_answer(state);
     if let Some(catalog) = read.value {
         adopt_catalog(state, catalog, sent_at, "store");
     }
@@ -130,7 +139,7 @@
         let sent_at = boot_now();
         let version = state.catalog.borrow().version();
         let watch = store.watch_catalog(after, CATALOG_WAIT_MS).await?;
-        contact.note_answer(&state.log, "configuration");
+        contact.note_answer(state);
         after = watch.as_of;
         // Without a change, the version known when the call was sent was still the newest then.
         if watch.changes.iter().all(is_drain_change) {
@@ -218,10 +227,10 @@
 
 /// Watches the list of backend servers continuously.
 pub(crate) async fn watch_backends(state: Rc<EntryState>, store: Rc<dyn SharedStore>) {
-    let mut contact = StoreContact::default();
+    let mut contact = StoreContact::new("backend-servers");
     loop {
         let Err(error) = watch_backends_once(&state, &*store, &mut contact).await;
-        contact.note_failure(&state.log, "backend-servers", &error);
+        contact.note_failure(&state, &error);
         pause_after(&state, &error, BACKENDS_PAUSE_MS).await;
     }
 }
@@ -232,9 +241,29 @@
     store: &dyn SharedStore,
     contact: &mut StoreContact,
 ) -> Result<std::convert::Infallible, StoreError> {
+    let mut after = read_backends(state, store, contact).await?;
+    loop {
+        let watch = store.watch_backends(after, BACKENDS_WAIT_MS).await?;
+        contact.note_answer(state);
+        after = watch.as_of;
+        let has_changes = !watch.changes.is_empty();
+        apply_backend_changes(state, watch);
+        listing::expire(state);
+        if has_changes {
+            tokio::time::sleep(Duration::from_millis(CHANGES_PAUSE_MS)).await;
+        }
+    }
+}
+
+/// Reads the whole list of backend servers, and returns the revision of the store as of which it is
+/// complete.
+async fn read_backends(
+    state: &EntryState,
+    store: &dyn SharedStore,
+    contact: &mut StoreContact,
+) -> Result<u64, StoreError> {
     let read = store.read_backends().await?;
-    contact.note_answer(&state.log, "backend-servers");
-    let now = boot_now();
+    contact.note_answer(state);
     let BackendList { servers, unreadable, warm_ups } = read.value;
     let listed = servers.len();
     // An entry that cannot be decoded does not mean that the backend server is gone, so the last
@@ -242,88 +271,38 @@
     let kept: Vec<BackendServer> =
         unreadable.iter().filter_map(|it| state.backends.borrow().server(&it.id)).collect();
     let servers = servers.into_iter().chain(kept).collect();
-    let gone = state.backends.borrow_mut().replace_all(servers, now, contact.returned_at);
+    listing::replace(state, servers, read.as_of);
     for warm_up in &warm_ups {
         let age_ms = warm_up::age_ms(warm_up.born_ms);
         warm_up::note_listed(state, warm_up, ListingRead::Whole { age_ms });
     }
     for entry in &unreadable {
-        note_unreadable_backend(state, entry);
-    }
-    state.backends_as_of.set(read.as_of);
-    for id in gone {
-        log_gone(state, &id, read.as_of);
+        listing::note_unreadable(state, &entry.id, &entry.fault);
     }
     let line = DecisionLog::fields("backend-servers-read").with("listed", listed);
     state.log.note(line.with("as_of", read.as_of));
-    let mut after = read.as_of;
-    loop {
-        let watch = store.watch_backends(after, BACKENDS_WAIT_MS).await?;
-        contact.note_answer(&state.log, "backend-servers");
-        after = watch.as_of;
-        state.backends_as_of.set(after);
-        for change in &watch.changes {
-            apply_backend_change(state, change, contact.returned_at, after);
-        }
-        for id in state.backends.borrow_mut().expire(boot_now()) {
-            log_gone(state, &id, after);
-        }
-        if !watch.changes.is_empty() {
-            tokio::time::sleep(Duration::from_millis(CHANGES_PAUSE_MS)).await;
-        }
-    }
+    Ok(read.as_of)
 }
 
-/// Applies a change in the store to the table of backend servers.
-fn apply_backend_change(
-    state: &EntryState,
-    change: &StoreChange,
-    returned_at: Option<BootMs>,
-    as_of: u64,
-) {
-    match change {
-        StoreChange::Backend(server) => {
-            let line = DecisionLog::fields("backend-server").with("incarnation", &server.id);
-            let line = line
-                .with("born_ms", server.born_ms)
-                .with("address", server.address)
-                .with("as_of", as_of);
-            if state.backends.borrow_mut().put(server.clone()) {
-                state.log.note(line.with("outcome", format!("{:?}", server.state)));
-            }
-        }
-        StoreChange::BackendWarmUp(warm_up) => {
-            warm_up::note_listed(state, warm_up, ListingRead::Change);
-        }
-        StoreChange::BackendGone(id) => {
-            if state.backends.borrow_mut().lapse(id, boot_now(), returned_at) {
-                log_gone(state, id, as_of);
+/// Applies the changes of the list that a watch reported.
+fn apply_backend_changes(state: &EntryState, watch: StoreWatch) {
+    let mut changes = Vec::new();
+    let mut warm_ups = Vec::new();
+    for change in watch.changes {
+        match change {
+            StoreChange::Backend(server) => changes.push(ListingChange::Listed(server)),
+            StoreChange::BackendWarmUp(warm_up) => warm_ups.push(warm_up),
+            StoreChange::BackendGone(id) => changes.push(ListingChange::Gone(id)),
+            StoreChange::BackendUnreadable(UnreadableBackend { id, fault }) => {
+                changes.push(ListingChange::Unreadable { id, fault });
             }
+            change => log_unreadable(state, &change),
         }
-        StoreChange::BackendUnreadable(entry) => note_unreadable_backend(state, entry),
-        change => log_unreadable(state, change),
     }
-}
-
-/// Records an entry that cannot be decoded, and logs it once per fault.
-fn note_unreadable_backend(state: &EntryState, entry: &UnreadableBackend) {
-    let changed = state.backends.borrow_mut().note_unreadable(&entry.id);
-    let mut logged = state.unreadable_backends.borrow_mut();
-    if !changed && logged.get(&entry.id) == Some(&entry.fault) {
-        return;
-    }
-    if logged.len() >= MAX_LOGGED_UNREADABLE {
-        logged.shift_remove_index(0);
+    listing::apply(state, ListingUpdate { changes, as_of: watch.as_of });
+    for warm_up in &warm_ups {
+        warm_up::note_listed(state, warm_up, ListingRead::Change);
     }
-    logged.insert(entry.id.clone(), entry.fault.clone());
-    metrics::counter!("hickorycross_store_unreadable_total").increment(1);
-    let line = DecisionLog::fields("backend-server").with("incarnation", &entry.id);
-    state.log.note(line.with("fault", &entry.fault).with("outcome", "not-readable"));
-}
-
-fn log_gone(state: &EntryState, id: &str, as_of: u64) {
-    let line = DecisionLog::fields("backend-server").with("incarnation", id);
-    state.log.note(line.with("as_of", as_of).with("outcome", "gone"));
 }
 
 /// Waits before the next attempt, except where everything merely has to be read again.
