feat(direct): a few entries of each failure domain watch the store for the others

Cause: each entry must know every few seconds that the store has no newer configuration, so that keys may be checked, and each one asks the store itself. Change: two entries of each failure domain, and one more for each 64 there, watch; by rank of a hash, without election. The others ask one of them, which holds the response until there is news; ages count from when the question was sent plus the time for which it was held. Failed tries, in the emulator: answering only by a confirmation that began after the question (ages to 3.1 s); waiting the full 1.4 s for each watcher in turn (5.6 s with three in ten cut off, of 4.5 s allowed).

--- a/crates/core/src/direct/catalog_state.rs
+++ b/crates/core/src/direct/catalog_state.rs
@@ -122,6 +122,12 @@
         true
     }
 
+    /// Returns when the catalog was last confirmed, or nothing if it never was.
+    #[must_use]
+    pub const fn confirmed_at(&self) -> Option<BootMs> {
+        self.confirmed_at
+    }
+
     /// Returns the milliseconds since the catalog was last confirmed, or nothing if it never was.
     #[must_use]
     pub fn age_ms(&self, now: BootMs) -> Option<u64> {
--- a/crates/direct/src/domain_drains.rs
+++ b/crates/direct/src/domain_drains.rs
@@ -6,6 +6,7 @@
 use crate::state::EntryState;
 use crate::store::{DrainedDomain, StoreChange, StoreRead};
 use hickorycross_core::direct::DrainChanges;
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -44,6 +45,17 @@
     shared(state, MAX_RESPONSE_BYTES)
 }
 
+/// Returns whether this entry knows other drained failure domains than a peer, `known` to it.
+pub(crate) fn differ(state: &EntryState, known: Option<&SharedDrains>) -> bool {
+    let backends = state.backends.borrow();
+    if backends.drains().as_of().is_none() {
+        return false;
+    }
+    let Some(known) = known else { return true };
+    let own: IndexSet<&str> = backends.drains().domains().collect();
+    own != known.domains.iter().map(String::as_str).collect::<IndexSet<&str>>()
+}
+
 fn shared(state: &EntryState, max_bytes: usize) -> Option<SharedDrains> {
     let backends = state.backends.borrow();
     let as_of = backends.drains().as_of()?;
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -10,23 +10,23 @@
 use crate::domain_drains;
 use crate::exchange_messages::{
     AgedBackendReport, BackendObservation, BackendReport, ExchangeRequest, ExchangeResponse,
-    RankGroup,
+    MemberDomains, RankGroup,
 };
 use crate::gossip::receive_reports;
 use crate::listing::{self, ListingForPeer};
 use crate::outbox::Round;
-use crate::part_reports;
-use crate::peer_call::{PeerCallError, post};
-use crate::retry_budget;
+use crate::peer_call::{self, PeerCallError};
 use crate::state::EntryState;
-use crate::store_watch::adopt_catalog;
-use crate::warm_up;
+use crate::store_watch::{adopt_catalog, confirm_catalog};
+use crate::{part_reports, retry_budget, warm_up};
 use futures_util::future::join_all;
 use hickorycross_core::direct::{
-    BackendServer, BootMs, COUNTING_MS, Catalog, GroupAssignment, GroupDigest, ListingUpdate,
+    BackendServer, BootMs, COUNTING_MS, Catalog, CatalogState, GroupAssignment, GroupDigest,
+    ListingUpdate,
 };
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// HTTP path of the exchange on the control address.
@@ -39,6 +39,9 @@
 /// s), so that peers are not asked without need.
 const STALE_AGE_MS: u64 = 2_100;
 
+/// The same at an entry that asks another one for changes, whose answers take a little longer.
+const STALE_AGE_BEHIND_PEER_MS: u64 = 2_400;
+
 /// Interval between requests while the configuration is stale.
 const STALE_INTERVAL_MS: u64 = 400;
 
@@ -63,11 +66,21 @@
 /// bytes. Each one's report reaches an entry several times while the server is cold.
 const MAX_COLD_REPORTS: usize = 64;
 
+/// Longest time for which the response to a peer is held.
+const MAX_HELD_MS: u64 = 2_000;
+
+/// Difference by which this entry's confirmation of the configuration must be newer than a peer's for
+/// the response not to be held.
+const FRESHER_BY_MS: u64 = 300;
+
 /// Applies a peer's request and returns the response.
-pub(crate) fn handle_request(state: &EntryState, request: &ExchangeRequest) -> ExchangeResponse {
+fn handle_request(state: &EntryState, request: &ExchangeRequest) -> ExchangeResponse {
     let now = boot_now();
     if let Some(from) = request.from {
         note_member(state, from, now);
+        if let Some(domain) = &request.failure_domain {
+            state.store_watchers.borrow_mut().note(from, domain, now);
+        }
     }
     let just_made = request.backend_report.map(|report| AgedBackendReport { report, age_ms: 0 });
     for report in just_made.iter().chain(&request.backend_reports) {
@@ -82,22 +95,22 @@
         domain_drains::receive(state, drains, request.from);
     }
     let belief = state.catalog.borrow();
-    // A configuration without its regions is not passed on: the peer would take it for that of an
-    // earlier release, and one entry after the other would lose the regions.
-    let newer = belief
-        .catalog()
-        .filter(|catalog| catalog.version > request.version && catalog.residency.is_some());
+    let newer = newer_catalog(&belief, request);
     let ListingForPeer { backends, update } = listing::for_peer(state, request);
-    let has_changes = update.as_ref().is_some_and(|update| !update.changes.is_empty());
-    let peers = state.peers.borrow().most_recent(MAX_MEMBERS);
-    let members = peers.iter().map(|peer| (peer.address, now.since(peer.last_seen_at)));
+    let has_listing =
+        backends.is_some() || update.as_ref().is_some_and(|it| !it.changes.is_empty());
     let cold_figures = newer.map(|_| warm_up::figures(state)).unwrap_or_default();
-    let cold_reports = if backends.is_some() || has_changes {
+    let cold_reports = if has_listing {
         state.backends.borrow().all_cold_reports(now)
     } else {
         state.backends.borrow().cold_reports(MAX_COLD_REPORTS, now)
     };
     let engine_figures = newer.map(|catalog| catalog.engine_figures());
+    // Who waits for news asks for members elsewhere, so the answers to it stay small.
+    let max_members = if request.wait_ms > 0 { 0 } else { MAX_MEMBERS };
+    let (members, member_domains) = members_for_peer(state, max_members, now);
+    let watchers = state.store_watchers.borrow();
+    let domain_entries = request.failure_domain.as_deref().map(|it| watchers.report(it, now));
     ExchangeResponse {
         version: belief.version(),
         age_ms: belief.age_ms(now),
@@ -106,7 +119,7 @@
         entry_count: Some(state.entry_count.borrow().report(now)),
         backends_as_of: state.listing.borrow().as_of(),
         backends,
-        members: members.collect(),
+        members,
         reports: state.reports_for(request.reports_checksum, now),
         part_reports: state.part_reports_for(request.part_reports_checksum, now),
         drains: domain_drains::for_response(state),
@@ -115,7 +128,81 @@
         cold_reports,
         engine_figures: engine_figures.unwrap_or_default(),
         listing_update: update,
+        held_ms: 0,
+        domain_entries: domain_entries.unwrap_or_default(),
+        member_domains,
+        reads_store: *state.watches_store.borrow() && state.reads_store.get(),
+        is_leaving: state.is_draining.get(),
+        store_regained_ms: state.store_regained_at.get().map(|at| now.since(at)),
+    }
+}
+
+/// Returns the configuration in force if it is newer than that of a peer.
+///
+/// A configuration without its regions is not passed on: the peer would take it for that of an
+/// earlier release, and one entry after the other would lose the regions.
+fn newer_catalog<'a>(
+    belief: &'a CatalogState,
+    request: &ExchangeRequest,
+) -> Option<&'a Arc<Catalog>> {
+    let is_newer = |it: &&Arc<Catalog>| it.version > request.version && it.residency.is_some();
+    belief.catalog().filter(is_newer)
+}
+
+/// Returns the peers that were seen most recently, each with the milliseconds since then, and their
+/// failure domains.
+fn members_for_peer(
+    state: &EntryState,
+    max_members: usize,
+    now: BootMs,
+) -> (Vec<(SocketAddr, u64)>, MemberDomains) {
+    let peers = state.peers.borrow().most_recent(max_members);
+    let watchers = state.store_watchers.borrow();
+    let mut domains = MemberDomains::default();
+    for peer in &peers {
+        domains.push(watchers.domain_of(peer.address));
+    }
+    let members = peers.iter().map(|peer| (peer.address, now.since(peer.last_seen_at)));
+    (members.collect(), domains)
+}
+
+/// Responds to a peer's request, which is held until there is something new if the peer asks for that.
+pub(crate) async fn respond(state: &EntryState, request: ExchangeRequest) -> ExchangeResponse {
+    let received_at = boot_now();
+    let known_at = confirmation_known_to(state, &request, received_at);
+    let wait_until = received_at.after(request.wait_ms.min(MAX_HELD_MS));
+    while boot_now() < wait_until && !has_news(state, &request, known_at) {
+        let left_ms = wait_until.since(boot_now());
+        let news = state.store_news.notified();
+        // At the end of the time there is nothing new, and the response says so.
+        let _ = tokio::time::timeout(Duration::from_millis(left_ms), news).await;
     }
+    let held_ms = boot_now().since(received_at);
+    ExchangeResponse { held_ms, ..handle_request(state, &request) }
+}
+
+/// Returns the moment of the last confirmation of the configuration that counts as known to a peer: the
+/// last one here, or that of the peer if it is much older.
+fn confirmation_known_to(
+    state: &EntryState,
+    request: &ExchangeRequest,
+    received_at: BootMs,
+) -> Option<BootMs> {
+    let confirmed_at = state.catalog.borrow().confirmed_at();
+    let peers = request.age_ms.map(|age_ms| received_at.before(age_ms).after(FRESHER_BY_MS));
+    peers.map_or(confirmed_at, |at| confirmed_at.min(Some(at)))
+}
+
+/// Returns whether this entry has learned something that a peer lacks, or its configuration was
+/// confirmed later than at `known_at`.
+fn has_news(state: &EntryState, request: &ExchangeRequest, known_at: Option<BootMs>) -> bool {
+    let belief = state.catalog.borrow();
+    let is_confirmed = belief.confirmed_at() > known_at;
+    state.is_draining.get()
+        || is_confirmed
+        || domain_drains::differ(state, request.drains.as_ref())
+        || newer_catalog(&belief, request).is_some()
+        || state.listing.borrow().has_changed_since(request.backends_as_of)
 }
 
 /// Applies the report of an agent to the table of backend servers. If it is news, it is queued for the
@@ -165,6 +252,7 @@
     sent_at: BootMs,
 ) {
     note_member(state, peer, boot_now());
+    note_domains(state, &response, sent_at);
     receive_reports(state, &response.reports, false);
     part_reports::receive(state, &response.part_reports, false);
     if let Some(drains) = &response.drains {
@@ -182,7 +270,13 @@
     for (address, silent_ms) in response.members {
         note_member(state, address, sent_at.before(silent_ms));
     }
-    let confirmed_at = response.age_ms.map(|age_ms| sent_at.before(age_ms));
+    // A response that was held left the peer no earlier than that time after the request was sent.
+    let as_of = sent_at.after(response.held_ms);
+    let confirmed_at = response.age_ms.map(|age_ms| as_of.before(age_ms));
+    if let Some(regained_ms) = response.store_regained_ms {
+        let regained_at = Some(as_of.before(regained_ms));
+        state.store_regained_at.set(state.store_regained_at.get().max(regained_at));
+    }
     if let Some(mut catalog) = response.catalog {
         for (service, figures) in response.cold_figures {
             if let Some(service) = catalog.services.get_mut(&service) {
@@ -194,7 +288,7 @@
         adopt_catalog(state, catalog, confirmed_at.unwrap_or_default(), "peer");
     }
     if let Some(confirmed_at) = confirmed_at {
-        state.catalog.borrow_mut().confirm(response.version, confirmed_at);
+        confirm_catalog(state, response.version, confirmed_at);
     }
     if response.backends_as_of > state.listing.borrow().as_of() {
         receive_listing(
@@ -228,6 +322,20 @@
     }
 }
 
+/// Records the failure domains of the entries that a peer names.
+fn note_domains(state: &EntryState, response: &ExchangeResponse, sent_at: BootMs) {
+    let own_domain = state.settings.borrow().failure_domain.clone();
+    let mut watchers = state.store_watchers.borrow_mut();
+    for (entry, age_ms) in &response.domain_entries {
+        watchers.note(*entry, &own_domain, sent_at.before(*age_ms));
+    }
+    for (index, (entry, age_ms)) in response.members.iter().enumerate() {
+        if let Some(domain) = response.member_domains.get(index) {
+            watchers.note(*entry, domain, sent_at.before(*age_ms));
+        }
+    }
+}
+
 /// Records the groups of backend servers that a peer knows.
 fn receive_groups(
     state: &EntryState,
@@ -277,7 +385,9 @@
     for _ in 0..INTERVAL_MS / STALE_INTERVAL_MS {
         tokio::time::sleep(Duration::from_millis(STALE_INTERVAL_MS)).await;
         let age_ms = state.catalog.borrow().age_ms(boot_now());
-        if sent_count < INITIAL_REQUESTS || age_ms.is_none_or(|age_ms| age_ms > STALE_AGE_MS) {
+        let watches_store = *state.watches_store.borrow();
+        let stale_ms = if watches_store { STALE_AGE_MS } else { STALE_AGE_BEHIND_PEER_MS };
+        if sent_count < INITIAL_REQUESTS || age_ms.is_none_or(|age_ms| age_ms > stale_ms) {
             return;
         }
     }
@@ -286,6 +396,7 @@
 /// Removes peers that have not been heard of for too long.
 fn expire(state: &EntryState) {
     let gone = state.peers.borrow_mut().expire(boot_now());
+    state.store_watchers.borrow_mut().expire(boot_now());
     for peer in &gone {
         state.log.note(DecisionLog::fields("member").with("peer", peer).with("outcome", "gone"));
     }
@@ -308,14 +419,16 @@
 /// Pushes reports to a peer.
 pub(crate) async fn push_reports(state: Rc<EntryState>, peer: SocketAddr, round: Round) {
     let Round { reports, part_reports, backend_reports } = round;
-    let request =
-        ExchangeRequest { reports, part_reports, backend_reports, ..new_request(&state) };
+    let request = ExchangeRequest { reports, part_reports, backend_reports, ..new_request(&state) };
     send_and_apply(&state, peer, request).await;
 }
 
-fn new_request(state: &EntryState) -> ExchangeRequest {
+/// Returns a request that tells what this entry knows of the store.
+pub(crate) fn new_request(state: &EntryState) -> ExchangeRequest {
+    let settings = state.settings.borrow();
     ExchangeRequest {
-        from: state.settings.borrow().listen.control,
+        from: settings.listen.control,
+        failure_domain: Some(settings.failure_domain.clone()),
         version: known_version(state),
         backends_as_of: state.listing.borrow().as_of(),
         drains: domain_drains::for_request(state),
@@ -348,5 +461,5 @@
     peer: SocketAddr,
     request: &ExchangeRequest,
 ) -> Result<ExchangeResponse, PeerCallError> {
-    post(client, peer, EXCHANGE_PATH, request).await
+    peer_call::post(client, peer, EXCHANGE_PATH, request).await
 }
--- a/crates/direct/src/exchange_messages.rs
+++ b/crates/direct/src/exchange_messages.rs
@@ -42,10 +42,18 @@
     /// Checksums over the groups of backend servers that the sender knows, by part. Where one
     /// differs from the peer's, the peer answers with what it knows; without any, with nothing.
     pub(crate) group_checksums: Vec<u32>,
-    /// Further reports about backend servers, which the receiver passes on to other entries.
-    pub(crate) backend_reports: Vec<AgedBackendReport>,
+    /// Failure domain of the sender; `None` from an agent or a process of an earlier release.
+    pub(crate) failure_domain: Option<String>,
     /// Whether the sender takes changes of the list of backend servers in place of the whole list.
     pub(crate) takes_updates: bool,
+    /// Time in milliseconds for which the response may be held until there is something new; 0 to
+    /// get it at once.
+    pub(crate) wait_ms: u64,
+    /// Time since the sender's configuration was last confirmed, if it was. A peer with a newer
+    /// confirmation does not hold the response.
+    pub(crate) age_ms: Option<u64>,
+    /// Further reports about backend servers, which the receiver passes on to other entries.
+    pub(crate) backend_reports: Vec<AgedBackendReport>,
 }
 
 impl ExchangeRequest {
@@ -63,8 +71,11 @@
             drains: None,
             rank_group: None,
             group_checksums: Vec::new(),
-            backend_reports: Vec::new(),
+            failure_domain: None,
             takes_updates: true,
+            wait_ms: 0,
+            age_ms: None,
+            backend_reports: Vec::new(),
         }
     }
 }
@@ -155,4 +166,51 @@
     /// What has changed in the list of backend servers since that of the requester. Beside
     /// `backends` it holds the registrations that cannot be decoded.
     pub(crate) listing_update: Option<ListingUpdate>,
+    /// Time in milliseconds for which the response was held.
+    pub(crate) held_ms: u64,
+    /// The first entries by rank of the requester's failure domain, each with the time in
+    /// milliseconds since it was last known to be alive.
+    pub(crate) domain_entries: Vec<(SocketAddr, u64)>,
+    /// The failure domains of `members`.
+    pub(crate) member_domains: MemberDomains,
+    /// Whether the peer reads the store itself and gets answers.
+    pub(crate) reads_store: bool,
+    /// Whether the peer is about to stop.
+    pub(crate) is_leaving: bool,
+    /// Time in milliseconds since the store was last regained; `None` if it was not lost.
+    pub(crate) store_regained_ms: Option<u64>,
+}
+
+/// The failure domains of a list of entries, each name once.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MemberDomains {
+    names: Vec<String>,
+    /// For each entry the position of its domain in `names`, or a position beyond the last if the
+    /// domain is unknown.
+    positions: Vec<u8>,
+}
+
+impl MemberDomains {
+    /// Appends the domain of the next entry of the list.
+    pub(crate) fn push(&mut self, domain: Option<&str>) {
+        let position = domain.and_then(|domain| self.position(domain));
+        self.positions.push(position.unwrap_or(u8::MAX));
+    }
+
+    /// Returns the position of a domain, which is added if it is new. Returns `None` if there are too
+    /// many.
+    fn position(&mut self, domain: &str) -> Option<u8> {
+        let known = self.names.iter().position(|name| name == domain);
+        let position = u8::try_from(known.unwrap_or(self.names.len())).ok()?;
+        if known.is_none() && position < u8::MAX {
+            self.names.push(domain.to_owned());
+        }
+        Some(position)
+    }
+
+    /// Returns the domain of the entry at an index of the list, if it is known.
+    pub(crate) fn get(&self, index: usize) -> Option<&str> {
+        let position = usize::from(*self.positions.get(index)?);
+        self.names.get(position).map(String::as_str)
+    }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 mod outbox;
 mod part_reports;
 mod peer_call;
+mod peer_watch;
 mod process;
 mod reload;
 mod retry_budget;
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -46,15 +46,20 @@
     for id in gone {
         log_gone(state, &id, as_of);
     }
+    state.store_news.notify_waiters();
 }
 
 /// Applies changes of the list.
 pub(crate) fn apply(state: &EntryState, update: ListingUpdate) {
     let as_of = update.as_of;
+    let has_changes = !update.changes.is_empty();
     for change in &update.changes {
         apply_change(state, change, as_of);
     }
     state.listing.borrow_mut().extend(update);
+    if has_changes {
+        state.store_news.notify_waiters();
+    }
 }
 
 fn apply_change(state: &EntryState, change: &ListingChange, as_of: u64) {
--- a/crates/direct/src/operators.rs
+++ b/crates/direct/src/operators.rs
@@ -63,13 +63,22 @@
             match (request.method(), path) {
                 (&Method::GET, METRICS_PATH) => metrics_response(&self.exposition),
                 (&Method::POST, EXCHANGE_PATH) => {
-                    answer_peer(&self.state, request, exchange::handle_request).await
+                    answer_peer(&self.state, request, async |state, request| {
+                        exchange::respond(state, request).await
+                    })
+                    .await
                 }
                 (&Method::POST, LIMIT_SHARE_PATH) => {
-                    answer_peer(&self.state, request, limit_share::handle_request).await
+                    answer_peer(&self.state, request, async |state, request| {
+                        limit_share::handle_request(state, &request)
+                    })
+                    .await
                 }
                 (&Method::POST, WARM_UP_SHARE_PATH) => {
-                    answer_peer(&self.state, request, warm_up_share::handle_request).await
+                    answer_peer(&self.state, request, async |state, request| {
+                        warm_up_share::handle_request(state, &request)
+                    })
+                    .await
                 }
                 _ => not_found(),
             }
@@ -123,14 +132,14 @@
 async fn answer_peer<Q: DeserializeOwned, A: Serialize>(
     state: &EntryState,
     request: Request<Incoming>,
-    answer: impl FnOnce(&EntryState, &Q) -> A,
+    answer: impl AsyncFnOnce(&EntryState, Q) -> A,
 ) -> Response<Full<Bytes>> {
     let body = Limited::new(request.into_body(), MAX_PEER_REQUEST_BYTES).collect().await;
     let question = body.ok().and_then(|body| peer_call::decode::<Q>(&body.to_bytes()).ok());
     let Some(question) = question else {
         return plain(StatusCode::BAD_REQUEST, Bytes::from_static(b"unreadable question\n"));
     };
-    match postcard::to_stdvec(&answer(state, &question)) {
+    match postcard::to_stdvec(&answer(state, question).await) {
         Ok(bytes) => plain(StatusCode::OK, bytes.into()),
         Err(error) => {
             let line = crate::DecisionLog::fields("exchange").with("error", error);
--- a/crates/direct/src/peer_call.rs
+++ b/crates/direct/src/peer_call.rs
@@ -36,9 +36,22 @@
     peer: SocketAddr,
     path: &str,
     message: &M,
+) -> Result<A, PeerCallError> {
+    let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
+    post_within(client, peer, path, message, timeout).await
+}
+
+/// Sends a message to `path` at a peer and returns the decoded answer, which may take longer than
+/// that of an ordinary call.
+pub(crate) async fn post_within<M: Serialize, A: DeserializeOwned>(
+    client: &reqwest::Client,
+    peer: SocketAddr,
+    path: &str,
+    message: &M,
+    timeout: Duration,
 ) -> Result<A, PeerCallError> {
     let body = postcard::to_stdvec(message)?;
-    let request = client.post(format!("http://{peer}{path}")).body(body);
+    let request = client.post(format!("http://{peer}{path}")).timeout(timeout).body(body);
     let response = request.send().await?.error_for_status()?;
     Ok(decode(&response.bytes().await?)?)
 }
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -13,9 +13,10 @@
 use hickorycross_core::direct::{
     Admission, AdmissionSettings, BackendLimits, BackendServer, BackendTable, BootMs, BufferBudget,
     CatalogState, ColdAccess, ColdFigures, ColdShares, CrashTable, EntryCount, GroupAssignment,
-    GroupAvailability, InitialTimeouts, LimitGrants, LimitPermits, ListingHistory, OutageDurations, PartCrashTable,
-    PartReport, PassTracker, PeerTable, PoolChoice, QueueLimit, RetryBudget, RetryBudgetSettings,
-    RetryShare, UnusedShares, WorkEstimator, max_catalog_age_for_keys_ms,
+    GroupAvailability, InitialTimeouts, LimitGrants, LimitPermits, ListingHistory, OutageDurations,
+    PartCrashTable, PartReport, PassTracker, PeerTable, PoolChoice, QueueLimit, RetryBudget,
+    RetryBudgetSettings, RetryShare, StoreWatchers, UnusedShares, WorkEstimator,
+    max_catalog_age_for_keys_ms,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
@@ -88,8 +89,16 @@
     pub(crate) backends: RefCell<BackendTable>,
     /// The last changes of the list of backend servers, with the revision as of which it is complete.
     pub(crate) listing: RefCell<ListingHistory>,
-    /// When the store was last regained, if it was lost.
+    /// When the store was last regained, by this entry or the one that it asks, if it was lost.
     pub(crate) store_regained_at: Cell<Option<BootMs>>,
+    /// Which entries watch the store.
+    pub(crate) store_watchers: RefCell<StoreWatchers>,
+    /// Whether this entry watches the store itself.
+    pub(crate) watches_store: watch::Sender<bool>,
+    /// Whether the last call of the store for the configuration was answered.
+    pub(crate) reads_store: Cell<bool>,
+    /// Notified when something was learned from the store or from who watches it.
+    pub(crate) store_news: Notify,
     /// Registrations of backend servers that cannot be decoded, with the fault that was logged, by
     /// id.
     pub(crate) unreadable_backends: RefCell<IndexMap<String, String>>,
@@ -180,6 +189,7 @@
     pub(crate) fn new(settings: ProcessSettings, names: WireNames, log: DecisionLog) -> Rc<Self> {
         let backends = BackendTable::new(&settings.failure_domain);
         let peers = PeerTable::new(&settings.seeds, settings.listen.control);
+        let store_watchers = StoreWatchers::new(settings.listen.control, &settings.failure_domain);
         let buffers = BufferBudget::new(settings.bounds.buffer_bytes);
         let started_at = boot_now();
         let retry_share = RetryShare::new(started_at);
@@ -194,6 +204,10 @@
             backends: RefCell::new(backends),
             listing: RefCell::default(),
             store_regained_at: Cell::new(None),
+            store_watchers: RefCell::new(store_watchers),
+            watches_store: watch::Sender::new(false),
+            reads_store: Cell::new(false),
+            store_news: Notify::new(),
             unreadable_backends: RefCell::default(),
             retry_budget: RefCell::new(retry_budget),
             retry_share: RefCell::new(retry_share),
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -21,8 +21,7 @@
 /// Time for which one watch call for the configuration waits.
 ///
 /// A call that returns confirms the configuration as of the moment at which it was sent, so the
-/// confirmation is at most twice this old while the store answers. Each entry makes one call per
-/// second.
+/// confirmation is at most twice this old while the store answers.
 pub(crate) const CATALOG_WAIT_MS: u64 = 1_000;
 
 /// Time for which one watch call for the backend servers waits.
@@ -46,6 +45,11 @@
 /// short pause for both, a store that is down would have twice as many calls to refuse.
 const BACKENDS_PAUSE_MS: Range<u64> = 500..1_000;
 
+/// Pause after a failed call of an entry that watches the store only because it finds no other one
+/// that does. When the store is away for all, the few that are expected to watch it are the first to
+/// know of its return, and all others hear of it from them.
+const UNEXPECTED_PAUSE_MS: Range<u64> = 1_000..3_000;
+
 /// Number of consecutive failed calls after which the store counts as lost.
 const FAILURES_UNTIL_LOST: u32 = 2;
 
@@ -83,6 +87,10 @@
             state.log.note(line.with("error", error));
         }
     }
+
+    const fn is_lost(&self) -> bool {
+        self.failures_in_row >= FAILURES_UNTIL_LOST
+    }
 }
 
 /// Whether the drained failure domains can be kept complete by a watch.
@@ -94,26 +102,44 @@
     read_at: BootMs,
 }
 
-/// Watches the configuration and the drained failure domains continuously.
+/// Watches the configuration and the drained failure domains while this entry watches the store.
 pub(crate) async fn watch_catalog(state: Rc<EntryState>, store: Rc<dyn SharedStore>) {
     let mut contact = StoreContact::new("configuration");
     let mut drain_reads = DrainReads::default();
     loop {
+        wait_for_turn(&state).await;
         let watching = watch_catalog_once(&state, &*store, &mut contact, &mut drain_reads);
-        let Err(error) = watching.await;
+        let Err(error) = watching.await else { continue };
         drain_reads.can_watch &= error != StoreError::HistoryGone;
         contact.note_failure(&state, &error);
+        state.reads_store.set(error == StoreError::HistoryGone);
+        if contact.is_lost() {
+            state.store_watchers.borrow_mut().note_store_unreachable(boot_now());
+            state.store_news.notify_waiters();
+        }
         pause_after(&state, &error, CATALOG_PAUSE_MS).await;
     }
 }
 
-/// Reads the configuration and the drained failure domains, and watches both until a call fails.
+/// Waits until this entry watches the store.
+async fn wait_for_turn(state: &EntryState) {
+    let mut watches_store = state.watches_store.subscribe();
+    // The sender lives as long as the state.
+    let _ = watches_store.wait_for(|watches_store| *watches_store).await;
+}
+
+fn is_its_turn(state: &EntryState) -> bool {
+    *state.watches_store.borrow()
+}
+
+/// Reads the configuration and the drained failure domains, and watches both until a call fails or
+/// another entry takes over.
 async fn watch_catalog_once(
     state: &EntryState,
     store: &dyn SharedStore,
     contact: &mut StoreContact,
     drain_reads: &mut DrainReads,
-) -> Result<std::convert::Infallible, StoreError> {
+) -> Result<(), StoreError> {
     let sent_at = boot_now();
     let read = store.read_catalog().await;
     if matches!(read, Err(StoreError::Unreadable(_))) {
@@ -124,7 +150,7 @@
         }
     }
     let read = read?;
-    contact.note_answer(state);
+    note_store_answer(state, contact);
     if let Some(catalog) = read.value {
         adopt_catalog(state, catalog, sent_at, "store");
     }
@@ -135,15 +161,15 @@
     // reads missed. The set may be as of an earlier revision, from before the store was lost.
     let drains_as_of = state.backends.borrow().drains().as_of();
     let mut after = drains_as_of.map_or(read.as_of, |as_of| as_of.min(read.as_of));
-    loop {
+    while is_its_turn(state) {
         let sent_at = boot_now();
         let version = state.catalog.borrow().version();
         let watch = store.watch_catalog(after, CATALOG_WAIT_MS).await?;
-        contact.note_answer(state);
+        note_store_answer(state, contact);
         after = watch.as_of;
         // Without a change, the version known when the call was sent was still the newest then.
         if watch.changes.iter().all(is_drain_change) {
-            state.catalog.borrow_mut().confirm(version, sent_at);
+            confirm_catalog(state, version, sent_at);
         }
         for change in watch.changes {
             match change {
@@ -156,6 +182,20 @@
         }
         domain_drains::confirm(state, after);
     }
+    Ok(())
+}
+
+/// Records that the store answered a call for the configuration.
+fn note_store_answer(state: &EntryState, contact: &mut StoreContact) {
+    contact.note_answer(state);
+    state.reads_store.set(true);
+    state.store_watchers.borrow_mut().note_store_reachable();
+}
+
+/// Records that no version newer than `version` existed at `at`.
+pub(crate) fn confirm_catalog(state: &EntryState, version: u64, at: BootMs) {
+    state.catalog.borrow_mut().confirm(version, at);
+    state.store_news.notify_waiters();
 }
 
 fn is_drain_change(change: &StoreChange) -> bool {
@@ -188,7 +228,7 @@
     let residency = catalog.residency.clone();
     let earlier = state.catalog.borrow().residency().clone();
     let adoption = state.catalog.borrow_mut().offer(catalog);
-    state.catalog.borrow_mut().confirm(version, confirmed_at);
+    confirm_catalog(state, version, confirmed_at);
     // A peer of an earlier release passes the configuration on without these figures.
     let is_from_store = source == "store" && adoption == Adoption::Known;
     if adoption == Adoption::Adopted || is_from_store {
@@ -225,24 +265,34 @@
     }
 }
 
-/// Watches the list of backend servers continuously.
+/// Watches the list of backend servers while this entry watches the store.
 pub(crate) async fn watch_backends(state: Rc<EntryState>, store: Rc<dyn SharedStore>) {
     let mut contact = StoreContact::new("backend-servers");
+    let mut has_failed = false;
     loop {
-        let Err(error) = watch_backends_once(&state, &*store, &mut contact).await;
+        wait_for_turn(&state).await;
+        let watching = watch_backends_once(&state, &*store, &mut contact, has_failed).await;
+        has_failed = watching.is_err();
+        let Err(error) = watching else { continue };
         contact.note_failure(&state, &error);
         pause_after(&state, &error, BACKENDS_PAUSE_MS).await;
     }
 }
 
-/// Reads the list of backend servers and watches it until a call fails.
+/// Watches the list of backend servers until a call fails or another entry takes over. The whole list
+/// is read before if none is known yet, or if `must_read` says that changes may have been missed.
 async fn watch_backends_once(
     state: &EntryState,
     store: &dyn SharedStore,
     contact: &mut StoreContact,
-) -> Result<std::convert::Infallible, StoreError> {
-    let mut after = read_backends(state, store, contact).await?;
-    loop {
+    must_read: bool,
+) -> Result<(), StoreError> {
+    let known_as_of = state.listing.borrow().as_of();
+    let mut after = known_as_of;
+    if must_read || known_as_of == 0 {
+        after = read_backends(state, store, contact).await?;
+    }
+    while is_its_turn(state) {
         let watch = store.watch_backends(after, BACKENDS_WAIT_MS).await?;
         contact.note_answer(state);
         after = watch.as_of;
@@ -253,6 +303,7 @@
             tokio::time::sleep(Duration::from_millis(CHANGES_PAUSE_MS)).await;
         }
     }
+    Ok(())
 }
 
 /// Reads the whole list of backend servers, and returns the revision of the store as of which it is
@@ -310,6 +361,8 @@
     if *error == StoreError::HistoryGone {
         return;
     }
+    let is_expected = state.store_watchers.borrow().is_expected_to_watch();
+    let pause_ms = if is_expected { pause_ms } else { UNEXPECTED_PAUSE_MS };
     let pause_ms = state.random.borrow_mut().random_range(pause_ms);
     tokio::time::sleep(Duration::from_millis(pause_ms)).await;
 }
