--- a/crates/core/src/direct/listing_history.rs
+++ b/crates/core/src/direct/listing_history.rs
@@ -34,6 +34,14 @@
     pub as_of: u64,
 }
 
+impl ListingUpdate {
+    /// Returns whether nothing has changed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+}
+
 /// The changes of the list that this process has applied, with the revision of the store up to which
 /// the list is complete.
 #[derive(Clone, Debug, Default)]
--- a/crates/direct/src/agent/notify_entries.rs
+++ b/crates/direct/src/agent/notify_entries.rs
@@ -87,7 +87,9 @@
             let on_machine = addresses.iter().filter(|address| address.ip() == machine);
             reports.extend(on_machine.map(|it| BackendReport { address: *it, observation }));
         }
-        notify_some(&member, &client, &reports);
+        if !reports.is_empty() {
+            notify_some(&member, &client, &reports);
+        }
     }
 }
 
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -98,7 +98,7 @@
     let newer = newer_catalog(&belief, request);
     let ListingForPeer { backends, update } = listing::for_peer(state, request);
     let has_listing =
-        backends.is_some() || update.as_ref().is_some_and(|it| !it.changes.is_empty());
+        backends.is_some() || update.as_ref().is_some_and(|update| !update.is_empty());
     let cold_figures = newer.map(|_| warm_up::figures(state)).unwrap_or_default();
     let cold_reports = if has_listing {
         state.backends.borrow().all_cold_reports(now)
--- a/crates/direct/src/listing.rs
+++ b/crates/direct/src/listing.rs
@@ -49,10 +49,13 @@
     state.store_news.notify_waiters();
 }
 
-/// Applies changes of the list.
+/// Applies changes of the list. Those up to a revision that is known already would undo later ones.
 pub(crate) fn apply(state: &EntryState, update: ListingUpdate) {
     let as_of = update.as_of;
-    let has_changes = !update.changes.is_empty();
+    if as_of < state.listing.borrow().as_of() {
+        return;
+    }
+    let has_changes = !update.is_empty();
     for change in &update.changes {
         apply_change(state, change, as_of);
     }
--- a/crates/direct/src/peer_watch.rs
+++ b/crates/direct/src/peer_watch.rs
@@ -24,10 +24,11 @@
 /// Time beyond it after which the peer counts as silent.
 const ANSWER_MARGIN_MS: u64 = 350;
 
-/// Age of the configuration above which a request is not to be held, and time after which a peer then
-/// counts as silent. When the entry that was asked before is gone, there is little time left to find
-/// another one.
+/// Age of the configuration above which a request is not to be held. When the entry that was asked
+/// before is gone, there is little time left to find another one.
 const URGENT_AGE_MS: u64 = 2_200;
+
+/// Time after which a peer that must not hold a request counts as silent.
 const URGENT_TIMEOUT_MS: u64 = 350;
 
 /// Interval between checks whether another entry has taken over.
@@ -42,7 +43,7 @@
 /// Interval between checks whether a peer has answered after the start.
 const START_POLL_MS: u64 = 5;
 
-/// Watches the store or asks another entry, as [`StoreWatchers`] decides, continuously.
+/// Lets this entry watch the store, or asks another entry, as [`StoreWatchers`] decides, continuously.
 ///
 /// [`StoreWatchers`]: hickorycross_core::direct::StoreWatchers
 pub(crate) async fn run(state: Rc<EntryState>) {
@@ -116,7 +117,7 @@
 
 /// Returns the pause until the next request after a response.
 fn pause_ms(response: &ExchangeResponse) -> u64 {
-    let has_changes = response.listing_update.as_ref().is_some_and(|it| !it.changes.is_empty());
+    let has_changes = response.listing_update.as_ref().is_some_and(|update| !update.is_empty());
     let has_news = has_changes || response.backends.is_some() || response.catalog.is_some();
     if response.held_ms > 0 || has_news { MIN_INTERVAL_MS } else { UNHELD_INTERVAL_MS }
 }
@@ -133,6 +134,11 @@
     if response.age_ms.is_none() && response.reads_store {
         return None;
     }
-    let is_current = watchers.note_answer(peer, response.age_ms, now);
-    (!is_current).then(|| format!("stale by {:?} ms", response.age_ms))
+    if watchers.note_answer(peer, response.age_ms, now) {
+        return None;
+    }
+    Some(match response.age_ms {
+        Some(age_ms) => format!("confirmed {age_ms} ms ago"),
+        None => "never confirmed".to_owned(),
+    })
 }
