--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -29,6 +29,7 @@
     def __init__(self, folder):
         self.file = open(os.path.join(folder, "record.txt"), "w")
         self.started_at = time.monotonic()
+        self.answers = {}
 
     def now_s(self):
         return time.monotonic() - self.started_at
@@ -70,7 +71,9 @@
 
 
 class HttpServer:
-    """An HTTP/1.1 server; `answer(method, target, headers, body)` returns status, headers and body."""
+    """An HTTP/1.1 server; `answer(method, target, headers, body)` returns status, headers and body,
+    or None to close the connection without an answer.
+    """
 
     def __init__(self, ip, answer, port=0):
         self.ip, self.answer, self.port = ip, answer, port
@@ -97,8 +100,10 @@
                 first, headers = head
                 method, target, _ = first.split(" ")
                 body = await read_body(reader, headers)
-                status, fields, content = await self.answer(method, target, headers, body)
-                writer.write(message(status, fields, content))
+                answer = await self.answer(method, target, headers, body)
+                if answer is None:
+                    return
+                writer.write(message(*answer))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -112,6 +117,10 @@
 
     def __init__(self, ip):
         self.http = HttpServer(ip, self.answer)
+        # The end of one machine's path to the store, which can be cut.
+        self.path = HttpServer(ip, self.answer_over_path)
+        self.path_is_sound = asyncio.Event()
+        self.path_is_sound.set()
         self.era, self.revision = 1, 0
         self.items, self.events = {}, []
         self.changed = asyncio.Condition()
@@ -132,9 +141,17 @@
             self.changed.notify_all()
         return self.revision
 
+    def value(self, key):
+        item = self.items.get(key)
+        return json.loads(base64.b64decode(item["value"])) if item else None
+
     def copy(self):
         return self.revision, dict(self.items), list(self.events)
 
+    async def start(self):
+        await self.http.start()
+        await self.path.start()
+
     async def go_away(self):
         await self.http.stop()
 
@@ -144,6 +161,14 @@
         self.era += 1
         await self.http.start()
 
+    async def answer_over_path(self, method, target, headers, body):
+        """Answers, or says nothing while the path is cut. Connections from then are lost."""
+        answer = await self.answer(method, target, headers, body)
+        if self.path_is_sound.is_set():
+            return answer
+        await self.path_is_sound.wait()
+        return None
+
     async def answer(self, method, target, headers, body):
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -178,12 +203,12 @@
 class Runner:
     """A runner of a plain service, which registers itself in the store."""
 
-    def __init__(self, ip, service, zone, store, record, slots=6, work_ms=(20, 60)):
+    def __init__(self, ip, service, zone, store, record, slots=6, work_ms=(30, 90)):
         self.id = "i-%08x" % random.getrandbits(32)
         self.service, self.zone, self.store, self.record = service, zone, store, record
         self.slots, self.work_ms = slots, work_ms
         self.http = HttpServer(ip, self.answer)
-        self.sequence, self.is_leaving, self.is_listed = 0, False, True
+        self.is_leaving, self.is_listed = False, True
         self.arrivals = []
 
     async def start(self):
@@ -197,17 +222,24 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def register(self, state):
-        entry = {"service": self.service, "address": self.http.address, "zone": self.zone,
-                 "version": "v1", "slots": self.slots, "state": state, "cold_remaining_ms": 0,
-                 "sequence": self.sequence}
-        if self.store.http.server.is_serving():
-            return await self.store.write(f"servers/{self.id}", entry)
-
-    async def leave_unannounced(self):
-        """Has its entry removed, and goes on serving. Returns the revision of the removal."""
+        """Writes the entry, which changes the item only if it is another one."""
+        key, entry = f"servers/{self.id}", {
+            "service": self.service, "address": self.http.address, "zone": self.zone,
+            "version": "v1", "slots": self.slots, "state": state, "cold_remaining_ms": 0, "sequence": 1}
+        if self.store.http.server.is_serving() and self.store.value(key) != entry:
+            await self.store.write(key, entry)
+
+    async def leave_unannounced(self, serves_s):
+        """Has its entry removed, goes on serving for some seconds, and ends. Returns when it was removed."""
         self.is_listed, self.is_leaving = False, True
         self.beats.cancel()
-        return await self.store.write(f"servers/{self.id}", None)
+        removed_at = self.record.now_s()
+        revision = await self.store.write(f"servers/{self.id}", None)
+        self.record.note(f"store    the entry of {self.id} is removed at revision {revision}")
+        await asyncio.sleep(serves_s)
+        await self.http.stop()
+        self.record.note(f"runner   {self.id} ends")
+        return removed_at
 
     async def answer(self, method, target, headers, body):
         fields = {"Hickorycross-Instance-Id": self.id}
@@ -228,7 +260,7 @@
 class Entry:
     """A real entry process, started with the command of the deploy file."""
 
-    def __init__(self, name, zone, ip, folder, ports, seeds, store):
+    def __init__(self, name, zone, ip, folder, ports, seeds, store_address):
         self.name, self.ip, self.ports = name, ip, ports
         self.settings = os.path.join(folder, f"{name}.toml")
         self.log = os.path.join(folder, f"{name}.log")
@@ -268,7 +300,7 @@
 stall_ms = 1500
 require_fencing = true
 [platform]
-address = "{store.http.address}"
+address = "{store_address}"
 form = "read"
 reads_per_s = 2000
 history_s = 20
@@ -288,7 +320,7 @@
             return False
 
     async def send(self, method, path, attempt, record, budget_ms=2500, body=b""):
-        """Sends a client's request on a new connection. Returns the status, or None without one."""
+        """Sends a client's request on a new connection, and records its answer."""
         headers = {"Host": HOST, "Hickorycross-Attempt-Id": attempt, "Authorization": f"Bearer {KEY}",
                    "Hickorycross-Deadline-Ms": str(budget_ms)}
         record.note(f"sent     {attempt} {method} {path} to {self.name}")
@@ -297,9 +329,9 @@
                 self.ip, self.ports[0], method, path, headers, body, budget_ms / 1000)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
             record.note(f"answered {attempt} nothing ({type(error).__name__})")
-            return None
+            return
+        record.answers[attempt] = status
         record.note(f"answered {attempt} {status} {content[:60]!r}")
-        return status
 
 
 async def request(ip, port, method, path, headers, body, timeout_s):
@@ -355,12 +387,17 @@
             "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1}]}
 
 
-async def start_entries(zones, folder, store):
-    """Starts an entry in each of `zones`, and waits until all are ready."""
+async def start_entries(zones, folder, store, on_path=None):
+    """Starts an entry in each of `zones`, and waits until all are ready.
+
+    The one with the index `on_path` calls the store over the path that can be cut.
+    """
     ips = addresses(len(zones) + 1)[1:]
     ports = free_ports(ips, 4)
     seeds = [f"{ip}:{ports[2]}" for ip in ips[:3]]
-    entries = [Entry(f"front-{n + 1}", zone, ip, folder, ports, seeds, store)
+    store_addresses = [store.path.address if n == on_path else store.http.address
+                       for n in range(len(zones))]
+    entries = [Entry(f"front-{n + 1}", zone, ip, folder, ports, seeds, store_addresses[n])
                for n, (zone, ip) in enumerate(zip(zones, ips))]
     for entry in entries:
         await entry.start()
@@ -372,6 +409,33 @@
     sys.exit(2)
 
 
+async def send_round(entries, record, number):
+    """A few clients send a request at the same time: six to each entry."""
+    sends = [entry.send("POST", f"/status/{index}", f"{number:04x}{entry.name[-1]}{index:x}", record)
+             for entry in entries for index in range(6)]
+    await asyncio.gather(*sends)
+
+
+async def send_rounds(entries, record, pause_s):
+    number = 0
+    while True:
+        asyncio.create_task(send_round(entries, record, number))
+        number += 1
+        await asyncio.sleep(pause_s)
+
+
+def note_late(record, runner, removed_at):
+    """Records the requests that reached a removed runner too late. Returns whether there are any."""
+    late = [arrival for arrival in runner.arrivals if arrival[0] > removed_at + DRAIN_S]
+    for arrived_at, attempt in late:
+        record.note(f"DRAIN    {attempt} reached {runner.id} {arrived_at - removed_at:.3f} s after the "
+                    f"removal was confirmed, and was answered {record.answers.get(attempt)}")
+    lost = sum(record.answers.get(attempt) != 200 for _, attempt in late)
+    record.note(f"result   {len(late)} requests reached the runner later than drain_ms, {lost} of them "
+                "were lost when it ended")
+    return bool(late)
+
+
 async def stop_entries(entries):
     for entry in entries:
         if entry.process.returncode is None:
