--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -401,9 +401,14 @@
                for n, (zone, ip) in enumerate(zip(zones, ips))]
     for entry in entries:
         await entry.start()
+    await wait_until_ready(entries)
+    return entries
+
+
+async def wait_until_ready(entries):
     for _ in range(200):
         if all([await entry.is_ready() for entry in entries]):
-            return entries
+            return
         await asyncio.sleep(0.05)
     await stop_entries(entries)
     sys.exit(2)
