--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -21,6 +22,8 @@
 HEARTBEAT_S = 1.2
 DRAIN_S = 2.0
 STABLE_WINDOW_S = 3.0
+# All processes that a case has started.
+STARTED = []
 
 
 class Record:
@@ -311,6 +314,7 @@
         log = open(self.log, "a")
         self.process = await asyncio.create_subprocess_exec(
             *ENTRY_COMMAND, env=environment, stdout=log, stderr=log, cwd=REPOSITORY)
+        STARTED.append(self.process)
 
     async def is_ready(self):
         try:
@@ -448,12 +452,29 @@
             await entry.process.wait()
 
 
+async def run(case, record, folder):
+    """Runs a case, and ends all processes that it started, also after SIGTERM or an error."""
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        return await case(record, folder, os.environ.get("TROUBLE") != "0")
+    finally:
+        for process in STARTED:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
 def main(case):
-    """Runs `case(record, folder, with_trouble)`, and exits with 1 if it returns that a rule broke."""
+    """Exits with 1 if `case(record, folder, with_trouble)` returns that a rule broke, 2 if it couldn't run."""
     if not os.path.exists(ENTRY_COMMAND[0]):
         print("the programs are not built")
         sys.exit(2)
     record = Record(os.path.dirname(os.path.abspath(sys.argv[0])))
-    with tempfile.TemporaryDirectory() as folder:
-        is_broken = asyncio.run(case(record, folder, os.environ.get("TROUBLE") != "0"))
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            is_broken = asyncio.run(run(case, record, folder))
+    except (Exception, asyncio.CancelledError) as error:
+        print(f"the case couldn't run: {error!r}")
+        sys.exit(2)
     sys.exit(1 if is_broken else 0)
