--- a/review/4/case.py
+++ b/review/4/case.py
@@ -74,7 +74,7 @@
 
 def case(record, trouble):
     address_of = random_network()
-    fleets = [Fleet(Store(address_of(2 + machine))) for machine in range(RANKS + 1)]
+    fleets = [Fleet(Store(address_of(2 + machine)), ["wro-a"], 3000, 2000) for machine in range(RANKS + 1)]
     network = Network(address_of, RANKS + 1, Fleet.first_port)
     try:
         return run(record, trouble, address_of, network, fleets)
