--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,7 +20,7 @@
 CLIENTS = 8
 CUT_S = 0.5
 BETWEEN_CUTS_S = 3
-WATCHED_S = 80
+WATCHED_S = 75
 
 
 def send_streams(address, until, record):
--- a/review/shared-2/rank_group.py
+++ b/review/shared-2/rank_group.py
@@ -1,6 +1,7 @@
 """A stand-in of a group of model runners: ranks that make passes together and take orders from anyone. And a network
 between their machines that can cut one off."""
 import json
+import random
 import select
 import socket
 import threading
@@ -13,6 +14,7 @@
 EVENTS_OF_STREAM = 16
 CHOICES_PER_PASS = 200
 HOT_FACTOR = 11
+NO_ANSWER_S = 0.2
 
 
 class Network:
@@ -76,20 +78,25 @@
         self.id = f"i-rank{number}"
         self.map, self.experts = 0, experts
         self.newest, self.prepared, self.armed, self.held = 0, None, None, None
-        self.fence, self.sequence, self.step = 0, 0, 0
+        self.fence, self.sequence = 0, 0
         self.counts = [0] * expert_count
+        self.awake = threading.Event()
+        self.awake.set()
 
 
 class RankGroup:
     """Ranks on addresses of their own. An idle group makes no passes.
 
-    `on_order(rank, operation, status, sender)` is called after each order, outside the lock.
+    `on_order(rank, order, status)` is called after each order, outside the lock. A share `late_share` of the orders gets
+    no answer and is carried out 2 to 12 s later.
     """
 
-    def __init__(self, network, count, experts_per_rank, record):
+    def __init__(self, network, count, experts_per_rank, record, checks_fences=True):
         self.changed = threading.Condition()
         self.network = network
         self.record = record
+        self.checks_fences = checks_fences
+        self.late_share = 0.0
         self.expert_count = count * experts_per_rank
         self.ranks = [Rank(n, list(range(n, self.expert_count, count)), self.expert_count) for n in range(count)]
         self.step, self.open_streams, self.hot_expert = 0, 0, 0
@@ -110,11 +117,11 @@
 
         class RankHandler(Handler):
             def do_GET(self):
-                if group.is_reached(pair, self):
+                if group.is_reached(pair, rank, self):
                     group.answer_read(rank, self)
 
             def do_POST(self):
-                if not group.is_reached(pair, self):
+                if not group.is_reached(pair, rank, self):
                     return
                 if self.path == "/order":
                     group.answer_order(rank, pair[0], self)
@@ -123,9 +130,10 @@
 
         serve((ip, self.ports[rank.number]), RankHandler)
 
-    def is_reached(self, pair, request):
-        """What is sent across a cut gets no answer and is lost."""
+    def is_reached(self, pair, rank, request):
+        """What is sent across a cut gets no answer and is lost; what is sent to a frozen machine waits there."""
         if not self.network.is_cut(*pair):
+            rank.awake.wait()
             return True
         self.network.healed.wait()
         request.close_connection = True
@@ -184,16 +192,26 @@
 
     def answer_order(self, rank, sender, request):
         order = json.loads(request.body())
+        if random.random() < self.late_share:
+            threading.Timer(random.uniform(2, 12), self._carry_out_late, [rank, sender, order]).start()
+            request.close_connection = True
+            return time.sleep(NO_ANSWER_S)
         with self.changed:
             status = self._carry_out(rank, order)
-            if order["operation"] != "prepare":
-                order.pop("map", None)
-                self.record.note(f"rank {rank.number} gets {json.dumps(order)} from machine {sender}: {status}")
+            self._note_order(rank, sender, order, status, "gets")
         self.on_order(rank, order, status)
         request.respond(status)
 
+    def _carry_out_late(self, rank, sender, order):
+        with self.changed:
+            self._note_order(rank, sender, order, self._carry_out(rank, order), "carries out late")
+
+    def _note_order(self, rank, sender, order, status, verb):
+        if order["operation"] != "prepare":
+            self.record.note(f"rank {rank.number} {verb} {json.dumps(order)} from machine {sender}: {status}")
+
     def _carry_out(self, rank, order):
-        if order["fencing_token"] < rank.fence:
+        if self.checks_fences and order["fencing_token"] < rank.fence:
             return 412
         rank.fence = order["fencing_token"]
         if order.get("epoch", 1) != 1:
--- a/review/shared-2/standins.py
+++ b/review/shared-2/standins.py
@@ -190,10 +190,11 @@
 class Fleet:
     """The programs under test as separate processes, each with a settings file like that of a small deployment."""
 
-    def __init__(self, store, zones, stable_window_ms, drain_ms):
+    def __init__(self, store, zones, stable_window_ms, drain_ms, require_fencing=True):
         self.store = store
         self.zones = "".join(f'{zone} = "region-1"\n' for zone in zones)
-        self.bounds = f"stable_window_ms = {stable_window_ms}\ndrain_ms = {drain_ms}\n"
+        self.bounds = (f"stable_window_ms = {stable_window_ms}\ndrain_ms = {drain_ms}\n"
+                       f"require_fencing = {str(require_fencing).lower()}\n")
         self.folder = tempfile.TemporaryDirectory()
         self.processes = []
         self.seeds = []
@@ -206,7 +207,7 @@
                 f'seed_addrs = [{seeds}]\nbootstrap = true\nheartbeat_ms = 1200\n{more}[zones]\n{self.zones}'
                 f"[listen]\n{listen}[bounds]\n{self.bounds}grace_s = 8\n"
                 "revoke_ms = 5000\nbudget_ratio = 0.2\nbudget_window_s = 10\nbudget_slack = 90\nstall_ms = 1500\n"
-                "require_fencing = true\nevacuate_ms = 5000\n"
+                "evacuate_ms = 5000\n"
                 f'[platform]\naddress = "{self.store.address[0]}:{self.store.address[1]}"\nform = "read"\n'
                 "reads_per_s = 2000\nhistory_s = 20\n")
 
