Review case 6: a runner that returns cold while the store is down gets too many requests

Seen: FAILBACK. A runner is away for 2.2 s and returns cold under its id, while the store is down; it gets more than 47 requests in one second and crashes of that, and unsafe requests that ran there are lost.

Cause: the time for which it counts as cold runs from the last failed attempt (CONNECTION_LOST_MS, 3 s), not from the return, and only the store tells of the return.

--- a/review/shared-2/standins.py
+++ b/review/shared-2/standins.py
@@ -133,6 +133,10 @@
             self.is_down = True
             self.changed.notify_all()
 
+    def end_outage(self):
+        with self.changed:
+            self.is_down = False
+
     def come_back(self, copy):
         """Comes back from a copy: what was written since is gone, and its revisions are given out again."""
         with self.changed:
