--- a/crates/core/src/map_change/abandoned_change.rs
+++ b/crates/core/src/map_change/abandoned_change.rs
@@ -10,12 +10,13 @@
 use super::order::OrderKind;
 use super::phase::{Orders, Phase, UndoStage, Undoing};
 use super::status::{ArmKnowledge, RankStatus, Witness};
+use super::undo::Undo;
 use crate::direct::BootMs;
 
 /// The way in which an abandoned change ends.
 enum Resolution {
     /// Disarm all ranks except silent ones that are known not to be armed.
-    Undo { silent: Vec<u16> },
+    Undo { silent: Vec<u16>, may_be_released: bool },
     /// Arm all ranks except silent ones that are known to be armed.
     Finish { silent: Vec<u16>, version: u64 },
 }
@@ -33,9 +34,9 @@
             return false;
         }
         match self.resolution(epoch, now, &held) {
-            Some(Resolution::Undo { silent }) => {
+            Some(Resolution::Undo { silent, may_be_released }) => {
                 let cause = if silent.is_empty() { "left-behind" } else { "leader-silent" };
-                self.begin_undo(epoch, held, silent, cause, actions);
+                self.begin_undo(epoch, Undo { held, silent, may_be_released }, cause, actions);
             }
             Some(Resolution::Finish { silent, version }) => {
                 self.complete_switch(epoch, held[0], version, &silent, actions);
@@ -51,9 +52,15 @@
         let ranks = self.rank_entries.get(&self.own_rank)?.status.ranks;
         let silent: Vec<u16> =
             (0..ranks).filter(|rank| !self.has_current_status(*rank, epoch, now)).collect();
+        if !silent.is_empty() && now < self.first_answers_due_at {
+            // Agents that have not been asked yet are not silent.
+            return None;
+        }
         let &[(holder, step)] = held else {
-            // More than one rank holds a pass: an order of an earlier leader was carried out late.
-            return silent.is_empty().then_some(Resolution::Undo { silent });
+            // More than one rank holds a pass: an order of an earlier leader was carried out late,
+            // or that leader had two ranks hold it.
+            let undo = Resolution::Undo { silent: Vec::new(), may_be_released: true };
+            return silent.is_empty().then_some(undo);
         };
         let witness = self.witness(holder);
         let knowledge =
@@ -62,11 +69,14 @@
         if !silent.is_empty() && (!is_known || knowledge == ArmKnowledge::Unknown) {
             return None;
         }
-        let version = self.version_armed_for(step);
+        // A rank that refuses to be armed again cannot switch.
+        let is_finishable = self.unfinishable_step != Some(step);
+        let version = self.version_armed_for(step).filter(|_| is_finishable);
+        let may_be_released = knowledge != ArmKnowledge::NotArmed;
         match (knowledge, version) {
             (ArmKnowledge::Armed, Some(version)) => Some(Resolution::Finish { silent, version }),
             (ArmKnowledge::Armed, None) if !silent.is_empty() => None,
-            _ => Some(Resolution::Undo { silent }),
+            _ => Some(Resolution::Undo { silent, may_be_released }),
         }
     }
 
@@ -84,6 +94,12 @@
         self.statuses().find_map(armed).map(|armed| armed.version)
     }
 
+    /// Returns the map for which a rank is armed at the pass `step`.
+    pub(super) fn version_of_armed(&self, rank: u16, step: u64) -> Option<u64> {
+        let armed = self.status_of(rank)?.armed.filter(|armed| armed.step == step)?;
+        Some(armed.version)
+    }
+
     /// Begins to arm all ranks except `silent` once more, with the fencing number of this leader,
     /// before the pass is released.
     ///
--- a/crates/core/src/map_change/change.rs
+++ b/crates/core/src/map_change/change.rs
@@ -3,7 +3,8 @@
 use super::leader::Leader;
 use super::leader_action::LeaderAction;
 use super::order::{OrderKind, OrderOutcome};
-use super::phase::{Arming, Holding, Orders, Phase, Preparing};
+use super::phase::{Arming, Holding, Orders, OwnRankArming, Phase, Preparing};
+use super::undo::Undo;
 use crate::direct::BootMs;
 use crate::placement::{ExpertMap, MapDelta};
 use std::cmp::Reverse;
@@ -212,9 +213,9 @@
         if self.all_answered(polled_since) {
             let except = [self.own_rank];
             let orders = self.orders_except(&except, epoch, &OrderKind::Arm { version, step });
-            let (own_armed_by, give_up_at) = (None, now.after(ARM_MS));
+            let (own_rank, give_up_at) = (OwnRankArming::Waiting, now.after(ARM_MS));
             self.phase =
-                Phase::Arming(Arming { version, holder, step, own_armed_by, orders, give_up_at });
+                Phase::Arming(Arming { version, holder, step, own_rank, orders, give_up_at });
             self.note("held", version, epoch, None, actions);
         } else if now >= polled_since.after(ALL_ANSWER_MS) {
             self.release_unchanged(epoch, vec![(holder, step)], version, "rank-silent", actions);
@@ -236,37 +237,95 @@
         mut arming: Arming,
         actions: &mut Vec<LeaderAction>,
     ) {
-        let Arming { version, holder, step, own_armed_by, .. } = arming;
-        // A change is not undone once the own rank may be armed, because the agent of the holder
-        // may already report it as armed.
-        let is_late = now >= arming.give_up_at && own_armed_by.is_none();
-        if arming.orders.has_outcome(OrderOutcome::Refused) || is_late {
-            let held = vec![(holder, step)];
-            self.begin_undo(epoch, held, Vec::new(), "not-armed", actions);
-        } else if !arming.orders.all_done() {
-            // An agent that has failed has lost its witness record, so there is no reason to wait
-            // for it.
-            if own_armed_by == Some(holder) && !self.is_responsive(holder, now) {
-                self.arm_own_rank(epoch, &mut arming, self.own_rank);
+        let Arming { version, holder, step, own_rank, .. } = arming;
+        let is_refused = arming.orders.has_outcome(OrderOutcome::Refused);
+        let is_done = arming.orders.all_done();
+        // A change is not undone for lack of time once the own rank may be armed, because the witness
+        // may already report it as armed. A witness that refuses knows that it is not, or has
+        // restarted and has no record.
+        let has_failed = match own_rank {
+            OwnRankArming::Waiting => is_refused || now >= arming.give_up_at,
+            OwnRankArming::Requested => is_refused,
+            OwnRankArming::Fencing => false,
+        };
+        if has_failed {
+            return self.begin_undo(epoch, Undo::unreleased((holder, step)), "not-armed", actions);
+        }
+        match own_rank {
+            OwnRankArming::Fencing => return self.advance_own_fence(epoch, arming, actions),
+            OwnRankArming::Waiting if is_done => self.arm_own_rank(epoch, &mut arming),
+            OwnRankArming::Requested if is_done => {
+                return self.release(version, holder, step, epoch, actions);
             }
-            self.phase = Phase::Arming(arming);
-        } else if own_armed_by.is_some() {
-            let orders = self.orders_to(&[holder], epoch, &OrderKind::Go { step });
-            self.phase = Phase::Releasing { version, holder, orders };
-            self.note("armed", version, epoch, None, actions);
-        } else {
-            self.arm_own_rank(epoch, &mut arming, holder);
-            self.phase = Phase::Arming(arming);
+            OwnRankArming::Requested if self.may_replace_witness(holder, now) => {
+                self.fence_own_rank(epoch, &mut arming);
+            }
+            OwnRankArming::Waiting | OwnRankArming::Requested => {}
         }
+        self.phase = Phase::Arming(arming);
     }
 
-    /// Orders the agent of the rank `delivered_by` to arm the leader's own rank.
-    fn arm_own_rank(&mut self, epoch: u64, arming: &mut Arming, delivered_by: u16) {
+    /// Asks the witness to arm the leader's own rank.
+    fn arm_own_rank(&mut self, epoch: u64, arming: &mut Arming) {
         let (version, step) = (arming.version, arming.step);
         let order = self.order(epoch, OrderKind::Arm { version, step });
         arming.orders = Orders::for_epoch(epoch);
-        arming.orders.add_delivered_by(delivered_by, self.own_rank, self.take_number(), order);
-        arming.own_armed_by = Some(delivered_by);
+        arming.orders.add_delivered_by(arming.holder, self.own_rank, self.take_number(), order);
+        arming.own_rank = OwnRankArming::Requested;
+    }
+
+    /// Returns whether the own rank can be fenced against a witness that has gone silent.
+    ///
+    /// Where ranks do not enforce fencing numbers, an order of the witness that is still in flight
+    /// could arm the rank later, so only the witness can tell.
+    fn may_replace_witness(&self, holder: u16, now: BootMs) -> bool {
+        let is_silent = holder != self.own_rank && !self.is_responsive(holder, now);
+        self.enforces_fences && is_silent
+    }
+
+    /// Orders the own rank to refuse the order of the silent witness.
+    ///
+    /// The leader must not arm the rank in place of the witness. A witness that was only cut off or
+    /// frozen comes back with the record that the rank is not armed, takes over and disarms the
+    /// other ranks, and the pass would begin with two maps.
+    fn fence_own_rank(&mut self, epoch: u64, arming: &mut Arming) {
+        self.fence += FENCE_STEP;
+        arming.orders = self.orders_to(&[self.own_rank], epoch, &OrderKind::FenceUnarmed);
+        arming.own_rank = OwnRankArming::Fencing;
+    }
+
+    /// Waits until the own rank is known to be armed, or not to be and to refuse older orders to arm.
+    fn advance_own_fence(
+        &mut self,
+        epoch: u64,
+        mut arming: Arming,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        let Arming { version, holder, step, .. } = arming;
+        if self.version_of_armed(self.own_rank, step) == Some(version) {
+            self.release(version, holder, step, epoch, actions);
+        } else if arming.orders.all_done() {
+            self.begin_undo(epoch, Undo::unreleased((holder, step)), "witness-silent", actions);
+        } else {
+            if arming.orders.has_outcome(OrderOutcome::Refused) {
+                self.fence_own_rank(epoch, &mut arming);
+            }
+            self.phase = Phase::Arming(arming);
+        }
+    }
+
+    /// Releases the held pass after all ranks have been armed.
+    fn release(
+        &mut self,
+        version: u64,
+        holder: u16,
+        step: u64,
+        epoch: u64,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        let orders = self.orders_to(&[holder], epoch, &OrderKind::Go { step });
+        self.phase = Phase::Releasing { version, holder, orders };
+        self.note("armed", version, epoch, None, actions);
     }
 
     /// Waits until the held pass is released and all ranks have switched.
--- a/crates/core/src/map_change/engine_order.rs
+++ b/crates/core/src/map_change/engine_order.rs
@@ -73,7 +73,7 @@
             OrderKind::Disarm { version } => {
                 EngineOrderKind::Disarm { version: armed.unwrap_or(*version) }
             }
-            OrderKind::Fence { .. } => EngineOrderKind::Fence,
+            OrderKind::Fence { .. } | OrderKind::FenceUnarmed => EngineOrderKind::Fence,
             OrderKind::Hold { step } => EngineOrderKind::Hold { step: *step },
             OrderKind::Go { step } => EngineOrderKind::Go { step: *step },
         };
--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -3,7 +3,7 @@
 use super::change::VERSION_STEP;
 use super::demand::DemandEstimator;
 use super::leader_action::{LeaderAction, LeaderNote};
-use super::leader_ranks::RankEntry;
+use super::leader_ranks::{POLL_ANSWER_MS, RankEntry};
 use super::order::{OrderKind, OrderOutcome, OrderResult, RankOrder};
 use super::order_sends::OrderSends;
 use super::pass_clock::PassClock;
@@ -60,6 +60,10 @@
     pub(super) order_sends: OrderSends,
     /// Until when a rank that has not reported yet may turn out to hold a pass.
     may_be_held_until: BootMs,
+    /// When agents that answer have answered this leader for the first time.
+    pub(super) first_answers_due_at: BootMs,
+    /// The held pass for which a rank refused to be armed once more.
+    pub(super) unfinishable_step: Option<u64>,
     is_deposed: bool,
 }
 
@@ -87,6 +91,8 @@
             enforces_fences: true,
             order_sends: OrderSends::default(),
             may_be_held_until: BootMs(0),
+            first_answers_due_at: BootMs(0),
+            unfinishable_step: None,
             is_deposed: false,
         }
     }
@@ -95,7 +101,11 @@
     /// leader.
     #[must_use]
     pub fn with_possible_hold(self, now: BootMs) -> Self {
-        Self { may_be_held_until: now.after(FIND_HOLD_MS), ..self }
+        Self {
+            may_be_held_until: now.after(FIND_HOLD_MS),
+            first_answers_due_at: now.after(POLL_ANSWER_MS),
+            ..self
+        }
     }
 
     /// Declares that ranks also carry out orders with an outdated fencing number.
@@ -116,9 +126,20 @@
         all.filter(|(_, rank)| *rank != self.own_rank).collect()
     }
 
-    /// Returns the rank whose agent is the witness: only this agent arms the rank of this leader.
+    /// Returns the rank whose agent is to become the witness: only this agent arms the rank of this
+    /// leader.
+    ///
+    /// No agent becomes the witness once ranks are being armed. One that has restarted since would
+    /// record that it has not armed the leader's rank, though it may have done so before.
     #[must_use]
     pub fn witness_rank(&self) -> Option<u16> {
+        let is_unarmed = matches!(self.phase, Phase::Preparing(_) | Phase::Holding(_));
+        self.phase.holder().filter(|_| is_unarmed)
+    }
+
+    /// Returns the rank that holds a pass for the change of this leader, or is about to.
+    #[must_use]
+    pub fn holder(&self) -> Option<u16> {
         let is_change = !matches!(self.phase, Phase::Undoing(_));
         self.phase.holder().filter(|_| is_change)
     }
--- a/crates/core/src/map_change/leader_ranks.rs
+++ b/crates/core/src/map_change/leader_ranks.rs
@@ -10,7 +10,7 @@
 const POLL_ROUND_MS: u64 = 60;
 
 /// Time for the answer to a poll on a busy instance.
-const POLL_ANSWER_MS: u64 = 40;
+pub(super) const POLL_ANSWER_MS: u64 = 40;
 
 /// Age above which a status is not used for decisions.
 const MAX_STATUS_AGE_MS: u64 = 1_000;
--- a/crates/core/src/map_change/order.rs
+++ b/crates/core/src/map_change/order.rs
@@ -79,6 +79,9 @@
         /// Number of the pass.
         step: u64,
     },
+    /// Records the fencing number, so that the rank refuses older orders to arm. Refused if the rank
+    /// is armed.
+    FenceUnarmed,
 }
 
 impl OrderKind {
@@ -95,6 +98,7 @@
             Self::Hold { .. } => "hold",
             Self::Fence { .. } => "fence",
             Self::Go { .. } => "go",
+            Self::FenceUnarmed => "fence-unarmed",
         }
     }
 }
--- a/crates/core/src/map_change/phase.rs
+++ b/crates/core/src/map_change/phase.rs
@@ -57,12 +57,22 @@
     pub(crate) version: u64,
     pub(crate) holder: u16,
     pub(crate) step: u64,
-    /// The rank whose agent arms the leader's own rank, which comes after all others.
-    pub(crate) own_armed_by: Option<u16>,
+    pub(crate) own_rank: OwnRankArming,
     pub(crate) orders: Orders,
     pub(crate) give_up_at: BootMs,
 }
 
+/// How far the leader's own rank is armed, which comes after all others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OwnRankArming {
+    /// The other ranks are being armed.
+    Waiting,
+    /// The witness was asked to arm it.
+    Requested,
+    /// The witness went silent, so the rank is fenced against its order to arm.
+    Fencing,
+}
+
 /// The end of a failed or abandoned change.
 #[derive(Clone, Debug)]
 pub(crate) struct Undoing {
@@ -79,7 +89,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UndoStage {
     /// The ranks that hold a pass receive the new fencing number first, so that no earlier leader
-    /// can release the pass.
+    /// can release the pass. Where ranks do not enforce it, another rank holds the pass as well.
     Fencing,
     /// All ranks are disarmed.
     Disarming,
--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -36,6 +36,12 @@
 const STALL_MS: u64 = 400;
 /// Most time by which a rank may report a new epoch later than others.
 const MAX_EPOCH_LAG_MS: u64 = 300;
+/// Shortest and longest outage of an instance after which its agent goes on with its state.
+const SHORT_OUTAGE_MS: std::ops::Range<u64> = 100..1_000;
+/// Time from the end of such an outage until the next one may begin.
+const BETWEEN_OUTAGES_MS: u64 = 2_000;
+/// Longest time from the end of an outage until an order that was sent meanwhile is carried out.
+const MAX_RETRANSMISSION_MS: u64 = 200;
 /// Interval between two crashes of one rank in the same outage.
 const REPEATED_CRASH_MS: u64 = 150;
 
@@ -65,6 +71,8 @@
 #[derive(Clone, Debug)]
 struct Task {
     leader: usize,
+    /// The rank that the order is for: the agent's own, or the leader's.
+    target: usize,
     number: u64,
     order: RankOrder,
     send_at: BootMs,
@@ -113,6 +121,35 @@
     pub(crate) refused_permille: u32,
     /// Ranks crash and the group is formed again, in each tick of a change.
     pub(crate) rank_crashes_permille: u32,
+    /// The instance of the holder is cut off or freezes for a short time, in each tick in which it
+    /// holds a pass. Its agent then goes on with its state.
+    pub(crate) holder_outages_permille: u32,
+    /// The same for the instance of the leader.
+    pub(crate) leader_outages_permille: u32,
+    /// A poll or its answer is lost.
+    pub(crate) poll_lost_permille: u32,
+}
+
+impl Faults {
+    /// No faults.
+    #[allow(dead_code, reason = "each test program uses a part of the model")]
+    pub(crate) const NONE: Self = Self {
+        late_permille: 0,
+        answer_lost_permille: 0,
+        leader_fails_permille: 0,
+        hold_sender_freezes_permille: 0,
+        leader_freezes_permille: 0,
+        ignores_fences: false,
+        agent_restarts_permille: 0,
+        bystander_freezes_permille: 0,
+        agents_die_permille: 0,
+        leader_and_holder_die_permille: 0,
+        refused_permille: 0,
+        rank_crashes_permille: 0,
+        holder_outages_permille: 0,
+        leader_outages_permille: 0,
+        poll_lost_permille: 0,
+    };
 }
 
 /// An outage of the group because a rank crashed.
@@ -156,14 +193,18 @@
     faults: Faults,
     leaders: Vec<Option<Leader>>,
     leader_ranks: Vec<u16>,
-    /// The first fencing number of each leader. Its later ones differ from it in the lower digits
-    /// only.
-    leader_fences: Vec<u64>,
     frozen_until: Vec<BootMs>,
     /// Whether each leader had a pass held in the previous tick. All ranks are polled when a hold
     /// begins.
     was_held: Vec<bool>,
     machines_frozen_until: Vec<BootMs>,
+    /// Until when an instance is cut off from the others. Its agent reaches its own rank, and the
+    /// rank runs passes.
+    machines_cut_until: Vec<BootMs>,
+    /// When the next short outage may begin.
+    next_outage_at: BootMs,
+    /// Orders that agents on frozen instances have not read yet.
+    unread: Vec<Vec<Task>>,
     /// Until when a crashed agent is down. Its rank can be ordered over the network meanwhile.
     agents_dead_until: Vec<BootMs>,
     /// Statuses that ranks published in recent ticks, newest last.
@@ -204,10 +245,12 @@
             faults,
             leaders: Vec::new(),
             leader_ranks: Vec::new(),
-            leader_fences: Vec::new(),
             frozen_until: Vec::new(),
             was_held: Vec::new(),
             machines_frozen_until: vec![BootMs(0); count],
+            machines_cut_until: vec![BootMs(0); count],
+            next_outage_at: BootMs(0),
+            unread: vec![Vec::new(); count],
             agents_dead_until: vec![BootMs(0); count],
             published: vec![VecDeque::new(); count],
             watches: vec![None; count],
@@ -238,7 +281,6 @@
 
     fn add_leader(&mut self, rank: u16, leader: Leader) {
         let leader = if self.faults.ignores_fences { leader.without_fences() } else { leader };
-        self.leader_fences.push(leader.fence());
         self.leaders.push(Some(leader));
         self.leader_ranks.push(rank);
         self.frozen_until.push(BootMs(0));
@@ -249,12 +291,19 @@
         self.machines_frozen_until[rank] > self.now
     }
 
-    /// Returns whether the leader with `fence` runs on the agent of `rank`.
-    fn leads(&self, rank: usize, fence: u64) -> bool {
-        let ranks = self.leader_ranks.iter().zip(&self.leader_fences);
-        ranks
-            .into_iter()
-            .any(|(leads, first)| usize::from(*leads) == rank && fence >> 20 == first >> 20)
+    /// Returns until when nothing passes between two instances, if they are cut off from each other.
+    fn cut_until(&self, from: usize, to: usize) -> Option<BootMs> {
+        let until = self.machines_cut_until[from].max(self.machines_cut_until[to]);
+        (from != to && until > self.now).then_some(until)
+    }
+
+    fn loses_poll(&mut self) -> bool {
+        let permille = self.faults.poll_lost_permille;
+        permille > 0 && self.chance(permille)
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        self.cut_until(from, to).is_some()
     }
 
     /// Returns whether an agent watches the most recent leader and will take over from it.
@@ -420,7 +469,7 @@
                 let named = named.unwrap_or(*version);
                 rank_state.armed = rank_state.armed.filter(|armed| armed.version != named);
             }
-            OrderKind::Fence { .. } => {}
+            OrderKind::Fence { .. } | OrderKind::FenceUnarmed => {}
             OrderKind::HoldAhead { .. } | OrderKind::PrepareChange { .. } => {
                 return OrderOutcome::Refused;
             }
@@ -452,7 +501,7 @@
             OrderKind::Arm { version, step } => {
                 rank_state.armed == Some(Armed { version: *version, step: *step })
             }
-            OrderKind::Disarm { .. } => rank_state.armed.is_none(),
+            OrderKind::Disarm { .. } | OrderKind::FenceUnarmed => rank_state.armed.is_none(),
             OrderKind::PrepareChange { .. } => false,
             OrderKind::HoldAhead { .. } => rank_state.held_step.is_some(),
             OrderKind::Hold { step } | OrderKind::Fence { step } => {
@@ -476,24 +525,32 @@
 
     /// Lets agents send their orders until the state of the rank reflects them.
     fn run_agents(&mut self) {
-        for rank in 0..self.ranks.len() {
-            for task in std::mem::take(&mut self.tasks[rank]) {
-                if task.send_at > self.now || self.is_frozen(rank) {
-                    self.tasks[rank].push(task);
+        for agent in 0..self.ranks.len() {
+            if self.is_frozen(agent) {
+                continue;
+            }
+            for order in std::mem::take(&mut self.unread[agent]) {
+                if let Some(end) = self.receive(agent, &order) {
+                    self.reply(agent, &order, end);
+                }
+            }
+            for task in std::mem::take(&mut self.tasks[agent]) {
+                if task.send_at > self.now {
+                    self.tasks[agent].push(task);
                     continue;
                 }
-                if task.order.fence < self.agents_fence[rank] {
-                    self.finish_task(rank, &task, OrderOutcome::Fenced);
+                if task.order.fence < self.agents_fence[agent] {
+                    self.finish_task(agent, &task, OrderOutcome::Fenced);
                     continue;
                 }
-                match self.deliver(rank, rank, &task.order) {
+                match self.deliver(agent, task.target, &task.order) {
                     Some(end) => {
-                        self.finish_task(rank, &task, end);
-                        self.maybe_freeze_hold_sender(rank, &task.order);
+                        self.finish_task(agent, &task, end);
+                        self.maybe_freeze_hold_sender(agent, &task.order);
                     }
                     None => {
                         let send_at = self.now.after(RESEND_MS);
-                        self.tasks[rank].push(Task { send_at, sends: task.sends + 1, ..task });
+                        self.tasks[agent].push(Task { send_at, sends: task.sends + 1, ..task });
                     }
                 }
             }
@@ -518,6 +575,10 @@
         order: &RankOrder,
     ) -> Option<OrderOutcome> {
         let mut order = order.clone();
+        if let Some(until) = self.silent_until(delivered_by, rank) {
+            self.retransmit(until, rank, &order);
+            return None;
+        }
         if let OrderKind::Fence { step } = order.kind
             && delivered_by != rank
         {
@@ -533,7 +594,10 @@
         let named = self.armed_version(rank).filter(|_| delivered_by == rank);
         let shows_fence = matches!(
             order.kind,
-            OrderKind::Disarm { .. } | OrderKind::Hold { .. } | OrderKind::Fence { .. }
+            OrderKind::Disarm { .. }
+                | OrderKind::Hold { .. }
+                | OrderKind::Fence { .. }
+                | OrderKind::FenceUnarmed
         );
         if self.reflects(rank, order) && !shows_fence {
             return Some(OrderOutcome::Done);
@@ -562,14 +626,36 @@
         }
     }
 
-    fn finish_task(&mut self, rank: usize, task: &Task, end: OrderOutcome) {
-        self.ended[rank].insert((task.leader, task.number), end);
+    /// Returns until when a rank takes no orders from an agent.
+    fn silent_until(&self, agent: usize, rank: usize) -> Option<BootMs> {
+        let frozen_until = Some(self.machines_frozen_until[rank]).filter(|_| self.is_frozen(rank));
+        self.cut_until(agent, rank).max(frozen_until)
+    }
+
+    /// Lets an order that was sent during an outage be lost, or arrive after it.
+    fn retransmit(&mut self, outage_until: BootMs, rank: usize, order: &RankOrder) {
+        let is_complete =
+            !matches!(order.kind, OrderKind::HoldAhead { .. } | OrderKind::PrepareChange { .. });
+        if is_complete && self.rng.random::<bool>() {
+            let at = outage_until.after(self.rng.random_range(0..MAX_RETRANSMISSION_MS));
+            self.late.push(LateOrder { at, rank, order: order.clone(), armed: None });
+        }
+    }
+
+    fn finish_task(&mut self, agent: usize, task: &Task, end: OrderOutcome) {
+        let end = self.note_arming(agent, task, end);
+        self.ended[agent].insert((task.leader, task.number), end);
+        self.reply(agent, task, end);
+    }
+
+    /// Sends the outcome of an order to its leader.
+    fn reply(&mut self, agent: usize, task: &Task, end: OrderOutcome) {
+        if self.is_cut(agent, usize::from(self.leader_ranks[task.leader])) {
+            return;
+        }
         if let Some(leader) = &mut self.leaders[task.leader] {
-            leader.on_order_result(
-                rank as u16,
-                task.number,
-                OrderResult { end, sends: task.sends },
-            );
+            let result = OrderResult { end, sends: task.sends };
+            leader.on_order_result(task.target as u16, task.number, result);
         }
     }
 
@@ -593,8 +679,11 @@
             let Some(mut leader) = self.leaders[index].take() else { continue };
             let is_held = leader.is_held();
             if polls || (is_held && !self.was_held[index]) {
-                let awake = (0..self.ranks.len()).filter(|rank| !self.is_unreachable(*rank));
-                for rank in awake.collect::<Vec<_>>() {
+                for rank in 0..self.ranks.len() {
+                    let is_reached = !self.is_unreachable(rank) && !self.is_cut(own_rank, rank);
+                    if !is_reached || rank != own_rank && self.loses_poll() {
+                        continue;
+                    }
                     self.agents_fence[rank] = self.agents_fence[rank].max(leader.fence());
                     leader.on_status(self.now, self.status(rank), &DIMENSIONS);
                 }
@@ -605,21 +694,34 @@
                     continue;
                 };
                 let (rank, delivered_by) = (usize::from(rank), usize::from(delivered_by));
-                if relayed_by.is_some_and(|relayed_by| self.is_unreachable(usize::from(relayed_by)))
+                let relay_fails = |relay: u16| {
+                    let relay = usize::from(relay);
+                    self.is_unreachable(relay)
+                        || self.is_cut(own_rank, relay)
+                        || self.is_cut(relay, rank)
+                };
+                if relayed_by.is_some_and(relay_fails) {
+                    // The order is lost with the relaying agent.
+                } else if delivered_by == own_rank && rank != own_rank
+                    || delivered_by == rank && self.is_ordered_remotely(rank, &leader)
                 {
-                    // The failed agent relays nothing.
-                } else if delivered_by == rank && self.is_ordered_remotely(rank, &leader) {
                     self.order_remotely(own_rank, rank, number, &order, &mut leader);
-                } else if delivered_by == rank {
-                    self.take_order(index, rank, number, order, &mut leader);
                 } else {
-                    self.order_remotely(delivered_by, rank, number, &order, &mut leader);
+                    let task = Task {
+                        leader: index,
+                        target: rank,
+                        number,
+                        order,
+                        send_at: self.now,
+                        sends: 1,
+                    };
+                    self.give(delivered_by, task, &mut leader);
                 }
             }
             self.was_held[index] = is_held;
             self.watch(index, &mut leader);
             if is_held && self.now.0.is_multiple_of(POLL_MS) {
-                self.read_remotely(&mut leader);
+                self.read_remotely(own_rank, &mut leader);
             }
             self.inject_change_faults(own_rank, &leader);
             self.inject_group_faults(own_rank, &leader);
@@ -645,7 +747,11 @@
         }
         for (position, rank) in &watchers {
             let watcher = usize::from(*rank);
-            if self.is_unreachable(watcher) || fence < self.agents_fence[watcher] {
+            let own = usize::from(self.leader_ranks[index]);
+            if self.is_unreachable(watcher)
+                || self.is_cut(own, watcher)
+                || fence < self.agents_fence[watcher]
+            {
                 continue;
             }
             self.agents_fence[watcher] = fence;
@@ -657,10 +763,31 @@
             leader.on_status(self.now, self.status(watcher), &DIMENSIONS);
         }
         let own = self.leader_ranks[index];
-        let holds_elsewhere = witness_rank.is_some_and(|rank| rank != own) && leader.is_held();
+        let holds_elsewhere = leader.holder().is_some_and(|rank| rank != own) && leader.is_held();
         if holds_elsewhere && self.chance(self.faults.leader_freezes_permille) {
             self.freeze(usize::from(own));
         }
+        if let Some(holder) = leader.holder().filter(|_| holds_elsewhere) {
+            self.inject_short_outages(usize::from(own), usize::from(holder));
+        }
+    }
+
+    /// Cuts off or freezes the instances of the leader and of the rank that holds a pass for it.
+    fn inject_short_outages(&mut self, own: usize, holder: usize) {
+        let Faults { holder_outages_permille, leader_outages_permille, .. } = self.faults;
+        for (machine, permille) in
+            [(holder, holder_outages_permille), (own, leader_outages_permille)]
+        {
+            if permille > 0 && self.now >= self.next_outage_at && self.chance(permille) {
+                let until = self.now.after(self.rng.random_range(SHORT_OUTAGE_MS));
+                self.next_outage_at = until.after(BETWEEN_OUTAGES_MS);
+                if self.rng.random::<bool>() {
+                    self.machines_cut_until[machine] = until;
+                } else {
+                    self.machines_frozen_until[machine] = until;
+                }
+            }
+        }
     }
 
     /// Injects faults while `leader`, on the agent of the rank `own`, makes a change.
@@ -668,7 +795,7 @@
     /// Faults with zero probability draw no random number, which keeps runs with other faults
     /// reproducible from their seeds.
     fn inject_change_faults(&mut self, own: usize, leader: &Leader) {
-        let Some(holder) = leader.witness_rank().map(usize::from) else { return };
+        let Some(holder) = leader.holder().map(usize::from) else { return };
         if holder == own {
             return;
         }
@@ -771,6 +898,7 @@
         self.witnesses[rank] = None;
         self.watches[rank] = None;
         self.tasks[rank].clear();
+        self.unread[rank].clear();
         self.ended[rank].clear();
     }
 
@@ -782,10 +910,10 @@
     }
 
     /// Lets a leader read ranks with silent agents over the network. Their statuses are old.
-    fn read_remotely(&mut self, leader: &mut Leader) {
+    fn read_remotely(&mut self, own: usize, leader: &mut Leader) {
         for rank in leader.silent_ranks(self.now, leader.max_silence_ms()) {
             let index = usize::from(rank);
-            if self.is_frozen(index) {
+            if self.is_frozen(index) || self.is_cut(own, index) {
                 continue;
             }
             let Some(published) = self.published[index].front().cloned() else { continue };
@@ -825,45 +953,23 @@
         self.machines_frozen_until[machine] = self.now.after(freeze_ms);
     }
 
-    /// Sends an order over the network, from the agent of the rank `delivered_by` to a rank on
+    /// Sends an order over the network, from a leader on the agent of the rank `own` to a rank on
     /// another instance.
     fn order_remotely(
         &mut self,
-        delivered_by: usize,
+        own: usize,
         rank: usize,
         number: u64,
         order: &RankOrder,
         leader: &mut Leader,
     ) {
-        if self.is_unreachable(delivered_by) {
-            return;
-        }
-        if order.fence < self.agents_fence[delivered_by] {
+        if order.fence < self.agents_fence[own] {
             leader.on_order_outcome(rank as u16, number, OrderOutcome::Fenced);
             return;
         }
-        let pending_witness = match order.kind {
-            // The leader itself arms ranks whose agents are down.
-            _ if self.leads(delivered_by, order.fence) => None,
-            OrderKind::Arm { step, .. } => Some(Witness {
-                fence: order.fence,
-                rank: rank as u16,
-                ordered: Some(ArmAttempt { step, is_armed: true }),
-            }),
-            _ => None,
-        };
-        if pending_witness.is_some() && self.witnesses[delivered_by] != pending_witness {
-            self.witnesses[delivered_by] = pending_witness.map(without_confirmation);
-        }
-        if self.is_frozen(rank) {
-            return;
-        }
-        if let Some(end) = self.deliver(delivered_by, rank, order) {
+        if let Some(end) = self.deliver(own, rank, order) {
             leader.on_order_outcome(rank as u16, number, end);
-            self.maybe_freeze_hold_sender(delivered_by, order);
-            if pending_witness.is_some() && end == OrderOutcome::Done {
-                self.witnesses[delivered_by] = pending_witness;
-            }
+            self.maybe_freeze_hold_sender(own, order);
         }
     }
 
@@ -875,33 +981,94 @@
         }
     }
 
-    fn take_order(
-        &mut self,
-        index: usize,
-        rank: usize,
-        number: u64,
-        order: RankOrder,
-        leader: &mut Leader,
-    ) {
-        if order.fence < self.agents_fence[rank] {
-            leader.on_order_outcome(rank as u16, number, OrderOutcome::Fenced);
+    /// Sends an order of `leader` to the agent that delivers it.
+    fn give(&mut self, agent: usize, task: Task, leader: &mut Leader) {
+        let own = usize::from(self.leader_ranks[task.leader]);
+        let is_arming_leader = task.target != agent;
+        if is_arming_leader {
+            self.inject_short_outages(own, agent);
+        }
+        if self.is_cut(own, agent) {
             return;
         }
-        self.agents_fence[rank] = order.fence;
-        if let Some(end) = self.ended[rank].get(&(index, number)) {
-            leader.on_order_outcome(rank as u16, number, *end);
+        if self.is_frozen(agent) {
+            self.unread[agent].push(task);
             return;
         }
-        let is_known = |task: &Task| task.leader == index && task.number == number;
-        if !self.tasks[rank].iter().any(is_known) {
-            let Ok(kind) = self.known_maps[rank].resolve(&order.kind) else {
-                leader.on_order_outcome(rank as u16, number, OrderOutcome::LacksMap);
-                return;
-            };
-            let order = RankOrder { kind, ..order };
-            let task = Task { leader: index, number, order, send_at: self.now, sends: 1 };
-            self.tasks[rank].push(task);
+        let end = self.receive(agent, &task);
+        if is_arming_leader {
+            self.inject_short_outages(own, agent);
+        }
+        if let Some(end) = end.filter(|_| !self.is_cut(own, agent)) {
+            leader.on_order_outcome(task.target as u16, task.number, end);
+        }
+    }
+
+    /// Lets an agent begin to carry out an order. Returns the outcome if it is known already.
+    fn receive(&mut self, agent: usize, task: &Task) -> Option<OrderOutcome> {
+        let Task { leader, target, number, ref order, .. } = *task;
+        if order.fence < self.agents_fence[agent] {
+            return Some(OrderOutcome::Fenced);
+        }
+        self.agents_fence[agent] = order.fence;
+        if let Some(end) = self.ended[agent].get(&(leader, number)) {
+            return Some(*end);
+        }
+        let is_known = |task: &Task| task.leader == leader && task.number == number;
+        if self.tasks[agent].iter().any(is_known) {
+            return None;
+        }
+        let Ok(kind) = self.known_maps[agent].resolve(&order.kind) else {
+            return Some(OrderOutcome::LacksMap);
+        };
+        if target != agent && !self.begin_arming(agent, order) {
+            return Some(OrderOutcome::Refused);
         }
+        let order = RankOrder { kind, ..order.clone() };
+        let task = Task { order, send_at: self.now, ..task.clone() };
+        if target == agent {
+            self.tasks[agent].push(task);
+            return None;
+        }
+        self.arm_leader_rank(agent, task)
+    }
+
+    /// Lets an agent send an order to arm to the leader's rank. Returns the outcome if it is answered
+    /// at once.
+    fn arm_leader_rank(&mut self, agent: usize, task: Task) -> Option<OrderOutcome> {
+        let Some(end) = self.deliver(agent, task.target, &task.order) else {
+            self.tasks[agent].push(Task { send_at: self.now.after(RESEND_MS), ..task });
+            return None;
+        };
+        let end = self.note_arming(agent, &task, end);
+        self.ended[agent].insert((task.leader, task.number), end);
+        Some(end)
+    }
+
+    /// Records that an agent orders the leader's rank to arm. Returns false if it is not the witness.
+    fn begin_arming(&mut self, agent: usize, order: &RankOrder) -> bool {
+        let OrderKind::Arm { step, .. } = order.kind else { return false };
+        let Some(witness) = self.witnesses[agent].filter(|witness| witness.fence == order.fence)
+        else {
+            return false;
+        };
+        let ordered = Some(ArmAttempt { step, is_armed: false });
+        self.witnesses[agent] = Some(Witness { ordered, ..witness });
+        true
+    }
+
+    /// Records that the leader's rank has confirmed to be armed, unless a newer leader has been heard.
+    fn note_arming(&mut self, agent: usize, task: &Task, end: OrderOutcome) -> OrderOutcome {
+        if task.target == agent || end != OrderOutcome::Done {
+            return end;
+        }
+        if task.order.fence < self.agents_fence[agent] {
+            return OrderOutcome::Fenced;
+        }
+        if let Some(ordered) = self.witnesses[agent].as_mut().and_then(|it| it.ordered.as_mut()) {
+            ordered.is_armed = true;
+        }
+        end
     }
 
     /// Returns the epoch that a rank reports. Some ranks learn later than others that the group was
@@ -939,12 +1106,6 @@
     }
 }
 
-/// Returns a witness record whose order to arm has not been confirmed.
-fn without_confirmation(witness: Witness) -> Witness {
-    let ordered = witness.ordered.map(|ordered| ArmAttempt { is_armed: false, ..ordered });
-    Witness { ordered, ..witness }
-}
-
 /// Returns the state of a rank in a newly formed group, with its share of the experts by the map 0.
 fn formed_rank(rank: u16, epoch: u64) -> Rank {
     let own: Vec<u16> = (0..DIMENSIONS.experts_per_layer).filter(|e| e % RANKS == rank).collect();
--- /dev/null
+++ b/crates/core/tests/map_outages.rs
@@ -0,0 +1,128 @@
+//! Tests of short outages during a change of the map: an instance is cut off or freezes for less than
+//! a second, and its agent goes on with its state.
+
+mod map_change_support;
+
+use googletest::prelude::*;
+use map_change_support::{Faults, World};
+
+/// Virtual duration of one run.
+const RUN_MS: u64 = 40_000;
+
+/// Longest stall while no order is lost but by an outage, which lasts for 1 s at most: a pass is
+/// released within 0.3 s of the moment from which an agent can reach the holder.
+const MAX_STALL_MS: u64 = 1_300;
+
+/// Longest stall while a third or more of all orders are delayed, with 0.5 s in place of 0.3 s.
+const MAX_STALL_LATE_ORDERS_MS: u64 = 1_500;
+
+/// Longest stall while agents crash as well: where ranks ignore fencing numbers, only the agent of the
+/// holder knows how to end the change, and it starts again after 0.5 s.
+const MAX_STALL_AGENTS_DIE_MS: u64 = 1_800;
+
+/// Outages of both the holder and the leader; many polls are lost, so that a new leader has heard of
+/// only some of the ranks when it decides.
+const OUTAGES: Faults = Faults {
+    holder_outages_permille: 100,
+    leader_outages_permille: 100,
+    poll_lost_permille: 200,
+    ..Faults::NONE
+};
+
+const OUTAGES_WITHOUT_FENCES: Faults = Faults { ignores_fences: true, ..OUTAGES };
+
+struct Case {
+    name: &'static str,
+    faults: Faults,
+    seeds: std::ops::Range<u64>,
+    longest_stall_ms: u64,
+}
+
+/// Runs the model, which asserts that all ranks use one map in every pass.
+fn run(cases: &[Case]) {
+    for case in cases {
+        for seed in case.seeds.clone() {
+            let mut world = World::new(seed, case.faults);
+            world.run(RUN_MS);
+            expect_that!(world.switches, ge(1), "{} seed {seed}", case.name);
+            expect_that!(
+                world.longest_stall_ms,
+                le(case.longest_stall_ms),
+                "{} seed {seed}: the group stalled",
+                case.name
+            );
+        }
+    }
+}
+
+/// Guards against a pass with two maps after the leader took a silent witness for one that has lost
+/// its record, and the witness came back with it.
+#[gtest]
+fn a_silent_witness_keeps_its_record() {
+    run(&[
+        Case {
+            name: "the instance of the holder is away",
+            faults: Faults { leader_outages_permille: 0, ..OUTAGES },
+            seeds: 0..100,
+            longest_stall_ms: MAX_STALL_MS,
+        },
+        Case {
+            name: "the instance of the leader is away",
+            faults: Faults { holder_outages_permille: 0, ..OUTAGES },
+            seeds: 0..100,
+            longest_stall_ms: MAX_STALL_MS,
+        },
+        Case {
+            name: "either is away",
+            faults: OUTAGES,
+            seeds: 0..100,
+            longest_stall_ms: MAX_STALL_MS,
+        },
+        Case {
+            name: "either is away, and orders are delayed",
+            faults: Faults { late_permille: 350, ..OUTAGES },
+            seeds: 0..100,
+            longest_stall_ms: MAX_STALL_LATE_ORDERS_MS,
+        },
+        Case {
+            name: "either is away, and agents crash",
+            faults: Faults {
+                agents_die_permille: 60,
+                leader_and_holder_die_permille: 20,
+                ..OUTAGES
+            },
+            seeds: 0..60,
+            longest_stall_ms: MAX_STALL_AGENTS_DIE_MS,
+        },
+    ]);
+}
+
+/// Guards against a pass with two maps where ranks carry out the order of a replaced leader: to release
+/// the pass in the middle of an undo, or to arm a rank after it.
+#[gtest]
+fn an_order_of_a_replaced_leader_does_no_harm_where_ranks_ignore_fences() {
+    run(&[
+        Case {
+            name: "either is away",
+            faults: OUTAGES_WITHOUT_FENCES,
+            seeds: 0..100,
+            longest_stall_ms: MAX_STALL_MS,
+        },
+        Case {
+            name: "either is away, and orders are delayed",
+            faults: Faults { late_permille: 350, ..OUTAGES_WITHOUT_FENCES },
+            seeds: 0..100,
+            longest_stall_ms: MAX_STALL_LATE_ORDERS_MS,
+        },
+        Case {
+            name: "either is away, and agents crash",
+            faults: Faults {
+                agents_die_permille: 60,
+                leader_and_holder_die_permille: 20,
+                ..OUTAGES_WITHOUT_FENCES
+            },
+            seeds: 120..200,
+            longest_stall_ms: MAX_STALL_AGENTS_DIE_MS,
+        },
+    ]);
+}
--- a/crates/direct/src/agent/execute.rs
+++ b/crates/direct/src/agent/execute.rs
@@ -78,27 +78,24 @@
             log_outcome(log, order, send, "lacks-map");
             return Some(OrderResult { end: OrderOutcome::LacksMap, sends });
         };
-        let answer = first_answer(client, &engine_order, resends, &mut sends).await;
+        let answer = first_answer(client, &engine_order, resends, is_current, &mut sends).await;
         let result = |end| Some(OrderResult { end, sends });
         match answer {
+            Err(SendError::OtherLeader) => {
+                log_outcome(log, order, send, "other-leader");
+                return result(OrderOutcome::Fenced);
+            }
             // Copying the experts takes time. The leader sees in later statuses when it is done.
             Ok(OrderReply::Accepted) if completes_later(&order.kind) && !is_void => {
                 log_outcome(log, order, send, "done");
                 return result(OrderOutcome::Done);
             }
-            Ok(OrderReply::Accepted) if matches!(order.kind, OrderKind::Fence { .. }) => {
-                let end = if is_held(client, order).await {
-                    OrderOutcome::Done
-                } else {
-                    OrderOutcome::Refused
-                };
-                log_outcome(
-                    log,
-                    order,
-                    send,
-                    if end == OrderOutcome::Done { "done" } else { "refused" },
-                );
-                return result(end);
+            Ok(OrderReply::Accepted) if is_fence(&order.kind) => {
+                // Without a report it is unknown what the fence has found.
+                let Some(report) = read_report(client).await else { continue };
+                let is_done = has_effect(&report, order);
+                log_outcome(log, order, send, if is_done { "done" } else { "refused" });
+                return result(if is_done { OrderOutcome::Done } else { OrderOutcome::Refused });
             }
             Ok(OrderReply::Accepted) => {
                 if takes_effect(client, order, effect_poll_ms).await {
@@ -127,7 +124,7 @@
                 );
                 return result(end);
             }
-            Err(error) => log_resend(log, order, send, &error),
+            Err(SendError::Rank(error)) => log_resend(log, order, send, &error),
         }
     }
     None
@@ -162,9 +159,13 @@
             log_outcome(log, order, send, "lacks-map");
             return Some(OrderResult { end: OrderOutcome::LacksMap, sends });
         };
-        let answer = first_answer(target, &engine_order, resends, &mut sends).await;
+        let answer = first_answer(target, &engine_order, resends, is_current, &mut sends).await;
         let result = |end| Some(OrderResult { end, sends });
         match answer {
+            Err(SendError::OtherLeader) => {
+                log_outcome(log, order, send, "other-leader");
+                return result(OrderOutcome::Fenced);
+            }
             Ok(OrderReply::Accepted) => {
                 log_outcome(log, order, send, "done");
                 return result(OrderOutcome::Done);
@@ -184,7 +185,7 @@
                 log_outcome(log, order, send, "refused");
                 return result(OrderOutcome::Refused);
             }
-            Err(error) => log_resend(log, order, send, &error),
+            Err(SendError::Rank(error)) => log_resend(log, order, send, &error),
         }
     }
     None
@@ -240,33 +241,51 @@
     max_in_flight: u32,
 }
 
+/// Reason why an order got no answer.
+enum SendError {
+    /// Another leader has taken over, and the order must not be sent any more.
+    OtherLeader,
+    /// No send was answered.
+    Rank(RankError),
+}
+
 /// Sends an order repeatedly until the first answer to any of the sends arrives.
 ///
 /// Earlier sends are not cancelled: the link of a small instance may be saturated for tens of
 /// milliseconds, and their answers are then late but not lost. If they were cancelled each time, no
 /// answer might ever arrive, and the group stalls meanwhile.
+///
+/// Each send is preceded by the question whether the leader still leads. Another agent, or this one,
+/// may take over at any moment, and ranks that do not enforce fencing numbers would carry out an
+/// order to release a pass in the middle of an undo.
 async fn first_answer(
     target: &dyn RankClient,
     order: &EngineOrder,
     resends: ResendPolicy,
+    is_current: &dyn Fn() -> bool,
     sends: &mut u32,
-) -> Result<OrderReply, RankError> {
+) -> Result<OrderReply, SendError> {
     let mut sends_in_flight = FuturesUnordered::new();
-    sends_in_flight.push(target.order(order));
-    *sends += 1;
-    let mut send_count = 1;
+    let mut send_count = 0;
     loop {
+        if send_count < resends.max_in_flight {
+            if !is_current() {
+                return Err(SendError::OtherLeader);
+            }
+            sends_in_flight.push(target.order(order));
+            *sends += 1;
+            send_count += 1;
+        }
         let resend_timer = tokio::time::sleep(Duration::from_millis(resends.pause_ms));
-        tokio::select! {
-            Some(answer) = sends_in_flight.next() => match answer {
-                Err(error) if sends_in_flight.is_empty() => return Err(error),
-                Err(_) => {}
-                answered => return answered,
-            },
-            () = resend_timer, if send_count < resends.max_in_flight => {
-                sends_in_flight.push(target.order(order));
-                *sends += 1;
-                send_count += 1;
+        tokio::pin!(resend_timer);
+        loop {
+            tokio::select! {
+                Some(answer) = sends_in_flight.next() => match answer {
+                    Err(error) if sends_in_flight.is_empty() => return Err(SendError::Rank(error)),
+                    Err(_) => {}
+                    Ok(reply) => return Ok(reply),
+                },
+                () = &mut resend_timer, if send_count < resends.max_in_flight => break,
             }
         }
     }
@@ -315,14 +334,19 @@
     }
 }
 
-/// Returns whether a rank that has accepted a `Fence` order still holds the pass.
-async fn is_held(client: &dyn RankClient, order: &RankOrder) -> bool {
+/// Returns whether an order records the fencing number and asks for the state of the rank.
+const fn is_fence(kind: &OrderKind) -> bool {
+    matches!(kind, OrderKind::Fence { .. } | OrderKind::FenceUnarmed)
+}
+
+/// Reads a rank's report, with several attempts.
+async fn read_report(client: &dyn RankClient) -> Option<RankReport> {
     for _ in 0..MAX_EFFECT_POLLS {
         if let Ok(report) = client.report().await {
-            return has_effect(&report, order);
+            return Some(report);
         }
     }
-    false
+    None
 }
 
 /// Returns whether an order need not be sent because the rank is already in the requested state.
@@ -334,7 +358,8 @@
         OrderKind::Disarm { .. }
         | OrderKind::HoldAhead { .. }
         | OrderKind::Hold { .. }
-        | OrderKind::Fence { .. } => false,
+        | OrderKind::Fence { .. }
+        | OrderKind::FenceUnarmed => false,
         OrderKind::Prepare { .. }
         | OrderKind::PrepareChange { .. }
         | OrderKind::Void { .. }
@@ -365,7 +390,7 @@
         OrderKind::Arm { version, step } => {
             report.armed.is_some_and(|armed| armed.version == *version && armed.step == *step)
         }
-        OrderKind::Disarm { .. } => report.armed.is_none(),
+        OrderKind::Disarm { .. } | OrderKind::FenceUnarmed => report.armed.is_none(),
         OrderKind::HoldAhead { .. } => report.held_step.is_some(),
         OrderKind::Hold { step } | OrderKind::Fence { step } => report.held_step == Some(*step),
         OrderKind::Go { step } => report.held_step != Some(*step),
--- a/crates/direct/src/agent/handle_order.rs
+++ b/crates/direct/src/agent/handle_order.rs
@@ -83,7 +83,7 @@
 }
 
 /// Stores the state of an order and drops the oldest ones.
-fn remember(member: &Member, key: (u64, u64), result: Option<OrderResult>) {
+pub(super) fn remember(member: &Member, key: (u64, u64), result: Option<OrderResult>) {
     let mut orders = member.orders.borrow_mut();
     orders.insert(key, result);
     while orders.len() > MAX_KEPT_RESULTS {
--- a/crates/direct/src/agent/receive.rs
+++ b/crates/direct/src/agent/receive.rs
@@ -70,7 +70,9 @@
         Datagram::Status(status) => handle_status(&member, from, status),
         Datagram::Order { number, order } => handle_order(&member, from, number, order).await,
         Datagram::Relay { number, order, targets } => {
-            relay::forward(&member, from, &order, &targets).await;
+            if order.fence >= member.highest_fence.get() {
+                relay::forward(&member, from, &order, &targets).await;
+            }
             handle_order(&member, from, number, order).await;
         }
         Datagram::Relayed { leader, number, order } => {
--- a/crates/direct/src/agent/remote_orders.rs
+++ b/crates/direct/src/agent/remote_orders.rs
@@ -7,6 +7,7 @@
 
 use super::datagram::Datagram;
 use super::execute::{REMOTE_EFFECT_POLL_MS, execute, execute_remotely};
+use super::handle_order::remember;
 use super::member::Member;
 use super::rank::RankClient;
 use crate::decision_log::DecisionLog;
@@ -29,7 +30,7 @@
     let is_current = is_current(member, &order);
     let own = Rc::clone(&member.rank_client);
     spawn_order(member, rank, number, async move {
-        if concerns_prepared_map(&order.kind) {
+        if is_decided_by_report(&order.kind) {
             execute(&*client, &order, REMOTE_EFFECT_POLL_MS, &is_current, &log).await
         } else {
             execute_remotely(&*own, &*client, &order, &is_current, &log).await
@@ -53,12 +54,15 @@
     }
 }
 
-/// Returns whether an order concerns the map that a rank has prepared, so that its outcome has to
-/// be read from the rank's own report.
-const fn concerns_prepared_map(kind: &OrderKind) -> bool {
+/// Returns whether the outcome of an order has to be read from the rank's own report: it concerns the
+/// map that the rank has prepared, or asks for its state.
+const fn is_decided_by_report(kind: &OrderKind) -> bool {
     matches!(
         kind,
-        OrderKind::Prepare { .. } | OrderKind::PrepareChange { .. } | OrderKind::Void { .. }
+        OrderKind::Prepare { .. }
+            | OrderKind::PrepareChange { .. }
+            | OrderKind::Void { .. }
+            | OrderKind::FenceUnarmed
     )
 }
 
@@ -79,9 +83,11 @@
     });
 }
 
-/// Arms the rank of the leader at `from` and sends the result to the leader.
+/// Arms the rank of the leader at `from`, for which this agent is the witness, and sends the result to
+/// the leader.
 ///
-/// The attempt is recorded before the order is sent, because the rank may be armed from then on.
+/// An agent without a record for this leader refuses: it has restarted, and does not know whether it
+/// armed that rank before.
 pub(crate) async fn arm_leader_rank(
     member: &Rc<Member>,
     from: SocketAddr,
@@ -89,26 +95,61 @@
     number: u64,
     order: RankOrder,
 ) {
-    let Some(target) = client_on_instance(member, from) else { return };
-    let OrderKind::Arm { step, .. } = order.kind else { return };
     let fence = order.fence;
-    let armed = Witness { fence, rank, ordered: Some(ArmAttempt { step, is_armed: true }) };
-    let result = if member.witness.get() == Some(armed) {
-        Some(OrderResult { end: OrderOutcome::Done, sends: 0 })
-    } else {
-        let ordered = Some(ArmAttempt { step, is_armed: false });
-        member.witness.set(Some(Witness { ordered, ..armed }));
-        let is_current = is_current(member, &order);
-        execute_remotely(&*member.rank_client, &*target, &order, &is_current, &member.log).await
+    let key = (fence, number);
+    let known = member.orders.borrow().get(&key).copied();
+    let result = match known {
+        // The rank is being armed; the result is sent when it is known.
+        Some(None) => return,
+        Some(Some(result)) => Some(result),
+        None => {
+            remember(member, key, None);
+            let result = arm_as_witness(member, from, &order).await;
+            remember(member, key, result);
+            result
+        }
+    };
+    let Some(result) = result else {
+        // The rank did not answer. The leader may repeat the order.
+        member.orders.borrow_mut().shift_remove(&key);
+        return;
     };
-    let Some(result) = result else { return };
-    // Another leader may have polled in the meantime and disarm that rank after its answer.
-    if result.end == OrderOutcome::Done && fence >= member.highest_fence.get() {
-        member.witness.set(Some(armed));
-    }
     member.send(from, &Datagram::OrderResult { rank, number, fence, result }).await;
 }
 
+/// Arms the rank of the leader at `from` and records the outcome. Returns `None` if the rank does not
+/// answer.
+///
+/// The attempt is recorded before the order is sent, because the rank may be armed from then on.
+async fn arm_as_witness(
+    member: &Rc<Member>,
+    from: SocketAddr,
+    order: &RankOrder,
+) -> Option<OrderResult> {
+    let OrderKind::Arm { step, .. } = order.kind else { return None };
+    let Some(witness) = member.witness.get().filter(|witness| witness.fence == order.fence) else {
+        let line = DecisionLog::fields("order").with("kind", "arm-beside");
+        member.log.note(line.with("fence", order.fence).with("outcome", "no-witness-record"));
+        return Some(OrderResult { end: OrderOutcome::Refused, sends: 0 });
+    };
+    let target = client_on_instance(member, from)?;
+    let record = |is_armed| Witness { ordered: Some(ArmAttempt { step, is_armed }), ..witness };
+    member.witness.set(Some(record(false)));
+    let is_current = is_current(member, order);
+    let own = &*member.rank_client;
+    let result = execute_remotely(own, &*target, order, &is_current, &member.log).await?;
+    if result.end != OrderOutcome::Done {
+        return Some(result);
+    }
+    if !is_current() {
+        // That leader may read the record of the attempt as unconfirmed and undo the change, so the
+        // earlier one must not release the pass.
+        return Some(OrderResult { end: OrderOutcome::Fenced, ..result });
+    }
+    member.witness.set(Some(record(true)));
+    Some(result)
+}
+
 /// Returns the client of the rank on the same instance as the agent at `agent`.
 fn client_on_instance(member: &Member, agent: SocketAddr) -> Option<Rc<dyn RankClient>> {
     let is_on_instance = |address: &SocketAddr| address.ip() == agent.ip();
