fix(entry): a stream that ends behind its head is not passed on as whole

What callers saw: 200 with an empty body, framed as whole, for a stream without length or chunks whose backend server closed the connection after the head. Cause: the end of such a stream was checked for an incomplete event, not for there being none. Change: a stream that is not framed and ends before its first event counts as broken off.

--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -11,7 +11,7 @@
 use hickorycross_core::direct::{
     AttemptEnd, BackendServer, BootMs, BufferLease, EventSplitter, RequestKind, StreamEvent,
 };
-use http::header::CONTENT_LENGTH;
+use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -39,6 +39,8 @@
     /// The backend server that sends the events.
     server: BackendServer,
     body: Incoming,
+    /// Whether the body has a length or chunks, so that its end can be told from a break.
+    is_framed: bool,
     splitter: EventSplitter,
     /// Counts the bytes of the event that is incomplete.
     incomplete_lease: BufferLease,
@@ -64,6 +66,7 @@
 pub(crate) fn respond(active: ActiveRequest, reply: Reply) -> Response<AnswerBody> {
     let Reply { response, attempt } = reply;
     let (parts, body) = response.into_parts();
+    let is_framed = is_framed(&parts.headers);
     let mut headers = end_to_end(&parts.headers);
     // If the stream is resumed elsewhere, its length differs.
     headers.remove(CONTENT_LENGTH);
@@ -75,6 +78,7 @@
         server: attempt.server.clone(),
         attempt: Some(attempt),
         body,
+        is_framed,
         splitter: EventSplitter::default(),
         incomplete_lease: lease(),
         unread_break_until: BootMs(0),
@@ -135,6 +139,9 @@
             }
             // An answer that ends in the middle of an event is incomplete.
             Ok(None) if self.splitter.incomplete_bytes() > 0 => Err(Some(self.broken_end())),
+            // One that ends with its connection before its first event has broken off: every stream
+            // has an event.
+            Ok(None) if self.events == 0 && !self.is_framed => Err(Some(self.broken_end())),
             Ok(None) => Ok(false),
             Ok(Some(Err(_))) => Err(Some(self.broken_end())),
             Err(WaitError::TimedOut) => Err(Some(AttemptEnd::TimedOut)),
@@ -262,6 +269,7 @@
         if !response.status().is_success() {
             return Some(self.abort("not-resumed"));
         }
+        self.is_framed = is_framed(response.headers());
         self.body = response.into_body();
         self.splitter = EventSplitter::default();
         self.server = attempt.server.clone();
@@ -270,6 +278,11 @@
     }
 }
 
+/// Returns whether a body with these headers has a length or chunks.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Position of an event relative to the last one that the caller got.
 enum Continuity {
     /// It follows, or has no id.
