fix(agent): a late order to hold does not undo a switch in an idle group

What callers saw: nothing yet; in the model a pass begins with two maps (MAP) where orders are delayed and the group is idle, so that no pass begins. Streams of such a pass are wrong, and nobody is told.

Cause: a change whose first order to hold got no answer holds a later pass. All ranks are armed for that one and it is released; then the first order is carried out. Whoever leads next asked the witness's record about the held pass alone, read "not armed", and disarmed all ranks but a silent one. By reading, the same with a late order for a pass behind the switch: nothing then keeps ranks from switching.

Evidence: the model's group can be idle now.

Change: a witness's record counts for any pass that has not begun. Armed: all are armed again for that pass, and the held one is released. A leader that finds ranks armed for a pass before all held ones waits, since they may switch at any moment.

--- a/crates/core/src/map_change/abandoned_change.rs
+++ b/crates/core/src/map_change/abandoned_change.rs
@@ -9,7 +9,7 @@
 use super::leader_action::LeaderAction;
 use super::order::OrderKind;
 use super::phase::{Orders, Phase, UndoStage, Undoing};
-use super::status::{ArmKnowledge, RankStatus, Witness};
+use super::status::{ArmKnowledge, Armed, RankStatus, Witness};
 use super::undo::Undo;
 use crate::direct::BootMs;
 
@@ -18,7 +18,7 @@
     /// Disarm all ranks except silent ones that are known not to be armed.
     Undo { silent: Vec<u16>, may_be_released: bool },
     /// Arm all ranks except silent ones that are known to be armed.
-    Finish { silent: Vec<u16>, version: u64 },
+    Finish { silent: Vec<u16>, armed: Armed },
 }
 
 impl Leader {
@@ -38,8 +38,8 @@
                 let cause = if silent.is_empty() { "left-behind" } else { "leader-silent" };
                 self.begin_undo(epoch, Undo { held, silent, may_be_released }, cause, actions);
             }
-            Some(Resolution::Finish { silent, version }) => {
-                self.complete_switch(epoch, held[0], version, &silent, actions);
+            Some(Resolution::Finish { silent, armed }) => {
+                self.complete_switch(epoch, held[0], armed, &silent, actions);
             }
             // Evaluated again when more statuses arrive.
             None => {}
@@ -56,6 +56,9 @@
             // Agents that have not been asked yet are not silent.
             return None;
         }
+        if self.may_switch(held) {
+            return None;
+        }
         let &[(holder, step)] = held else {
             // More than one rank holds a pass: an order of an earlier leader was carried out late,
             // or that leader had two ranks hold it.
@@ -64,22 +67,37 @@
         };
         let witness = self.witness(holder);
         let knowledge =
-            witness.map_or(ArmKnowledge::Unknown, |witness| witness.arm_knowledge(step));
+            witness.map_or(ArmKnowledge::Unknown, |it| it.arm_knowledge(self.newest_step()));
         let is_known = witness.is_some_and(|witness| silent == [witness.rank]);
         if !silent.is_empty() && (!is_known || knowledge == ArmKnowledge::Unknown) {
             return None;
         }
         // A rank that refuses to be armed again cannot switch.
         let is_finishable = self.unfinishable_step != Some(step);
-        let version = self.version_armed_for(step).filter(|_| is_finishable);
         let may_be_released = knowledge != ArmKnowledge::NotArmed;
-        match (knowledge, version) {
-            (ArmKnowledge::Armed, Some(version)) => Some(Resolution::Finish { silent, version }),
-            (ArmKnowledge::Armed, None) if !silent.is_empty() => None,
-            _ => Some(Resolution::Undo { silent, may_be_released }),
+        let ArmKnowledge::Armed { step } = knowledge else {
+            return Some(Resolution::Undo { silent, may_be_released });
+        };
+        match self.armed_for(step).filter(|_| is_finishable) {
+            Some(armed) => Some(Resolution::Finish { silent, armed }),
+            None if !silent.is_empty() => None,
+            None => Some(Resolution::Undo { silent, may_be_released }),
         }
     }
 
+    /// Returns whether ranks may switch at any moment: they are armed for a pass to come, and all held
+    /// passes come after it.
+    ///
+    /// Disarming one of them could make that pass begin with two maps. Nobody releases a pass for
+    /// which ranks are armed before all of them are, so the switch completes without an order.
+    fn may_switch(&self, held: &[(u16, u64)]) -> bool {
+        let newest_step = self.newest_step();
+        let mut armed = self.statuses().filter_map(|status| status.armed);
+        armed.any(|armed| {
+            armed.step > newest_step && held.iter().all(|(_, held)| *held > armed.step)
+        })
+    }
+
     /// Returns the witness record of the holder's agent, if it was sent after the agent learned of
     /// this leader. From then on the agent delivers no orders of the previous leader.
     fn witness(&self, holder: u16) -> Option<Witness> {
@@ -88,10 +106,10 @@
         status.witness.filter(|_| is_current)
     }
 
-    /// Returns the map for which ranks are armed at the pass `step`.
-    fn version_armed_for(&self, step: u64) -> Option<u64> {
+    /// Returns the switch at the pass `step` for which ranks are armed.
+    fn armed_for(&self, step: u64) -> Option<Armed> {
         let armed = |status: &RankStatus| status.armed.filter(|armed| armed.step == step);
-        self.statuses().find_map(armed).map(|armed| armed.version)
+        self.statuses().find_map(armed)
     }
 
     /// Returns the map for which a rank is armed at the pass `step`.
@@ -109,11 +127,11 @@
         &mut self,
         epoch: u64,
         held: (u16, u64),
-        version: u64,
+        armed: Armed,
         silent: &[u16],
         actions: &mut Vec<LeaderAction>,
     ) {
-        let (_, step) = held;
+        let Armed { version, step } = armed;
         let orders = self.orders_except(silent, epoch, &OrderKind::Arm { version, step });
         let silent = silent.to_vec();
         let stage = UndoStage::Arming;
--- a/crates/core/src/map_change/status.rs
+++ b/crates/core/src/map_change/status.rs
@@ -75,11 +75,15 @@
 }
 
 impl Witness {
-    /// Returns what the record implies for the leader's rank before the held pass `step`.
-    pub(super) fn arm_knowledge(&self, step: u64) -> ArmKnowledge {
-        match self.ordered.filter(|ordered| ordered.step == step) {
+    /// Returns what the record implies for the leader's rank, `newest_step` being the last pass that
+    /// has begun.
+    ///
+    /// The attempt counts whichever pass is held: an earlier order to hold may be carried out late and
+    /// name another pass than the one that ranks are armed for.
+    pub(super) fn arm_knowledge(&self, newest_step: u64) -> ArmKnowledge {
+        match self.ordered.filter(|ordered| ordered.step > newest_step) {
             None => ArmKnowledge::NotArmed,
-            Some(ArmAttempt { is_armed: true, .. }) => ArmKnowledge::Armed,
+            Some(ArmAttempt { is_armed: true, step }) => ArmKnowledge::Armed { step },
             Some(ArmAttempt { is_armed: false, .. }) => ArmKnowledge::Unknown,
         }
     }
@@ -88,10 +92,10 @@
 /// What is known about a rank without polling it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ArmKnowledge {
-    /// The rank is not armed for the held pass, and nobody will arm it.
+    /// The rank is not armed for a pass to come, and nobody will arm it.
     NotArmed,
-    /// The rank is armed for the held pass, and so are all others.
-    Armed,
+    /// The rank is armed for the pass `step`, and so are all others.
+    Armed { step: u64 },
     /// An order to arm was sent and not answered.
     Unknown,
 }
--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -42,6 +42,8 @@
 const BETWEEN_OUTAGES_MS: u64 = 2_000;
 /// Longest time from the end of an outage until an order that was sent meanwhile is carried out.
 const MAX_RETRANSMISSION_MS: u64 = 200;
+/// Shortest and longest time for which a group is idle.
+const IDLE_MS: std::ops::Range<u64> = 300..8_000;
 /// Interval between two crashes of one rank in the same outage.
 const REPEATED_CRASH_MS: u64 = 150;
 
@@ -128,6 +130,12 @@
     pub(crate) leader_outages_permille: u32,
     /// A poll or its answer is lost.
     pub(crate) poll_lost_permille: u32,
+    /// An instance is cut off from the others for a short time, in each tick, at any moment.
+    pub(crate) cuts_permille: u32,
+    /// Two instances are cut off from each other alone for a short time, in each tick, at any moment.
+    pub(crate) pair_cuts_permille: u32,
+    /// The group becomes idle for some time, in each tick, and makes no passes.
+    pub(crate) idle_permille: u32,
 }
 
 impl Faults {
@@ -149,6 +157,9 @@
         holder_outages_permille: 0,
         leader_outages_permille: 0,
         poll_lost_permille: 0,
+        cuts_permille: 0,
+        pair_cuts_permille: 0,
+        idle_permille: 0,
     };
 }
 
@@ -185,6 +196,8 @@
     pub(crate) formations: u64,
     epoch: u64,
     outage: Option<Outage>,
+    /// Until when the group has no requests and makes no passes.
+    idle_until: BootMs,
     /// When each rank begins to report the current epoch.
     epoch_visible_at: Vec<BootMs>,
     /// Until when a crashed rank cannot be read.
@@ -201,6 +214,8 @@
     /// Until when an instance is cut off from the others. Its agent reaches its own rank, and the
     /// rank runs passes.
     machines_cut_until: Vec<BootMs>,
+    /// Until when two instances are cut off from each other.
+    pairs_cut_until: IndexMap<(usize, usize), BootMs>,
     /// When the next short outage may begin.
     next_outage_at: BootMs,
     /// Orders that agents on frozen instances have not read yet.
@@ -239,6 +254,7 @@
             formations: 0,
             epoch: 1,
             outage: None,
+            idle_until: BootMs(0),
             epoch_visible_at: vec![BootMs(0); count],
             down_until: vec![BootMs(0); count],
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -249,6 +265,7 @@
             was_held: Vec::new(),
             machines_frozen_until: vec![BootMs(0); count],
             machines_cut_until: vec![BootMs(0); count],
+            pairs_cut_until: IndexMap::new(),
             next_outage_at: BootMs(0),
             unread: vec![Vec::new(); count],
             agents_dead_until: vec![BootMs(0); count],
@@ -293,7 +310,9 @@
 
     /// Returns until when nothing passes between two instances, if they are cut off from each other.
     fn cut_until(&self, from: usize, to: usize) -> Option<BootMs> {
-        let until = self.machines_cut_until[from].max(self.machines_cut_until[to]);
+        let pair = self.pairs_cut_until.get(&(from.min(to), from.max(to)));
+        let machines = self.machines_cut_until[from].max(self.machines_cut_until[to]);
+        let until = pair.map_or(machines, |pair| machines.max(*pair));
         (from != to && until > self.now).then_some(until)
     }
 
@@ -356,6 +375,8 @@
             self.apply_late_orders();
             self.reform_group();
             self.finish_copies();
+            self.become_idle();
+            self.cut_links();
             self.restart_agents();
             self.run_agents();
             self.run_leaders();
@@ -373,7 +394,7 @@
 
     /// Begins a pass unless a rank holds it, and asserts that all ranks use the same map in it.
     fn pass(&mut self) {
-        if self.outage.is_some() {
+        if self.outage.is_some() || self.idle_until > self.now {
             self.stall_ms = 0;
             return;
         }
@@ -511,6 +532,31 @@
         }
     }
 
+    /// Cuts off an instance, or two from each other, for a short time.
+    fn cut_links(&mut self) {
+        let Faults { cuts_permille, pair_cuts_permille, .. } = self.faults;
+        if cuts_permille > 0 && self.chance(cuts_permille) {
+            let machine = self.rng.random_range(0..self.ranks.len());
+            self.machines_cut_until[machine] =
+                self.now.after(self.rng.random_range(SHORT_OUTAGE_MS));
+        }
+        if pair_cuts_permille > 0 && self.chance(pair_cuts_permille) {
+            let (one, other) = (
+                self.rng.random_range(0..self.ranks.len()),
+                self.rng.random_range(0..self.ranks.len()),
+            );
+            let until = self.now.after(self.rng.random_range(SHORT_OUTAGE_MS));
+            self.pairs_cut_until.insert((one.min(other), one.max(other)), until);
+        }
+    }
+
+    fn become_idle(&mut self) {
+        let permille = self.faults.idle_permille;
+        if permille > 0 && self.idle_until <= self.now && self.chance(permille) {
+            self.idle_until = self.now.after(self.rng.random_range(IDLE_MS));
+        }
+    }
+
     fn restart_agents(&mut self) {
         // Drawing no random number keeps runs with other faults reproducible from their seeds.
         if self.faults.agent_restarts_permille == 0 {
--- a/crates/core/tests/map_outages.rs
+++ b/crates/core/tests/map_outages.rs
@@ -126,3 +126,51 @@
         },
     ]);
 }
+
+/// Guards against an undo while ranks are armed and free to switch: in an idle group an order to hold an
+/// earlier pass is carried out late, after the pass for which all ranks are armed was released.
+#[gtest]
+fn a_late_order_to_hold_does_not_undo_a_switch_in_an_idle_group() {
+    let idle = Faults { late_permille: 350, idle_permille: 10, ..OUTAGES_WITHOUT_FENCES };
+    run(&[
+        Case {
+            name: "either is away, and orders are delayed",
+            faults: idle,
+            seeds: 200..300,
+            longest_stall_ms: MAX_STALL_LATE_ORDERS_MS,
+        },
+        Case {
+            name: "either is away, and agents crash",
+            faults: Faults { agents_die_permille: 60, leader_and_holder_die_permille: 20, ..idle },
+            seeds: 0..60,
+            longest_stall_ms: MAX_STALL_AGENTS_DIE_MS,
+        },
+        Case {
+            name: "either is away, and leaders fail",
+            faults: Faults { leader_fails_permille: 2, answer_lost_permille: 200, ..idle },
+            seeds: 100..160,
+            longest_stall_ms: MAX_STALL_AGENTS_DIE_MS,
+        },
+        Case {
+            name: "ranks check fences",
+            faults: Faults { ignores_fences: false, ..idle },
+            seeds: 0..60,
+            longest_stall_ms: MAX_STALL_LATE_ORDERS_MS,
+        },
+    ]);
+}
+
+/// Guards against a pass with two maps after outages at any moment, also of the path between two
+/// instances alone.
+#[gtest]
+fn cuts_at_any_moment_do_no_harm() {
+    for faults in [OUTAGES, OUTAGES_WITHOUT_FENCES] {
+        for seed in 0..60 {
+            let faults =
+                Faults { late_permille: 350, cuts_permille: 10, pair_cuts_permille: 20, ..faults };
+            let mut world = World::new(seed, faults);
+            world.run(RUN_MS);
+            expect_that!(world.switches, ge(1), "seed {seed}");
+        }
+    }
+}
