fix(agent): a change never takes the version of void maps

What callers saw: nothing is told; passes began while ranks had maps of the same version and different contents (MAP), and the group stayed uneven.

Cause: an undo without fences gives each rank a void map, whose version the leader did not remember. The next change takes the version after all that ranks have reported, and if none has reported its void map yet that is the version of the void maps. Ranks then count as prepared, and switch to maps of their own.

Change: a leader remembers the highest version it has given, whatever for.

--- a/crates/core/src/map_change/change.rs
+++ b/crates/core/src/map_change/change.rs
@@ -87,18 +87,18 @@
     }
 
     /// Returns a version that is higher than those of all maps that ranks report or that this
-    /// leader has sent.
+    /// leader has sent, void ones included.
     ///
     /// Ranks do not report a map that they are still copying, and refuse another map with the same
-    /// version.
-    pub(super) fn next_version(&self) -> u64 {
+    /// version, or take it for the one that they have.
+    pub(super) fn next_version(&mut self) -> u64 {
         let newest = self.statuses().flat_map(|status| {
             let armed = status.armed.map_or(0, |armed| armed.version);
             [status.map, status.prepared.unwrap_or(0), armed]
         });
-        let sent = self.last_sent_map.as_ref().map(|(version, _)| *version);
-        let newest = newest.chain(sent).max().unwrap_or(0);
-        (newest / VERSION_STEP + 1) * VERSION_STEP + self.salt
+        let newest = newest.max().unwrap_or(0).max(self.newest_version);
+        self.newest_version = (newest / VERSION_STEP + 1) * VERSION_STEP + self.salt;
+        self.newest_version
     }
 
     /// Returns the ranks in descending order of the number of experts that they have to copy.
--- a/crates/core/src/map_change/leader.rs
+++ b/crates/core/src/map_change/leader.rs
@@ -43,6 +43,8 @@
     pub(super) first_fence: u64,
     /// Lower digits of the map versions of this leader.
     pub(super) salt: u64,
+    /// The highest map version that this leader has given.
+    pub(super) newest_version: u64,
     next_number: u64,
     pub(super) rank_entries: IndexMap<u16, RankEntry>,
     pub(super) demand: DemandEstimator,
@@ -82,6 +84,7 @@
             fence,
             first_fence: fence,
             salt: salt % VERSION_STEP,
+            newest_version: 0,
             next_number: 1,
             rank_entries: IndexMap::new(),
             demand: DemandEstimator::default(),
--- a/crates/core/tests/map_change_support/mod.rs
+++ b/crates/core/tests/map_change_support/mod.rs
@@ -7,10 +7,12 @@
     ArmAttempt, Armed, CountsSample, KnownMaps, Leader, LeaderAction, OrderKind, OrderOutcome,
     OrderResult, RankOrder, RankStatus, Witness,
 };
+use hickorycross_core::placement::ExpertMap;
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 /// Interval between two steps of the model.
 pub(crate) const TICK_MS: u64 = 10;
@@ -64,6 +66,10 @@
     pub(crate) experts: Vec<Vec<u16>>,
     pub(crate) prepared: Option<(u64, Vec<Vec<u16>>)>,
     copy_until: Option<(BootMs, u64, Vec<Vec<u16>>)>,
+    /// The whole map that the rank has copied or copies last. A void one has none.
+    content: Option<Arc<ExpertMap>>,
+    /// The whole map in use; none for the initial one.
+    content_in_use: Option<Arc<ExpertMap>>,
     pub(crate) armed: Option<Armed>,
     pub(crate) held_step: Option<u64>,
     fence: u64,
@@ -413,6 +419,8 @@
             let Some(armed) = rank.armed.filter(|armed| armed.step == next) else { continue };
             let (version, experts) = rank.prepared.clone().expect("an armed map is prepared");
             assert_eq!(version, armed.version, "a rank switches to the map that it was armed for");
+            assert!(rank.content.is_some(), "a rank switches to a void map in pass {next}");
+            rank.content_in_use = rank.content.clone();
             rank.map = version;
             rank.experts = experts;
             rank.armed = None;
@@ -420,6 +428,9 @@
         let first = self.ranks[0].map;
         let maps: Vec<u64> = self.ranks.iter().map(|rank| rank.map).collect();
         assert!(maps.iter().all(|map| *map == first), "pass {next} begins with maps {maps:?}");
+        let content = self.ranks[0].content_in_use.clone();
+        let has_same_content = self.ranks.iter().all(|rank| rank.content_in_use == content);
+        assert!(has_same_content, "pass {next} begins with different contents of map {first}");
         self.switches = self.switches.max(first >> 20);
         for expert in 0..DIMENSIONS.experts_per_layer {
             let held = self.ranks.iter().any(|rank| rank.experts[0].contains(&expert));
@@ -470,6 +481,7 @@
                 let own = map.layers.iter().map(|layer| layer.experts_of_rank[rank].clone());
                 let own: Vec<Vec<u16>> = own.collect();
                 rank_state.copy_until = Some((now.after(COPY_MS), *version, own));
+                rank_state.content = Some(Arc::clone(map));
             }
             OrderKind::Void { version, .. } => {
                 let newest =
@@ -479,6 +491,7 @@
                     return OrderOutcome::Refused;
                 }
                 rank_state.copy_until = None;
+                rank_state.content = None;
                 rank_state.prepared = Some((*version, rank_state.experts.clone()));
             }
             OrderKind::Arm { version, step: at } => {
--- a/crates/core/tests/map_held_pass.rs
+++ b/crates/core/tests/map_held_pass.rs
@@ -268,8 +268,12 @@
 }
 
 /// Returns the orders, by first send, of a leader whose ranks ignore fencing numbers and which
-/// finds a pass held right after it has sent a map. `refuses` tells which orders are refused.
-fn orders_after_sending_a_map(refuses: fn(&OrderKind) -> bool) -> Vec<OrderKind> {
+/// finds a pass held while `is_held` says so of the orders sent so far. `refuses` tells which orders are
+/// refused.
+fn orders_after_sending_a_map(
+    is_held: fn(&[OrderKind]) -> bool,
+    refuses: fn(&OrderKind) -> bool,
+) -> Vec<OrderKind> {
     let abandoned = Abandoned {
         name: "a delayed order to hold",
         leader_rank: 0,
@@ -288,10 +292,10 @@
     let mut leader = Leader::new("g", 0, 2 << 20, 1).without_fences();
     let mut kinds: Vec<OrderKind> = Vec::new();
     for now in (0..1_500).step_by(20).map(BootMs) {
-        let is_sent = !kinds.is_empty();
+        let is_held = is_held(&kinds);
         for rank in 0..RANKS {
             let status = abandoned.status(rank, leader.fence());
-            let held_step = status.held_step.filter(|_| is_sent);
+            let held_step = status.held_step.filter(|_| is_held);
             let counts = CountsSample::of(&choices);
             let experts = experts(rank);
             let status = RankStatus { held_step, counts, experts, prepared: None, ..status };
@@ -316,7 +320,7 @@
 // as a map that ranks are copying.
 #[gtest]
 fn a_void_map_has_a_higher_version_than_a_sent_one() {
-    let kinds = orders_after_sending_a_map(|_| false);
+    let kinds = orders_after_sending_a_map(|sent| !sent.is_empty(), |_| false);
     let sent = kinds.iter().find_map(|kind| match kind {
         OrderKind::Prepare { version, .. } => Some(*version),
         _ => None,
@@ -329,11 +333,32 @@
     expect_that!(void, gt(sent));
 }
 
+// Guards against ranks that switch to their void maps, each of which has other contents: the next change
+// begins before a rank has reported its void map, and takes the same version.
+#[gtest]
+fn a_map_has_a_higher_version_than_a_void_one() {
+    let is_void = |kind: &OrderKind| matches!(kind, OrderKind::Void { .. });
+    let kinds = orders_after_sending_a_map(
+        |sent| !sent.is_empty() && !sent.iter().any(|kind| matches!(kind, OrderKind::Void { .. })),
+        |_| false,
+    );
+    let position = kinds.iter().position(is_void).expect("a void map");
+    let OrderKind::Void { version: void, .. } = kinds[position] else { return };
+    let next = kinds[position..].iter().find_map(|kind| match kind {
+        OrderKind::Prepare { version, .. } | OrderKind::PrepareChange { version, .. } => {
+            Some(*version)
+        }
+        _ => None,
+    });
+    expect_that!(next, some(gt(void)));
+}
+
 // Guards against a change that begins while a pass is held, because an order of the undo was
 // refused.
 #[gtest]
 fn a_refused_undo_is_restarted() {
-    let kinds = orders_after_sending_a_map(|kind| matches!(kind, OrderKind::Void { .. }));
+    let is_void = |kind: &OrderKind| matches!(kind, OrderKind::Void { .. });
+    let kinds = orders_after_sending_a_map(|sent| !sent.is_empty(), is_void);
     let names: Vec<&str> = kinds.iter().map(OrderKind::as_str).collect();
     expect_that!(names[..5], eq(&["prepare", "fence", "disarm", "void", "fence"]));
 }
