--- a/crates/core/src/map_change/released_passes.rs
+++ b/crates/core/src/map_change/released_passes.rs
@@ -1,5 +1,6 @@
 //! Passes that an order to release may still name, where ranks carry out outdated orders.
 
+use super::change::MAX_STEPS_AHEAD;
 use super::leader::Leader;
 
 /// The passes of one epoch that this leader or an earlier one may have ordered to release.
@@ -43,7 +44,7 @@
         };
         let ranks = self.status_of(self.own_rank).map_or(0, |own| own.ranks);
         if (0..ranks).all(|rank| obeys(&rank)) {
-            self.released_passes.begin(epoch, self.newest_step() + super::change::MAX_STEPS_AHEAD);
+            self.released_passes.begin(epoch, self.newest_step() + MAX_STEPS_AHEAD);
         }
     }
 
