fix(entry,agent): an answer with a malformed head is not passed on

What callers saw: the users got complete answers of status 200 with a body that was not the backend server's (MIXED), after an answer whose head was spoilt where it tells the length.

Cause: the HTTP library reads a body whose last transfer encoding is not `chunked` to the end of the connection, ignores encodings before `chunked`, ignores a length beside chunks and leaves it in the head, and allows statuses from 100 to 999. Nothing asked whether the head tells where the body ends.

Change: `runtime/response_head` checks the status and the framing. The entry asks it before it believes anything of a head; so do agents before backend servers, ranks' reports and answers to orders, the store, and answers of other entries. Such an answer ends the attempt as one that may have run; an order counts as unanswered. The length passed on with a body is the library's own. A head that the library can't read is logged with its words.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -9,6 +9,7 @@
 use hickorycross_core::message::{Header, RequestHead, ResponseHead};
 use hickorycross_core::{AttemptId, UnixMs, Verdict};
 use hickorycross_runtime::clock::SteadyClock;
+use hickorycross_runtime::response_head::check_response;
 use reqwest::redirect::Policy;
 use reqwest::{Method, RequestBuilder, Response};
 use std::time::Duration;
@@ -79,7 +80,7 @@
     /// Returns whether the backend server answers its health check with a success status.
     pub(crate) async fn is_healthy(&self) -> bool {
         let answer = self.client.get(&self.health_url).timeout(HEALTH_TIMEOUT).send().await;
-        answer.is_ok_and(|response| response.status().is_success())
+        answer.is_ok_and(|it| check_response(&it).is_ok() && it.status().is_success())
     }
 
     /// Sends a request and reports its response, or its failure, to `events`.
@@ -106,6 +107,7 @@
             return Err((Verdict::NotRun, "the deadline passed before the start".to_owned()));
         }
         let response = http_request.send().await.map_err(|error| send_failure(&error))?;
+        check_response(&response).map_err(|error| (Verdict::MayHaveRun, error.to_string()))?;
         let head = response_head(&response);
         let _ = events.send(AgentEvent::BackendHead { attempt, head });
         let mut chunks = response.bytes_stream();
--- a/crates/direct/src/forward/answer.rs
+++ b/crates/direct/src/forward/answer.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hickorycross_core::Verdict;
 use hickorycross_core::direct::{AttemptEnd, BackendServer};
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{HeaderMap, Response, StatusCode, response};
 use hyper::body::Incoming;
 
@@ -55,9 +55,15 @@
             return refusal.into_response();
         }
         self.log_response("answered", parts.status);
+        let mut headers = end_to_end(&parts.headers);
+        // The HTTP library writes the length of a body; without one the field may tell that of
+        // another answer.
+        if !bytes.is_empty() {
+            headers.remove(CONTENT_LENGTH);
+        }
         let mut response = Response::new(full_body(bytes));
         *response.status_mut() = parts.status;
-        *response.headers_mut() = end_to_end(&parts.headers);
+        *response.headers_mut() = headers;
         response
     }
 }
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -7,9 +7,11 @@
 use super::warm_up::{lacks_permit, note_cold};
 use crate::callers::CallerRequest;
 use crate::clock::boot_now;
+use crate::decision_log::DecisionLog;
 use crate::state::EntryState;
 use bytes::Bytes;
 use hickorycross_core::direct::{AttemptEnd, BackendServer, BootMs, ExpectedWork};
+use hickorycross_runtime::response_head::check_head;
 use http::header::{
     AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderName, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -17,6 +19,7 @@
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use std::fmt::Display;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -114,9 +117,7 @@
     /// Records from a response head whether the answer is framed, and whether and for how long the
     /// connection can be reused.
     fn note_connection_fields(&mut self, headers: &HeaderMap) {
-        let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
-        let is_close = |value: &str| value.trim().eq_ignore_ascii_case("close");
-        let closes = values.flat_map(|value| value.split(',')).any(is_close);
+        let closes = connection_options(headers).any(|it| it.eq_ignore_ascii_case("close"));
         self.is_framed =
             headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
         self.is_last_on_connection = closes || !self.is_framed;
@@ -209,7 +210,10 @@
         // The HTTP library returns the request if no byte of it was sent.
         Ok(Err(mut error)) => match error.take_message() {
             Some(_) => SendOutcome::End(AttemptEnd::NothingSent),
-            None => SendOutcome::End(AttemptEnd::Broken),
+            None => {
+                log_unusable_answer(state, request, &attempt.server, error.error());
+                SendOutcome::End(AttemptEnd::Broken)
+            }
         },
         Err(WaitError::TimedOut) => SendOutcome::End(AttemptEnd::TimedOut),
         Err(WaitError::Superseded) => SendOutcome::End(AttemptEnd::Broken),
@@ -272,11 +276,7 @@
 
 /// Returns the headers without hop-by-hop fields, including those that `Connection` lists.
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    let named: Vec<String> = named
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
+    let named: Vec<String> = connection_options(headers).map(str::to_ascii_lowercase).collect();
     let mut kept = headers.clone();
     for name in &HOP_BY_HOP {
         kept.remove(name);
@@ -287,6 +287,23 @@
     kept
 }
 
+/// Returns the options of the `Connection` fields, among them the names of hop-by-hop fields.
+fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = &str> {
+    let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).map(str::trim)
+}
+
+/// Logs why an answer cannot be used whose head, or the connection before it, is at fault.
+fn log_unusable_answer(
+    state: &EntryState,
+    request: &CallerRequest,
+    server: &BackendServer,
+    cause: impl Display,
+) {
+    let line = DecisionLog::fields("unusable-answer").with("request", request.id());
+    state.log.note(line.with("backend", &server.id).with("cause", cause));
+}
+
 /// Decides from the response head whether the answer can be used.
 async fn classify_head(
     state: &EntryState,
@@ -296,6 +313,11 @@
 ) -> SendOutcome {
     let (parts, body) = response.into_parts();
     attempt.note_connection_fields(&parts.headers);
+    // Nothing that a malformed head says is believed, not even that the request did not run.
+    if let Err(malformed) = check_head(parts.status, &parts.headers) {
+        log_unusable_answer(state, request, &attempt.server, malformed.as_str());
+        return SendOutcome::End(AttemptEnd::InvalidAnswer);
+    }
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
         attempt.finish_rejected(body).await;
         return SendOutcome::End(AttemptEnd::OtherIncarnation);
--- a/crates/entry/tests/cut_off.rs
+++ b/crates/entry/tests/cut_off.rs
@@ -67,18 +67,17 @@
     Ok(())
 }
 
+/// An answer that ends after its first chunk.
+const FIRST_CHUNK: &str = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\
+                           transfer-encoding: chunked\r\n\r\n7\r\n{\"word\"\r\n";
+
 // Guards against a truncated chunked answer that looks complete: the backend server announces no
 // length and fails, and the entry forwards the answer before it has received all of it.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_truncated_answer_of_unknown_length_is_refused() -> googletest::Result<()> {
-    let backend = start_failing_backend().await.or_fail()?;
-    let use_failing_backend = |stage: &mut Stage| {
-        for agent in &mut stage.agents {
-            agent.backend_url = format!("http://{backend}");
-        }
-    };
-    let local = LocalFleet::start(use_failing_backend).await;
+    let backend = start_backend(FIRST_CHUNK.to_owned()).await.or_fail()?;
+    let local = LocalFleet::start(|stage: &mut Stage| use_backend(stage, backend)).await;
     let request = local.request(Method::GET, "/textbook/words");
     let answer = request.send().await.or_fail()?;
     expect_that!(answer.status().as_u16(), eq(502));
@@ -89,32 +88,61 @@
     Ok(())
 }
 
-/// Starts a backend server that is healthy but closes every answer after its first chunk.
-async fn start_failing_backend() -> std::io::Result<SocketAddr> {
+/// An answer in chunks whose head is malformed where it tells the length, so that the HTTP library
+/// reads other bytes than the body.
+const MALFORMED_HEADS: &[&str] = &[
+    "transfer-encoding: chunke",
+    "transfer-encoding: gzip, chunked",
+    "transfer-encoding: chunked\r\ncontent-length: 3",
+];
+
+// Guards against an answer with a malformed head that reaches its caller with other bytes than those
+// of its body, or cut off.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_a_malformed_length_is_refused() -> googletest::Result<()> {
+    for head in MALFORMED_HEADS {
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n{head}\r\n\r\n\
+             f\r\n{{\"word\":\"whole\"}}\r\n0\r\n\r\n"
+        );
+        let backend = start_backend(answer).await.or_fail()?;
+        let local = LocalFleet::start(|stage: &mut Stage| use_backend(stage, backend)).await;
+        let request = local.request(Method::GET, "/textbook/words");
+        let answer = request.send().await.or_fail()?;
+        expect_that!(answer.status().as_u16(), eq(502), "{head}");
+        let verdict = answer.headers().get("x-hickorycross-verdict").cloned().or_fail()?;
+        expect_that!(verdict.to_str().or_fail()?, not(eq("not-run")), "{head}");
+    }
+    Ok(())
+}
+
+fn use_backend(stage: &mut Stage, backend: SocketAddr) {
+    for agent in &mut stage.agents {
+        agent.backend_url = format!("http://{backend}");
+    }
+}
+
+/// Starts a backend server that is healthy, sends this answer to every other request and closes the
+/// connection.
+async fn start_backend(answer: String) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(send_first_chunk(stream));
+            tokio::spawn(send_answer(stream, answer.clone()));
         }
     });
     Ok(address)
 }
 
-async fn send_first_chunk(mut stream: TcpStream) -> std::io::Result<()> {
+async fn send_answer(mut stream: TcpStream, answer: String) -> std::io::Result<()> {
     let mut head = [0; 4096];
     let count = stream.read(&mut head).await?;
-    if head[..count].starts_with(b"GET /health") {
-        return stream
-            .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n")
-            .await;
-    }
-    stream
-        .write_all(
-            b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\
-              transfer-encoding: chunked\r\n\r\n7\r\n{\"word\"\r\n",
-        )
-        .await
+    let healthy = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+    let is_health_check = head[..count].starts_with(b"GET /health");
+    let answer = if is_health_check { healthy } else { &answer };
+    stream.write_all(answer.as_bytes()).await
 }
 
 // Guards against engines that spend their slots on answers without a reader: a caller disconnects
--- a/crates/runtime/src/bounded_body.rs
+++ b/crates/runtime/src/bounded_body.rs
@@ -1,5 +1,6 @@
 //! Reads bodies of HTTP responses whose size the peer does not bound.
 
+use crate::response_head::{MalformedHead, check_response};
 use bytes::{Bytes, BytesMut};
 use reqwest::Response;
 use serde::de::DeserializeOwned;
@@ -10,6 +11,9 @@
     /// It is longer than the given number of bytes.
     #[error("the body is longer than {0} bytes")]
     TooLong(usize),
+    /// The head does not tell where it ends.
+    #[error("malformed head: {0}")]
+    MalformedHead(#[from] MalformedHead),
     /// The connection broke, or the time for the response is over.
     #[error(transparent)]
     Broken(#[from] reqwest::Error),
@@ -24,8 +28,9 @@
 ///
 /// # Errors
 ///
-/// When the body is longer, or breaks off.
+/// When the head is malformed, or the body is longer or breaks off.
 pub async fn read_bounded(mut response: Response, max_bytes: usize) -> Result<Bytes, BodyError> {
+    check_response(&response)?;
     let mut body = BytesMut::new();
     while let Some(chunk) = response.chunk().await? {
         if chunk.len() > max_bytes - body.len() {
@@ -40,7 +45,7 @@
 ///
 /// # Errors
 ///
-/// When the body is longer, breaks off, or is not the expected JSON.
+/// When the head is malformed, or the body is longer, breaks off, or is not the expected JSON.
 pub async fn read_json<T: DeserializeOwned>(
     response: Response,
     max_bytes: usize,
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -9,6 +9,7 @@
 //!   it knows about other processes.
 //! - [`command`] contains the subcommands that both programs have.
 //! - [`bounded_body`] reads bodies of HTTP responses up to a limit.
+//! - [`response_head`] checks heads of HTTP responses that the library accepts too readily.
 //! - [`server`] starts HTTP servers; [`operators`] serves the operators' endpoints.
 //! - [`platform`] reads the platform's configuration service and instance list; [`follower`] keeps
 //!   the process on the newest document from the platform and from its peers.
@@ -24,6 +25,7 @@
 pub mod logs;
 pub mod operators;
 pub mod platform;
+pub mod response_head;
 pub mod security;
 pub mod server;
 pub mod settings;
