fix(entry): a success needs a digest that is passed on, and no other attempt id

What callers saw: in a test only. An answer whose `Connection` field names the digest reached them as a success without it (MIXED), since a field that is named there is hop-by-hop; one with the attempt id of another request beside their own was passed on.

Cause: the check looked for the digest before hop-by-hop fields are removed, and at the first attempt id only.

--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -345,10 +345,14 @@
 /// A backend server may send a second answer to an earlier request instead, or a successful answer
 /// without its digest or in another encoding.
 fn is_valid_answer(state: &EntryState, request: &CallerRequest, parts: &response::Parts) -> bool {
-    let echoed = parts.headers.get(&state.names.attempt_id);
-    let id_matches = echoed.is_some_and(|echoed| *echoed == request.attempt_id);
+    let mut echoed = parts.headers.get_all(&state.names.attempt_id).iter().peekable();
+    let id_matches = echoed.peek().is_some() && echoed.all(|id| *id == request.attempt_id);
     let is_unencoded = !parts.headers.contains_key(CONTENT_ENCODING);
-    let has_digest = parts.headers.contains_key(&state.names.digest);
+    let digest = &state.names.digest;
+    // A hop-by-hop field is not forwarded.
+    let is_forwarded =
+        !connection_options(&parts.headers).any(|it| it.eq_ignore_ascii_case(digest.as_str()));
+    let has_digest = parts.headers.contains_key(digest) && is_forwarded;
     id_matches && is_unencoded && (has_digest || !parts.status.is_success())
 }
 
