fix(entry): a planned stop leaves no request without an answer

Cause: a request whose reading had begun was read to the end and sent to a backend server however late, and no deadline knew of the end of the process, which came 7.6 s after the signal and closed whatever was open.

Change: while the entry drains, no deadline lies behind the last 0.2 s of the process; a request that is complete only after connections are accepted no more, and may outlast the process, is refused as not run, with Retry-After 0. Waits are woken by the signal. The stop has a module of its own (drain).

--- a/crates/direct/src/callers/connection.rs
+++ b/crates/direct/src/callers/connection.rs
@@ -7,7 +7,7 @@
 use crate::forward;
 use crate::state::EntryState;
 use bytes::Bytes;
-use hickorycross_core::direct::CallerLimits;
+use hickorycross_core::direct::{BootMs, CallerLimits};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use hyper::body::{Body, Incoming};
@@ -17,6 +17,7 @@
 use socket2::SockRef;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::Future;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +33,9 @@
 /// Answers are sent at about 32 KB per round trip at most, 320 KB/s to a caller that is 100 ms away.
 const SEND_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Longest interval between checks whether the entry has been told to stop, while a body is read.
+const LIMIT_CHECK_MS: u64 = 100;
+
 /// Increments a counter, and decrements it again when dropped.
 struct CountGuard<'a>(&'a Cell<usize>);
 
@@ -140,7 +144,7 @@
             refusal.into_response()
         }
     };
-    if state.is_draining.get() {
+    if state.drain.is_active() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -154,11 +158,11 @@
 ) -> Response<AnswerBody> {
     let id = request.attempt_id.clone();
     match read_body(state, &request, body).await {
-        Ok(body) => forward::forward(Rc::clone(state), request, body).await,
-        Err(refusal) => {
-            log_refusal(state, id.to_str().unwrap_or("unreadable"), &refusal);
-            refusal.into_response()
+        Ok(_) if state.drain.refuses(request.deadline_at, boot_now()) => {
+            refuse(state, &id, Refusal::Leaving)
         }
+        Ok(body) => forward::forward(Rc::clone(state), request, body).await,
+        Err(refusal) => refuse(state, &id, refusal),
     }
 }
 
@@ -175,17 +179,42 @@
         return Ok(Bytes::new());
     }
     let max_bytes = usize::try_from(request.catalog.limits.max_body_bytes).unwrap_or(usize::MAX);
-    let left_ms = request.deadline_at.since(boot_now());
     let reading = collect_body(body, max_bytes, &state.buffers, BufferUse::New);
-    let read = tokio::time::timeout(Duration::from_millis(left_ms), reading).await;
-    match read {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(CollectError::TooLarge)) => Err(Refusal::BodyTooLarge),
-        Ok(Err(CollectError::BuffersFull)) => Err(Refusal::BuffersFull),
-        Ok(Err(CollectError::Broken)) | Err(_) => Err(Refusal::BodyIncomplete),
+    match run_until_limit(state, request.deadline_at, reading).await {
+        Some(Ok(body)) => Ok(body),
+        Some(Err(CollectError::TooLarge)) => Err(Refusal::BodyTooLarge),
+        Some(Err(CollectError::BuffersFull)) => Err(Refusal::BuffersFull),
+        None if state.drain.is_active() => Err(Refusal::Leaving),
+        Some(Err(CollectError::Broken)) | None => Err(Refusal::BodyIncomplete),
+    }
+}
+
+/// Runs `work` until it is done, or until a request with this deadline can't be answered any more.
+async fn run_until_limit<T>(
+    state: &EntryState,
+    deadline_at: BootMs,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    let mut work = std::pin::pin!(work);
+    loop {
+        // The entry may be told to stop meanwhile.
+        let left_ms = state.drain.limit(deadline_at).since(boot_now());
+        if left_ms == 0 {
+            return None;
+        }
+        let pause = Duration::from_millis(left_ms.min(LIMIT_CHECK_MS));
+        if let Ok(done) = tokio::time::timeout(pause, work.as_mut()).await {
+            return Some(done);
+        }
     }
 }
 
+/// Logs the refusal of a request and returns the response to its caller.
+fn refuse(state: &EntryState, id: &HeaderValue, refusal: Refusal) -> Response<AnswerBody> {
+    log_refusal(state, id.to_str().unwrap_or("unreadable"), &refusal);
+    refusal.into_response()
+}
+
 /// Logs and counts the refusal of a request that is not forwarded.
 fn log_refusal(state: &EntryState, id: &str, refusal: &Refusal) {
     metrics::counter!("hickorycross_refusals_total", "cause" => refusal.as_str()).increment(1);
--- a/crates/direct/src/callers/refusal.rs
+++ b/crates/direct/src/callers/refusal.rs
@@ -82,6 +82,8 @@
     /// Several backend servers ended while they ran the request, or others with the same part in
     /// their prompt.
     CrashesBackendServers,
+    /// The entry stops before the request could be answered for certain.
+    Leaving,
     /// The last attempt ended without an answer that can be forwarded.
     Failed(Verdict),
     /// The caller's or the route's timeout ended.
@@ -109,6 +111,7 @@
             Self::BuffersFull => "buffers-full",
             Self::NoAllowedRegion => "no-allowed-region",
             Self::CrashesBackendServers => "ends-backend-servers",
+            Self::Leaving => "leaving",
             Self::Failed(_) => "failed",
             Self::TimedOut(_) => "timed-out",
         }
@@ -138,6 +141,7 @@
             | Self::NoBackend
             | Self::BuffersFull
             | Self::NoAllowedRegion
+            | Self::Leaving
             | Self::Failed(Verdict::NotRun)
             | Self::TimedOut(Verdict::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -151,6 +155,8 @@
             | Self::Backoff { retry_after_ms }
             | Self::WarmUp { retry_after_ms } => *retry_after_ms,
             Self::DoubtfulPart { retry_after_ms } => retry_after_ms + spread_ms,
+            // The other entries take the request at once.
+            Self::Leaving => 0,
             Self::NoConfiguration
             | Self::StaleConfiguration
             | Self::DomainsDrained
@@ -180,6 +186,7 @@
             Self::BuffersFull => "this entry waits for callers that read slowly",
             Self::NoAllowedRegion => "no backend server takes work in the allowed regions",
             Self::CrashesBackendServers => "backend servers end when they run this request",
+            Self::Leaving => "this entry stops; another one takes the request",
             Self::Failed(_) => "no backend server gave an answer",
             Self::TimedOut(_) => "no answer came in time",
         }
--- a/crates/direct/src/entry.rs
+++ b/crates/direct/src/entry.rs
@@ -9,26 +9,18 @@
 use crate::store::SharedStore;
 use crate::wire_names::WireNames;
 use crate::{
-    callers, exchange, gossip, listing, operators, peer_watch, retry_budget, store_watch, warm_up,
+    callers, drain, exchange, gossip, listing, operators, peer_watch, retry_budget, store_watch,
+    warm_up,
 };
 use hickorycross_runtime::exposition::Exposition;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 
-/// Time after the stop signal in which callers' connections are still accepted.
-///
-/// The external load balancer checks readiness once a second and stops sending connections after
-/// two failed checks. Connections that it opens until then must not be refused.
-const ACCEPT_AFTER_STOP_MS: u64 = 2_600;
-
 /// Longest time after the start for which connections are not accepted because the entry is not
 /// initialized. Callers close a connection whose request is not read within 1 s.
 const MAX_ACCEPT_DELAY_MS: u64 = 600;
 
-/// Part of the grace period that is left unused, so that the process ends before it is killed.
-const GRACE_MARGIN_MS: u64 = 400;
-
 /// Interval between removals of expired state.
 const PRUNE_INTERVAL_MS: u64 = 1_000;
 
@@ -71,7 +63,7 @@
     tokio::task::spawn_local(reloading);
     let accepting = tokio::task::spawn_local(accept_when_initialized(Rc::clone(&state), listener));
     signals.next().await;
-    drain(&state, &accepting).await;
+    drain::run(&state, &accepting).await;
     let line = DecisionLog::fields("stop").with("open_requests", state.open_requests.get());
     log_last_line(&state.log, line).await;
     Ok(())
@@ -85,7 +77,7 @@
 /// kernel's queue.
 async fn accept_when_initialized(state: Rc<EntryState>, listener: TcpListener) {
     let until = boot_now().after(MAX_ACCEPT_DELAY_MS);
-    while !state.is_initialized() && boot_now() < until && !state.is_draining.get() {
+    while !state.is_initialized() && boot_now() < until && !state.drain.is_active() {
         tokio::time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
     }
     callers::accept(state, listener).await;
@@ -105,27 +97,6 @@
     Ok(())
 }
 
-/// Waits until open requests are done or the grace period ends. First goes on accepting connections
-/// until the external load balancer has noticed that the entry is not ready.
-async fn drain(state: &EntryState, accepting: &tokio::task::JoinHandle<()>) {
-    let started_at = boot_now();
-    state.is_draining.set(true);
-    state.store_news.notify_waiters();
-    let open = state.open_requests.get();
-    state.log.note(DecisionLog::fields("drain").with("open_requests", open));
-    let grace_ms = state.settings.borrow().bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
-    let accept_until = started_at.after(ACCEPT_AFTER_STOP_MS);
-    let end_at = started_at.after(grace_ms);
-    while boot_now() < accept_until {
-        tokio::time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
-    }
-    accepting.abort();
-    state.closing.send_replace(true);
-    while state.open_connections.get() > 0 && boot_now() < end_at {
-        tokio::time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
-    }
-}
-
 /// Applies changed settings, except for the listen addresses, which need a restart.
 fn apply_settings(state: &EntryState, mut settings: ProcessSettings) {
     settings.listen = state.settings.borrow().listen;
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -133,7 +133,7 @@
         domain_entries: domain_entries.unwrap_or_default(),
         member_domains,
         reads_store: *state.watches_store.borrow() && state.reads_store.get(),
-        is_leaving: state.is_draining.get(),
+        is_leaving: state.drain.is_active(),
         store_regained_ms: availability.map(|report| report.since_ms),
         backends_age_ms: state.listing.borrow().age_ms(now),
         store_availability: availability,
@@ -201,7 +201,7 @@
 fn has_news(state: &EntryState, request: &ExchangeRequest, known_at: Option<BootMs>) -> bool {
     let belief = state.catalog.borrow();
     let is_confirmed = belief.confirmed_at() > known_at;
-    state.is_draining.get()
+    state.drain.is_active()
         || is_confirmed
         || domain_drains::differ(state, request.drains.as_ref())
         || newer_catalog(&belief, request).is_some()
--- a/crates/direct/src/forward/active_request.rs
+++ b/crates/direct/src/forward/active_request.rs
@@ -234,6 +234,11 @@
         }
     }
 
+    /// Returns when the caller's or the route's timeout ends, or this process cannot answer any more.
+    pub(super) fn deadline_at(&self) -> BootMs {
+        self.state.drain.limit(self.request.deadline_at)
+    }
+
     /// Checks again whether the request may be sent, as it may have waited since it was accepted.
     ///
     /// Meanwhile its deadline may have passed, the catalog by which its key was checked may have
@@ -245,7 +250,7 @@
         self.check_drains()?;
         self.check_prompt_parts()?;
         let now = boot_now();
-        if now >= self.request.deadline_at {
+        if now >= self.deadline_at() {
             return Err(Refusal::TimedOut(self.verdict));
         }
         self.check_residency()?;
--- a/crates/direct/src/forward/admission.rs
+++ b/crates/direct/src/forward/admission.rs
@@ -79,7 +79,7 @@
                     retry_at
                 }
             };
-            let left_ms = wait_until.min(self.request.deadline_at).since(now).max(1);
+            let left_ms = wait_until.min(self.deadline_at()).since(now).max(1);
             let freed = self.state.capacity_changed.notified();
             // Whether notified or timed out, the loop evaluates all conditions again.
             let _ = tokio::time::timeout(Duration::from_millis(left_ms), freed).await;
@@ -144,7 +144,7 @@
 
     /// Waits until a pass of the group ends, or the request has waited for passes long enough.
     async fn wait_for_pass(&self, entered_at: BootMs) -> Result<(), Refusal> {
-        let until = self.pass_wait_until(entered_at).min(self.request.deadline_at);
+        let until = self.pass_wait_until(entered_at).min(self.deadline_at());
         let left_ms = until.since(boot_now()).max(1);
         let ended = self.state.pass_ended.notified();
         // Whether notified or timed out, the caller evaluates all conditions again.
@@ -182,7 +182,7 @@
     pub(super) fn group_unavailable(&self, expected_back_at: BootMs) -> Refusal {
         let now = boot_now();
         let draw = self.state.random.borrow_mut().random::<f64>();
-        let left_ms = self.request.deadline_at.since(now);
+        let left_ms = self.deadline_at().since(now);
         Refusal::GroupUnavailable {
             retry_after_ms: retry_after_ms(expected_back_at.since(now), draw, left_ms),
         }
--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -250,7 +250,7 @@
     for name in [&AUTHORIZATION, &CONTENT_LENGTH, &names.team, &names.urgency] {
         headers.remove(name);
     }
-    let left_ms = request.deadline_at.since(boot_now()).max(1);
+    let left_ms = state.drain.limit(request.deadline_at).since(boot_now()).max(1);
     headers.insert(names.deadline_ms.clone(), left_ms.into());
     let urgency = options.urgency.min(names.lowest_urgency);
     headers.insert(names.urgency.clone(), u16::from(urgency).into());
--- a/crates/direct/src/forward/response_wait.rs
+++ b/crates/direct/src/forward/response_wait.rs
@@ -91,7 +91,7 @@
         let mut started = self.start(boot_now());
         let mut work = std::pin::pin!(work);
         loop {
-            let left_ms = self.deadline_at.since(boot_now());
+            let left_ms = self.limit().since(boot_now());
             if left_ms == 0 {
                 return Err(WaitError::DeadlinePassed);
             }
@@ -113,6 +113,13 @@
         }
     }
 
+    /// Returns until when the wait lasts. A stream that has begun goes on until this process ends, as
+    /// its caller has the status already.
+    fn limit(&self) -> BootMs {
+        let has_status = self.route.kind.is_stream() && self.awaited == Awaited::Body;
+        if has_status { self.deadline_at } else { self.state.drain.limit(self.deadline_at) }
+    }
+
     fn start(&self, at: BootMs) -> Started {
         let pool = self.state.pool_of(self.server);
         Started { at, passes: self.passes(&pool), other_passes: self.other_passes(&pool), pool }
--- a/crates/direct/src/forward/suspect_parts.rs
+++ b/crates/direct/src/forward/suspect_parts.rs
@@ -45,7 +45,7 @@
     ///
     /// Fails like [`Self::check_prompt_parts`].
     pub(super) async fn pass_part_trial(&mut self) -> Result<(), Refusal> {
-        let give_up_at = boot_now().after(MAX_DOUBT_WAIT_MS).min(self.request.deadline_at);
+        let give_up_at = boot_now().after(MAX_DOUBT_WAIT_MS).min(self.deadline_at());
         while let PartVerdict::Doubtful { part, retry_at, has_cause: false } =
             self.judge_prompt_parts()
             && !self.is_part_trial
--- a/crates/direct/src/forward/telemetry.rs
+++ b/crates/direct/src/forward/telemetry.rs
@@ -54,7 +54,7 @@
         let line = line.with_some("allowed_domains", domains);
         let line = line.with("domain", &choice.server.failure_domain);
         let line = line.with("waited_ms", now.since(self.waiting_since));
-        let line = line.with("left_ms", self.request.deadline_at.since(now));
+        let line = line.with("left_ms", self.deadline_at().since(now));
         let line = line.with("configuration", self.request.catalog.version);
         let line = line.with_some("configuration_age_ms", catalog_state.age_ms(now));
         let line = self.with_load(line);
--- a/crates/direct/src/forward/warm_up.rs
+++ b/crates/direct/src/forward/warm_up.rs
@@ -253,7 +253,7 @@
                 (target_ms - target_ms / RUN_DIVISOR).saturating_sub(self.request.used_ms);
             self.request.arrived_at.after(wait_ms)
         };
-        until.min(self.request.deadline_at)
+        until.min(self.deadline_at())
     }
 
     /// Returns when the next permit for a cold server can arrive, behind the requests that wait
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,6 +16,7 @@
 mod clock;
 mod decision_log;
 mod domain_drains;
+mod drain;
 mod entry;
 mod exchange;
 mod exchange_messages;
--- a/crates/direct/src/state.rs
+++ b/crates/direct/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::boot_now;
 use crate::decision_log::DecisionLog;
+use crate::drain::Drain;
 use crate::forward::{Pool, SuspectedCrashes};
 use crate::gossip::GossipReport;
 use crate::limit_share::SilentEntries;
@@ -180,7 +181,8 @@
     pub(crate) parts_changed: Notify,
     /// Notified when a pass of a group ends.
     pub(crate) pass_ended: Notify,
-    pub(crate) is_draining: Cell<bool>,
+    /// The planned stop of this entry.
+    pub(crate) drain: Drain,
     pub(crate) open_requests: Cell<usize>,
     pub(crate) open_connections: Cell<usize>,
     /// Becomes true when callers' connections must be closed after their current request.
@@ -255,7 +257,7 @@
             capacity_changed: Notify::new(),
             parts_changed: Notify::new(),
             pass_ended: Notify::new(),
-            is_draining: Cell::new(false),
+            drain: Drain::default(),
             open_requests: Cell::new(0),
             open_connections: Cell::new(0),
             closing: watch::Sender::new(false),
@@ -292,7 +294,7 @@
         let catalog = self.catalog.borrow();
         let needs_keys = catalog.catalog().is_some_and(|catalog| !catalog.teams.is_empty());
         drop(catalog);
-        !self.is_draining.get()
+        !self.drain.is_active()
             && self.catalog.borrow().catalog().is_some()
             && self.knows_drains()
             && (!needs_keys || self.keys_are_fresh(now))
