--- a/crates/direct/src/forward/attempt.rs
+++ b/crates/direct/src/forward/attempt.rs
@@ -301,7 +301,7 @@
     cause: impl Display,
 ) {
     let line = DecisionLog::fields("unusable-answer").with("request", request.id());
-    state.log.note(line.with("backend", &server.id).with("cause", cause));
+    state.log.note_routine(line.with("backend", &server.id).with("cause", cause));
 }
 
 /// Decides from the response head whether the answer can be used.
