--- a/crates/direct/src/forward/answer.rs
+++ b/crates/direct/src/forward/answer.rs
@@ -1,7 +1,8 @@
 //! Reads a complete answer of a backend server and forwards it to the caller.
 
 use super::active_request::ActiveRequest;
-use super::attempt::{Attempt, end_to_end};
+use super::attempt::Attempt;
+use super::head_fields::end_to_end;
 use super::response_wait::{Awaited, WaitError};
 use crate::callers::{AnswerBody, Refusal, full_body};
 use crate::callers::{BufferUse, collect_body};
--- a/crates/direct/src/forward/mod.rs
+++ b/crates/direct/src/forward/mod.rs
@@ -8,6 +8,7 @@
 //! - `backoff` keeps requests from backend servers that all asked for a backoff.
 //! - `room` decides whether there is room for the request at the backend servers of its pool.
 //! - `attempt` sends the request once and classifies the head of the response.
+//! - `head_fields` tells which fields of a response are forwarded, and whether it answers the request.
 //! - `response_wait` waits for a response and tells a lost connection from a stalled group.
 //! - `stream` forwards events and resumes a broken stream at another backend server.
 //! - `event_buffer` reads a stream ahead of its caller within a bounded buffer.
@@ -30,6 +31,7 @@
 mod backoff;
 mod crash;
 mod event_buffer;
+mod head_fields;
 mod limit;
 mod migration;
 mod pool;
--- a/crates/direct/src/forward/stream.rs
+++ b/crates/direct/src/forward/stream.rs
@@ -2,8 +2,9 @@
 //! last event that its caller got.
 
 use super::active_request::ActiveRequest;
-use super::attempt::{Attempt, Reply, end_to_end};
+use super::attempt::{Attempt, Reply};
 use super::event_buffer::buffered_body;
+use super::head_fields::end_to_end;
 use super::response_wait::{Awaited, WaitError};
 use crate::callers::AnswerBody;
 use crate::clock::boot_now;
