test(entry): each malformed head before an agent is shown by itself

Read afresh: the chunk of the answers announced 15 bytes in place of 16, so two of the three heads would have been refused for their chunk alone, and the first failure ended the test.

--- a/crates/entry/tests/cut_off.rs
+++ b/crates/entry/tests/cut_off.rs
@@ -104,15 +104,16 @@
     for head in MALFORMED_HEADS {
         let answer = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n{head}\r\n\r\n\
-             f\r\n{{\"word\":\"whole\"}}\r\n0\r\n\r\n"
+             10\r\n{{\"word\":\"whole\"}}\r\n0\r\n\r\n"
         );
         let backend = start_backend(answer).await.or_fail()?;
         let local = LocalFleet::start(|stage: &mut Stage| use_backend(stage, backend)).await;
         let request = local.request(Method::GET, "/textbook/words");
         let answer = request.send().await.or_fail()?;
         expect_that!(answer.status().as_u16(), eq(502), "{head}");
-        let verdict = answer.headers().get("x-hickorycross-verdict").cloned().or_fail()?;
-        expect_that!(verdict.to_str().or_fail()?, not(eq("not-run")), "{head}");
+        let verdict = answer.headers().get("x-hickorycross-verdict");
+        let verdict = verdict.and_then(|verdict| verdict.to_str().ok());
+        expect_that!(verdict, some(not(eq("not-run"))), "{head}");
     }
     Ok(())
 }
